--- /dev/null
+++ b/laburnumdyke/kernel/event_log.cc
@@ -0,0 +1,103 @@
+// The line is rendered before log4cxx sees it, so that the pattern layout
+// adds only the time and the level.
+#include "laburnumdyke/kernel/event_log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <cstdio>
+
+namespace laburnumdyke {
+
+namespace {
+
+bool
+NeedsQuotes(std::string_view aValue)
+{
+  if (aValue.empty()) {
+    return true;
+  }
+  for (char c : aValue) {
+    if (static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=' ||
+        c == '\\' || c == '\x7f') {
+      return true;
+    }
+  }
+  return false;
+}
+
+log4cxx::LoggerPtr
+Logger()
+{
+  return log4cxx::Logger::getLogger("laburnumdyke");
+}
+
+} // namespace
+
+std::string
+QuoteLogValue(std::string_view aValue)
+{
+  if (!NeedsQuotes(aValue)) {
+    return std::string(aValue);
+  }
+  std::string quoted = "\"";
+  for (char c : aValue) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+    } else if (static_cast<unsigned char>(c) < ' ' || c == '\x7f') {
+      char escaped[5];
+      std::snprintf(
+        escaped, sizeof escaped, "\\x%02x", static_cast<unsigned char>(c));
+      quoted += escaped;
+    } else {
+      quoted += c;
+    }
+  }
+  return quoted + '"';
+}
+
+event_log::event_log(std::string aInstance)
+  : mInstance(std::move(aInstance))
+{
+}
+
+std::string
+event_log::Line(std::string_view aEvent,
+                std::initializer_list<log_pair> aPairs) const
+{
+  std::string line = "event=" + QuoteLogValue(aEvent);
+  line += " instance=" + QuoteLogValue(mInstance);
+  for (const log_pair& pair : aPairs) {
+    line += ' ';
+    line += pair.first;
+    line += '=';
+    line += QuoteLogValue(pair.second);
+  }
+  return line;
+}
+
+void
+event_log::Info(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
+{
+  LOG4CXX_INFO(Logger(), Line(aEvent, aPairs));
+}
+
+void
+event_log::Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
+{
+  LOG4CXX_WARN(Logger(), Line(aEvent, aPairs));
+}
+
+void
+ConfigureLogging()
+{
+  log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
+    "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n"));
+  log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(
+    layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::Logger::getRootLogger()->addAppender(appender);
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/event_log.h
@@ -0,0 +1,43 @@
+// Structured log: one line of key=value pairs for each event, by log4cxx.
+//
+// Usage:
+//   log.Info("document_in_force", { { "version", "7" }, { "hash", hash } });
+//
+// Values that hold a space, a quote, '=' or a control character are quoted
+// and escaped, so that an event is always one line.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace laburnumdyke {
+
+using log_pair = std::pair<std::string_view, std::string>;
+
+class event_log
+{
+public:
+  // aInstance is written with each event.
+  explicit event_log(std::string aInstance);
+
+  void Info(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
+  void Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
+
+private:
+  std::string Line(std::string_view aEvent,
+                   std::initializer_list<log_pair> aPairs) const;
+
+  std::string mInstance;
+};
+
+// Sets log4cxx up to write to standard error. Call once, in main.
+void
+ConfigureLogging();
+
+// Renders a value as it stands in a line.
+std::string
+QuoteLogValue(std::string_view aValue);
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/kernel.h
@@ -0,0 +1,87 @@
+// One instance of the system within a process: settings, workers, shared
+// tables, counters, latencies, log and plug-ins.
+//
+// Usage:
+//   kernel one(settings, registry::Records());
+//   std::optional<std::string> failure = one.Start(now);
+//   ...
+//   one.Leave(now);                  // planned stop
+//   while (!one.Waiting(now).empty()) ...
+//   one.Stop();
+//
+// Plug-ins share state through Table<T>(), which creates the table on first
+// use; T names its lock rank.
+#pragma once
+
+#include "laburnumdyke/kernel/counters.h"
+#include "laburnumdyke/kernel/event_log.h"
+#include "laburnumdyke/kernel/guarded.h"
+#include "laburnumdyke/kernel/latency_table.h"
+#include "laburnumdyke/kernel/registry.h"
+#include "laburnumdyke/kernel/settings.h"
+#include "laburnumdyke/kernel/worker_pool.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <typeindex>
+#include <vector>
+
+namespace laburnumdyke {
+
+class kernel
+{
+public:
+  kernel(settings aSettings, const std::vector<plugin_record>& aPlugins);
+  ~kernel();
+
+  kernel(const kernel&) = delete;
+  kernel& operator=(const kernel&) = delete;
+
+  // Starts the plug-ins, then the workers. Returns why one could not start;
+  // those that had started are stopped again.
+  std::optional<std::string> Start(instant aNow);
+
+  // Begins a planned stop. Idempotent.
+  void Leave(instant aNow);
+
+  // What the planned stop still waits for; empty when nothing.
+  std::string Waiting(instant aNow);
+
+  // Stops the workers, then the plug-ins. Idempotent.
+  void Stop();
+
+  const settings& Settings() const { return mSettings; }
+  boost::asio::io_context& Context() { return mWorkers.Context(); }
+  counters& Counters() { return mCounters; }
+  latency_table& Latencies() { return mLatencies; }
+  event_log& Log() { return mLog; }
+
+  template<shared_state T>
+  table<T>& Table()
+  {
+    std::shared_ptr<void> found = mTables.With([](table_directory& aDirectory) {
+      std::shared_ptr<void>& slot = aDirectory[std::type_index(typeid(T))];
+      if (!slot) {
+        slot = std::make_shared<table<T>>();
+      }
+      return slot;
+    });
+    return *static_cast<table<T>*>(found.get());
+  }
+
+private:
+  using table_directory = std::map<std::type_index, std::shared_ptr<void>>;
+
+  settings mSettings;
+  counters mCounters;
+  latency_table mLatencies;
+  event_log mLog;
+  guarded<table_directory, lock_rank::Kernel> mTables;
+  worker_pool mWorkers;
+  std::vector<plugin_instance> mPlugins;
+  std::size_t mStarted = 0;
+  bool mLeaving = false;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/latency_table.h
@@ -0,0 +1,51 @@
+// Latency histograms by label, on Boost.Histogram.
+//
+// Buckets are logarithmic from 10 microseconds to 100 seconds, ten to a
+// decade, with an overflow bucket.
+#pragma once
+
+#include "laburnumdyke/kernel/guarded.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumdyke {
+
+struct latency_bucket
+{
+  std::chrono::microseconds mUpperBound; // max(): overflow
+  std::uint64_t mCount;
+};
+
+struct latency_summary
+{
+  std::string mLabel;
+  std::uint64_t mCount = 0;
+  std::chrono::microseconds mMedian{ 0 };
+  std::chrono::microseconds mP99{ 0 };
+  std::chrono::microseconds mP999{ 0 };
+  std::vector<latency_bucket> mBuckets;
+};
+
+class latency_table
+{
+public:
+  latency_table();
+  ~latency_table();
+
+  void Record(std::string_view aLabel, std::chrono::nanoseconds aLatency);
+
+  // One summary for each label, in order of label. Quantiles are the upper
+  // bounds of their buckets.
+  std::vector<latency_summary> Summaries();
+
+private:
+  struct state;
+  guarded<std::unique_ptr<state>, lock_rank::Latency> mState;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/ranked_mutex.cc
@@ -0,0 +1,43 @@
+// Each thread keeps the set of ranks it holds as one bit per rank: the check
+// is a compare against a mask, with no allocation and no shared state.
+#include "laburnumdyke/kernel/ranked_mutex.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <bitset>
+#include <string>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::size_t kRankCount = 100;
+
+std::bitset<kRankCount>&
+HeldByThisThread()
+{
+  thread_local std::bitset<kRankCount> sHeld;
+  return sHeld;
+}
+
+} // namespace
+
+void
+held_ranks::Acquire(lock_rank aRank)
+{
+  std::bitset<kRankCount>& held = HeldByThisThread();
+  std::size_t rank = static_cast<std::size_t>(aRank);
+  bool outermost = (held >> rank).none();
+  if (!outermost) {
+    FailInvariant("lock_order", "rank=" + std::to_string(rank));
+  }
+  held.set(rank);
+}
+
+void
+held_ranks::Release(lock_rank aRank)
+{
+  HeldByThisThread().reset(static_cast<std::size_t>(aRank));
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/registry.cc
@@ -0,0 +1,39 @@
+// Filled by static constructors before main, read-only afterwards: no lock.
+#include "laburnumdyke/kernel/registry.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace laburnumdyke {
+
+namespace {
+
+std::vector<plugin_record>&
+All()
+{
+  static std::vector<plugin_record> sRecords;
+  return sRecords;
+}
+
+} // namespace
+
+void
+registry::Add(plugin_record aRecord)
+{
+  All().push_back(std::move(aRecord));
+}
+
+std::vector<plugin_record>
+registry::Records()
+{
+  std::vector<plugin_record> records = All();
+  std::sort(records.begin(),
+            records.end(),
+            [](const plugin_record& aLeft, const plugin_record& aRight) {
+              return std::tie(aLeft.mStage, aLeft.mName) <
+                     std::tie(aRight.mStage, aRight.mName);
+            });
+  return records;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/kernel/settings.cc
@@ -0,0 +1,199 @@
+// One table of keys drives parsing, the report of unknown keys and the report
+// of missing ones.
+#include "laburnumdyke/kernel/settings.h"
+
+#include <charconv>
+#include <functional>
+#include <set>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::size_t kLongestName = 48; // bytes
+constexpr std::size_t kMostWorkers = 64;
+
+struct setting_key
+{
+  std::string_view mSection;
+  std::string_view mKey;
+  bool mRequired;
+  std::string_view mExpected;
+  std::function<bool(settings&, std::string_view)> mTake;
+};
+
+bool
+TakeName(std::string& aTarget, std::string_view aText)
+{
+  aTarget = aText;
+  return IsName(aText);
+}
+
+bool
+TakeEndpoint(endpoint& aTarget, std::string_view aText)
+{
+  std::optional<endpoint> parsed = ParseEndpoint(aText);
+  if (parsed) {
+    aTarget = *parsed;
+  }
+  return parsed.has_value();
+}
+
+bool
+TakeWorkers(std::size_t& aTarget, std::string_view aText)
+{
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result parsed = std::from_chars(aText.data(), end, aTarget);
+  return parsed.ec == std::errc() && parsed.ptr == end && aTarget >= 1 &&
+         aTarget <= kMostWorkers;
+}
+
+bool
+TakeEndpoints(std::vector<endpoint>& aTarget, std::string_view aText)
+{
+  while (!aText.empty()) {
+    std::size_t comma = aText.find(',');
+    std::string_view one = aText.substr(0, comma);
+    while (!one.empty() && one.front() == ' ') {
+      one.remove_prefix(1);
+    }
+    while (!one.empty() && one.back() == ' ') {
+      one.remove_suffix(1);
+    }
+    endpoint parsed;
+    if (!TakeEndpoint(parsed, one)) {
+      return false;
+    }
+    aTarget.push_back(parsed);
+    aText.remove_prefix(comma == std::string_view::npos ? aText.size()
+                                                        : comma + 1);
+  }
+  return true;
+}
+
+const std::vector<setting_key>&
+Keys()
+{
+  static constexpr std::string_view kName =
+    "a name of lower-case letters, digits and hyphens, at most 48 bytes";
+  static constexpr std::string_view kEndpoint =
+    "an IP address and port such as 127.0.0.1:7001";
+  using text = std::string_view;
+  static const std::vector<setting_key> kKeys = {
+    { "instance",
+      "name",
+      true,
+      kName,
+      [](settings& aS, text aT) { return TakeName(aS.mInstance, aT); } },
+    { "instance",
+      "region",
+      true,
+      kName,
+      [](settings& aS, text aT) { return TakeName(aS.mRegion, aT); } },
+    { "instance",
+      "failure_domain",
+      true,
+      kName,
+      [](settings& aS, text aT) { return TakeName(aS.mFailureDomain, aT); } },
+    { "instance",
+      "workers",
+      false,
+      "a whole number from 1 to 64",
+      [](settings& aS, text aT) { return TakeWorkers(aS.mWorkers, aT); } },
+    { "listen",
+      "caller",
+      true,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mCaller, aT); } },
+    { "listen",
+      "relay",
+      true,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mRelay, aT); } },
+    { "listen",
+      "peer",
+      true,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mPeer, aT); } },
+    { "listen",
+      "operator",
+      true,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mOperator, aT); } },
+    { "platform",
+      "address",
+      true,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mPlatform, aT); } },
+    { "peers",
+      "seeds",
+      false,
+      "IP addresses and ports, separated by commas",
+      [](settings& aS, text aT) { return TakeEndpoints(aS.mSeeds, aT); } },
+  };
+  return kKeys;
+}
+
+const setting_key*
+FindKey(const ini_entry& aEntry)
+{
+  for (const setting_key& key : Keys()) {
+    if (key.mSection == aEntry.mSection && key.mKey == aEntry.mKey) {
+      return &key;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+FieldName(std::string_view aSection, std::string_view aKey)
+{
+  return std::string(aSection) + "." + std::string(aKey);
+}
+
+} // namespace
+
+bool
+IsName(std::string_view aText)
+{
+  if (aText.empty() || aText.size() > kLongestName || aText.front() < 'a' ||
+      aText.front() > 'z') {
+    return false;
+  }
+  return aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
+         std::string_view::npos;
+}
+
+settings_result
+ParseSettings(std::string_view aText)
+{
+  settings_result result;
+  settings parsed;
+  ini_text text = ParseIni(aText);
+  result.mFaults = text.mFaults;
+  std::set<std::string> seen;
+  for (const ini_entry& entry : text.mEntries) {
+    std::string field = FieldName(entry.mSection, entry.mKey);
+    const setting_key* key = FindKey(entry);
+    if (key == nullptr) {
+      result.mFaults.push_back({ entry.mLine, field, "a known setting" });
+    } else if (!seen.insert(field).second) {
+      result.mFaults.push_back({ entry.mLine, field, "the setting only once" });
+    } else if (!key->mTake(parsed, entry.mValue)) {
+      result.mFaults.push_back(
+        { entry.mLine, field, std::string(key->mExpected) });
+    }
+  }
+  for (const setting_key& key : Keys()) {
+    std::string field = FieldName(key.mSection, key.mKey);
+    if (key.mRequired && seen.count(field) == 0) {
+      result.mFaults.push_back({ 0, field, std::string(key.mExpected) });
+    }
+  }
+  if (result.mFaults.empty()) {
+    result.mSettings = std::move(parsed);
+  }
+  return result;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -0,0 +1,194 @@
+// Lock order, counters, log lines, INI text, settings and the registry.
+#include "laburnumdyke/kernel/counters.h"
+#include "laburnumdyke/kernel/event_log.h"
+#include "laburnumdyke/kernel/guarded.h"
+#include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/kernel/settings.h"
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+
+namespace {
+
+constexpr std::string_view kGoodSettings = "[instance]\n"
+                                           "name = leinster-a-1\n"
+                                           "region = leinster\n"
+                                           "failure_domain = leinster-a\n"
+                                           "[listen]\n"
+                                           "caller = 127.0.0.1:7001\n"
+                                           "relay = 127.0.0.1:7002\n"
+                                           "peer = 127.0.0.1:7003\n"
+                                           "operator = 127.0.0.1:7004\n"
+                                           "[platform]\n"
+                                           "address = 127.0.0.1:7000\n"
+                                           "[peers]\n"
+                                           "seeds = 127.0.0.1:7013, [::1]:1\n";
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, ReadsEverySetting)
+{
+  settings_result result = ParseSettings(kGoodSettings);
+  CHECK(result.mSettings.has_value());
+  CHECK_EQUAL(std::string("leinster-a-1"), result.mSettings->mInstance);
+  CHECK_EQUAL(2u, result.mSettings->mSeeds.size());
+  CHECK_EQUAL(std::string("[::1]:1"), result.mSettings->mSeeds[1].Text());
+}
+
+TEST(Settings, ReportsEveryFaultWithItsLine)
+{
+  settings_result result = ParseSettings("[instance]\n"
+                                         "name = Upper\n"
+                                         "workers = 0\n"
+                                         "colour = red\n"
+                                         "name = twice\n"
+                                         "nonsense\n");
+  CHECK(!result.mSettings.has_value());
+  std::vector<std::string> lines;
+  for (const text_fault& fault : result.mFaults) {
+    lines.push_back(fault.Describe("x.ini"));
+  }
+  CHECK_EQUAL(std::string("x.ini:6: expected \"[section]\" or \"key = value\""),
+              lines.at(0));
+  CHECK_EQUAL(0u, lines.at(1).find("x.ini:2: instance.name: expected a name"));
+  CHECK_EQUAL(0u, lines.at(2).find("x.ini:3: instance.workers: expected"));
+  CHECK_EQUAL(0u, lines.at(3).find("x.ini:4: instance.colour: expected"));
+  CHECK_EQUAL(0u, lines.at(4).find("x.ini:5: instance.name: expected"));
+  CHECK_EQUAL(12u, lines.size()); // and seven required settings are missing
+}
+
+TEST_GROUP(Endpoint){};
+
+TEST(Endpoint, AcceptsAddressesAlone)
+{
+  struct row
+  {
+    const char* mText;
+    bool mGood;
+  };
+  const row kRows[] = {
+    { "127.0.0.1:80", true },
+    { "[::1]:80", true },
+    { "localhost:80", false },
+    { "127.0.0.1", false },
+    { "127.0.0.1:0", false },
+    { "::1:80", false },
+    { "127.0.0.1:65536", false },
+    { "", false },
+    { "[]:1", false },
+  };
+  for (const row& one : kRows) {
+    CHECK_EQUAL_TEXT(
+      one.mGood, ParseEndpoint(one.mText).has_value(), one.mText);
+  }
+}
+
+TEST_GROUP(RankedMutex){};
+
+TEST(RankedMutex, InnerLockMayBeTakenUnderOuterLock)
+{
+  guarded<int, lock_rank::Document> outer(1);
+  guarded<int, lock_rank::Counters> inner(2);
+  int sum = outer.With([&](int& aOuter) {
+    return aOuter + inner.With([](int& aInner) { return aInner; });
+  });
+  CHECK_EQUAL(3, sum);
+}
+
+TEST_GROUP(Counters){};
+
+TEST(Counters, AreExactUnderConcurrency)
+{
+  counters counted;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&]() {
+      for (int j = 0; j < 1000; ++j) {
+        counted.Add("refused_total", "queue_full");
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK_EQUAL(4000u, counted.Value("refused_total", "queue_full"));
+}
+
+TEST_GROUP(EventLog){};
+
+TEST(EventLog, ValuesStayOnOneLine)
+{
+  CHECK_EQUAL(std::string("plain"), QuoteLogValue("plain"));
+  CHECK_EQUAL(std::string("\"a b\""), QuoteLogValue("a b"));
+  CHECK_EQUAL(std::string("\"a\\x0ab\""), QuoteLogValue("a\nb"));
+  CHECK_EQUAL(std::string("\"\""), QuoteLogValue(""));
+}
+
+namespace {
+
+struct recording_state
+{
+  static constexpr lock_rank kLockRank = lock_rank::Membership;
+  std::string mCalls;
+};
+
+// Records its calls in a table of its kernel.
+class recording_plugin
+{
+public:
+  static constexpr std::string_view kName = "recording";
+  static constexpr plugin_stage kStage = plugin_stage::Peer;
+
+  explicit recording_plugin(kernel& aKernel)
+    : mTable(aKernel.Table<recording_state>())
+  {
+  }
+
+  std::optional<std::string> Start(instant)
+  {
+    Record("start ");
+    return std::nullopt;
+  }
+  void Leave(instant) { Record("leave "); }
+  std::string Waiting(instant) { return "recording"; }
+  void Stop() { Record("stop "); }
+
+private:
+  void Record(std::string_view aCall)
+  {
+    mTable.With([&](recording_state& aState) { aState.mCalls += aCall; });
+  }
+
+  table<recording_state>& mTable;
+};
+
+} // namespace
+
+TEST_GROUP(Kernel){};
+
+TEST(Kernel, KernelsInOneProcessShareNothing)
+{
+  std::vector<plugin_record> records = { MakeRecord<recording_plugin>() };
+  settings parsed = *ParseSettings(kGoodSettings).mSettings;
+  kernel one(parsed, records);
+  kernel two(parsed, records);
+  instant now{};
+  CHECK(!one.Start(now).has_value());
+  one.Leave(now);
+  one.Leave(now);
+  CHECK_EQUAL(std::string("recording"), one.Waiting(now));
+  one.Stop();
+  std::string calls = one.Table<recording_state>().With(
+    [](recording_state& aState) { return aState.mCalls; });
+  CHECK_EQUAL(std::string("start leave stop "), calls);
+  std::string others = two.Table<recording_state>().With(
+    [](recording_state& aState) { return aState.mCalls; });
+  CHECK_EQUAL(std::string(), others);
+}
