--- a/laburnumdyke/decision/types.cc
+++ b/laburnumdyke/decision/types.cc
@@ -17,7 +17,7 @@
                                                             "unknown" };
 
 constexpr std::array<std::string_view,
-                     static_cast<std::size_t>(refusal_reason::kCount)>
+                     static_cast<std::size_t>(refusal_reason::Count)>
   kRefusalNames = {
     "none",
     "malformed_request",
@@ -49,7 +49,7 @@
   };
 
 constexpr std::array<std::string_view,
-                     static_cast<std::size_t>(retry_reason::kCount)>
+                     static_cast<std::size_t>(retry_reason::Count)>
   kRetryNames = {
     "upstream_connect", "upstream_refused", "upstream_lost",
     "relay_refused",    "relay_connect",
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -81,7 +81,7 @@
   RelayLost,
   RetryBudgetSpent,
   CallerGone,
-  kCount,
+  Count,
 };
 
 // Why another attempt was made.
@@ -92,7 +92,7 @@
   UpstreamLost, // idempotent requests alone
   RelayRefused,
   RelayConnect,
-  kCount,
+  Count,
 };
 
 std::string_view
