--- /dev/null
+++ b/laburnumdyke/decision/document.h
@@ -0,0 +1,161 @@
+// The document that operators change: everything they declare, as one value.
+//
+// A document is read from INI text, validated as a whole and either accepted
+// whole or refused with every fault by line and field. It has one canonical
+// text, whose SHA-256 is its content hash; two texts that declare the same
+// have the same canonical text.
+//
+//   [region leinster]
+//   cap = 400                   ; requests in flight in the whole region
+//   [failure_domain leinster-a]
+//   region = leinster
+//   [service booking]
+//   rank = urgent
+//   idempotent = no             ; default: yes
+//   answer_life = 20s           ; how long callers may cache a look-up answer
+//   deadline = 2s               ; where the caller states none
+//   warm_up = 10s               ; ramp of a cold upstream
+//   [upstream booking-1]
+//   service = booking
+//   failure_domain = leinster-a
+//   address = 127.0.0.1:9001
+//   slots = 3                   ; requests in flight
+//   connections = 650
+//   state = serving             ; or leaving
+//   [rank urgent]
+//   floor = 50                  ; percent of slots and links kept for the rank
+//   queue = 64                  ; requests waiting, for each service and entry
+//   [link leinster-munster]
+//   between = leinster, munster
+//   rate = 300                  ; Mbit/s each way
+//   [shift 2026-report-move]
+//   service = report
+//   from = leinster
+//   to = munster
+//   share = 50                  ; percent of the traffic, when complete
+//   cap = 5                     ; percentage points a minute at most
+//   start = 2026-12-04T11:00:00Z
+//   [blocks]
+//   leinster-a = 10.0.0.0/24, 2001:db8::/32   ; keys may be repeated
+//
+// Times are a whole number with the unit ms, s or m.
+#pragma once
+
+#include "laburnumdyke/decision/prefix.h"
+#include "laburnumdyke/decision/types.h"
+#include "laburnumdyke/kernel/ini.h"
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumdyke {
+
+// Start times in documents are on the civil clock.
+using civil_time = std::chrono::system_clock::time_point;
+
+struct region_spec
+{
+  std::uint32_t mCap = 0; // requests in flight
+  bool operator==(const region_spec&) const = default;
+};
+
+struct domain_spec
+{
+  region_id mRegion;
+  bool operator==(const domain_spec&) const = default;
+};
+
+struct service_spec
+{
+  work_rank mRank = work_rank::Standard;
+  bool mIdempotent = true;
+  std::chrono::milliseconds mAnswerLife{ 20000 };
+  std::chrono::milliseconds mDeadline{ 2000 };
+  std::chrono::milliseconds mWarmUp{ 10000 };
+  bool operator==(const service_spec&) const = default;
+};
+
+enum class upstream_state
+{
+  Serving,
+  Leaving,
+};
+
+struct upstream_spec
+{
+  service_id mService;
+  domain_id mDomain;
+  endpoint mAddress;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mConnections = 0;
+  upstream_state mState = upstream_state::Serving;
+  bool operator==(const upstream_spec&) const = default;
+};
+
+struct rank_spec
+{
+  std::uint32_t mFloorPercent = 0;
+  std::uint32_t mQueue = 64;
+  bool operator==(const rank_spec&) const = default;
+};
+
+struct link_spec
+{
+  region_id mFirst; // the lesser name
+  region_id mSecond;
+  std::uint32_t mMegabits = 0; // a second, each way
+  bool operator==(const link_spec&) const = default;
+};
+
+struct shift_spec
+{
+  service_id mService;
+  region_id mFrom;
+  region_id mTo;
+  std::uint32_t mSharePercent = 0;
+  std::uint32_t mCapPercentPerMinute = 0;
+  civil_time mStart{};
+  bool operator==(const shift_spec&) const = default;
+};
+
+struct document
+{
+  std::map<region_id, region_spec> mRegions;
+  std::map<domain_id, domain_spec> mDomains;
+  std::map<service_id, service_spec> mServices;
+  std::map<upstream_id, upstream_spec> mUpstreams;
+  std::array<rank_spec, kRankCount> mRanks{};
+  std::map<std::string, link_spec> mLinks;
+  std::map<std::string, shift_spec> mShifts;
+  std::map<client_prefix, domain_id> mBlocks;
+
+  bool operator==(const document&) const = default;
+
+  // Nothing where the domain is not declared.
+  std::optional<region_id> RegionOf(const domain_id& aDomain) const;
+};
+
+struct document_result
+{
+  std::optional<document> mDocument; // nothing where there are faults
+  std::vector<text_fault> mFaults;
+};
+
+// Reads and validates.
+document_result
+ParseDocument(std::string_view aText);
+
+// The canonical text.
+std::string
+RenderDocument(const document& aDocument);
+
+// SHA-256 of a text, in lower-case hexadecimal.
+std::string
+ContentHash(std::string_view aText);
+
+} // namespace laburnumdyke
