--- /dev/null
+++ b/laburnumdyke/decision/document_state.h
@@ -0,0 +1,54 @@
+// The document in force at one instance.
+//
+// The version in force only grows.
+#pragma once
+
+#include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/kernel/lock_rank.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace laburnumdyke {
+
+class document_state
+{
+public:
+  static constexpr lock_rank kLockRank = lock_rank::Document;
+
+  // Puts a version in force. Returns false, and changes nothing, unless it is
+  // newer than the one in force.
+  bool Accept(std::uint64_t aVersion,
+              std::string aContentHash,
+              std::shared_ptr<const std::string> aText,
+              std::shared_ptr<const document> aDocument)
+  {
+    if (aVersion <= mVersion) {
+      return false;
+    }
+    mVersion = aVersion;
+    mContentHash = std::move(aContentHash);
+    mText = std::move(aText);
+    mDocument = std::move(aDocument);
+    return true;
+  }
+
+  std::uint64_t Version() const { return mVersion; }
+  const std::string& ContentHash() const { return mContentHash; }
+
+  // The canonical text, for peers that have lost the platform. Null until the
+  // first version is in force.
+  std::shared_ptr<const std::string> Text() const { return mText; }
+
+  // Null until the first version is in force.
+  std::shared_ptr<const document> Document() const { return mDocument; }
+
+private:
+  std::uint64_t mVersion = 0;
+  std::string mContentHash;
+  std::shared_ptr<const std::string> mText;
+  std::shared_ptr<const document> mDocument;
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/kernel/lock_rank.h
+++ b/laburnumdyke/kernel/lock_rank.h
@@ -26,6 +26,7 @@
   Admission = 50,   // upstream slots and queues
   Links = 60,       // byte budgets for region pairs
   Retries = 70,     // retry budget
+  Waiters = 75,     // coroutines that wait for a slot
   Connections = 80, // idle upstream connections
   Counters = 90,    // counters by name and reason
   Latency = 95,     // histograms by rank
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -23,6 +23,7 @@
 #include "laburnumdyke/kernel/ini.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,8 @@
   std::string mInstance;
   std::string mRegion;
   std::string mFailureDomain;
+  // Greater for each start of an instance; not read from the file.
+  std::uint64_t mIncarnation = 0;
   std::size_t mWorkers = 2;
   endpoint mCaller;   // callers: look-ups and requests
   endpoint mRelay;    // requests relayed by other entry instances
--- /dev/null
+++ b/laburnumdyke/plugin/caller_http.cc
@@ -0,0 +1,153 @@
+// The callers' front end: look-ups and requests, and the same requests as
+// relayed by other entry instances on an address of its own.
+//
+// Paths:
+//   GET  /v1/lookup?service=S&client=IP   which entry instances to use
+//   GET  /v1/identity                      an identity for one request
+//   *    /v1/request/S/...                 a request to service S
+//   GET  /v1/document                      the text in force (peers alone)
+#include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/http_server.h"
+#include "laburnumdyke/plugin/lookup.h"
+#include "laburnumdyke/plugin/request_pipeline.h"
+
+#include <boost/json.hpp>
+
+namespace laburnumdyke {
+
+namespace {
+
+// Passes on what came to the caller or to the relay address.
+template<class Front>
+struct front_door
+{
+  Front& mFront;
+  bool mFromPeer;
+
+  asio::awaitable<void> Handle(http_exchange& aExchange)
+  {
+    return mFront.Handle(aExchange, mFromPeer);
+  }
+};
+
+class caller_http
+{
+public:
+  static constexpr std::string_view kName = "caller_http";
+  static constexpr plugin_stage kStage = plugin_stage::Caller;
+
+  explicit caller_http(kernel& aKernel)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mTransport(aKernel)
+    , mPipeline(aKernel, mTransport)
+    , mCallerDoor{ *this, false }
+    , mRelayDoor{ *this, true }
+    , mCallerServer(aKernel, mCallerDoor)
+    , mRelayServer(aKernel, mRelayDoor)
+  {
+  }
+
+  std::optional<std::string> Start(instant)
+  {
+    std::optional<std::string> failure =
+      mCallerServer.Listen(mKernel.Settings().mCaller);
+    if (!failure) {
+      failure = mRelayServer.Listen(mKernel.Settings().mRelay);
+    }
+    return failure;
+  }
+
+  void Leave(instant aNow)
+  {
+    mServeUntil = aNow + LongestAnswerLife() + kSpread;
+    mCallerServer.Leave();
+    mRelayServer.Leave();
+  }
+
+  std::string Waiting(instant aNow)
+  {
+    if (aNow < mServeUntil) {
+      return "look-up answers that callers still hold";
+    }
+    std::size_t requests = mCallerServer.InFlight() + mRelayServer.InFlight();
+    return requests == 0 ? std::string()
+                         : std::to_string(requests) + " requests in flight";
+  }
+
+  void Stop()
+  {
+    mCallerServer.Close();
+    mRelayServer.Close();
+  }
+
+  asio::awaitable<void> Handle(http_exchange& aExchange, bool aFromPeer)
+  {
+    std::string_view target = FromBeast(aExchange.Head().target());
+    if (target.substr(0, kRequestPath.size()) == kRequestPath) {
+      co_await mPipeline.Serve(aExchange, aFromPeer);
+    } else if (!aFromPeer &&
+               target.substr(0, kLookupPath.size()) == kLookupPath) {
+      co_await WriteAnswer(aExchange,
+                           AnswerLookup(mKernel, mTables, target, Now()));
+    } else if (!aFromPeer && target == "/v1/identity") {
+      co_await WriteAnswer(aExchange, AnswerIdentity(mTables, Now()));
+    } else if (aFromPeer && target == "/v1/document") {
+      co_await WriteAnswer(aExchange, AnswerDocument());
+    } else {
+      mKernel.Counters().Add("refused_total", "malformed_request");
+      string_answer answer(http::status::not_found, 11);
+      answer.set(ToBeast(kOutcomeHeader), "not-run");
+      answer.set(ToBeast(kReasonHeader), "malformed_request");
+      answer.body() = "no such path\n";
+      co_await WriteAnswer(aExchange, std::move(answer));
+    }
+  }
+
+private:
+  // For the news of leaving to reach every peer that answers look-ups.
+  static constexpr std::chrono::milliseconds kSpread{ 1500 };
+
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
+  // The text in force, for a peer that has lost the platform.
+  string_answer AnswerDocument()
+  {
+    std::shared_ptr<const std::string> text = mTables.DocumentState().With(
+      [](document_state& aState) { return aState.Text(); });
+    string_answer answer(text ? http::status::ok : http::status::not_found, 11);
+    if (text) {
+      answer.body() = *text;
+    }
+    return answer;
+  }
+
+  std::chrono::milliseconds LongestAnswerLife()
+  {
+    std::chrono::milliseconds longest{ 0 };
+    std::shared_ptr<const document> document = mTables.Document();
+    if (document) {
+      for (const std::pair<const service_id, service_spec>& service :
+           document->mServices) {
+        longest = std::max(longest, service.second.mAnswerLife);
+      }
+    }
+    return longest;
+  }
+
+  kernel& mKernel;
+  entry_tables mTables;
+  http_transport mTransport;
+  request_pipeline<http_transport> mPipeline;
+  front_door<caller_http> mCallerDoor;
+  front_door<caller_http> mRelayDoor;
+  http_server<front_door<caller_http>> mCallerServer;
+  http_server<front_door<caller_http>> mRelayServer;
+  instant mServeUntil{};
+};
+
+const registered<caller_http> kRegistered;
+
+} // namespace
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -0,0 +1,224 @@
+// Keeps the document in force up to date, and announces this instance to the
+// platform.
+//
+// Every period, with jitter, the row in the platform's table is read; when it
+// names a newer version, its object is fetched, checked against its hash,
+// parsed and put in force. When a live peer's heartbeat names a version newer
+// still, the text is fetched from that peer: an instance that has lost the
+// platform learns from those that have not. Fetched text counts only where its
+// hash is the one that was named.
+#include "laburnumdyke/decision/config_row.h"
+#include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/http_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/json.hpp>
+
+#include <random>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPeriod{ 1000 };
+constexpr std::chrono::milliseconds kAnnounceEvery{ 5000 };
+
+// A version and where its text can be had.
+struct version_offer
+{
+  std::uint64_t mVersion = 0;
+  std::string mContentHash;
+  endpoint mFrom;
+  std::string mTarget;
+};
+
+class config_watch
+{
+public:
+  static constexpr std::string_view kName = "config_watch";
+  static constexpr plugin_stage kStage = plugin_stage::Platform;
+
+  explicit config_watch(kernel& aKernel)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mStrand(asio::make_strand(aKernel.Context()))
+    , mRandom(aKernel.Settings().mIncarnation)
+  {
+  }
+
+  std::optional<std::string> Start(instant)
+  {
+    asio::co_spawn(mStrand, Watch(), asio::detached);
+    asio::co_spawn(mStrand, Announce(), asio::detached);
+    return std::nullopt;
+  }
+
+  void Leave(instant)
+  {
+    asio::co_spawn(mStrand, AnnounceOnce("leaving"), asio::detached);
+  }
+
+  std::string Waiting(instant) { return {}; }
+  void Stop() {}
+
+private:
+  asio::awaitable<void> Pause(std::chrono::milliseconds aPeriod)
+  {
+    std::uniform_real_distribution<double> jitter(0.8, 1.2);
+    asio::steady_timer timer(
+      mStrand,
+      std::chrono::duration_cast<std::chrono::milliseconds>(aPeriod *
+                                                            jitter(mRandom)));
+    error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
+  asio::awaitable<void> Watch()
+  {
+    while (true) {
+      std::optional<version_offer> offer = co_await AskPlatform();
+      if (offer) {
+        co_await Take(*offer);
+      }
+      offer = BestPeerOffer();
+      if (offer) {
+        co_await Take(*offer);
+      }
+      co_await Pause(kPeriod);
+    }
+  }
+
+  asio::awaitable<std::optional<version_offer>> AskPlatform()
+  {
+    client_request request;
+    request.mTo = mKernel.Settings().mPlatform;
+    request.mTarget = "/v1/tables/config/rows/current";
+    std::optional<client_answer> answer = co_await Exchange(request);
+    if (!answer || (answer->mStatus != 200 && answer->mStatus != 404)) {
+      mKernel.Counters().Add("platform_unavailable_total");
+      co_return std::nullopt;
+    }
+    std::optional<config_row> row = ReadRow(*answer);
+    if (!row) {
+      co_return std::nullopt;
+    }
+    co_return version_offer{ row->mVersion,
+                             row->mContentHash,
+                             mKernel.Settings().mPlatform,
+                             "/v1/objects/" + row->mContentHash };
+  }
+
+  static std::optional<config_row> ReadRow(const client_answer& aAnswer)
+  {
+    boost::system::error_code failure;
+    boost::json::value parsed = boost::json::parse(aAnswer.mBody, failure);
+    if (aAnswer.mStatus != 200 || failure || !parsed.is_object()) {
+      return std::nullopt;
+    }
+    const boost::json::value* value = parsed.get_object().if_contains("value");
+    if (value == nullptr || !value->is_string()) {
+      return std::nullopt;
+    }
+    return DecodeConfigRow(FromBeast(value->get_string()));
+  }
+
+  std::optional<version_offer> BestPeerOffer()
+  {
+    std::optional<version_offer> best;
+    std::uint64_t newest = mTables.Version();
+    for (const peer& one :
+         mTables.LivePeers(std::chrono::steady_clock::now())) {
+      if (one.mLast.mVersion > newest) {
+        newest = one.mLast.mVersion;
+        best = version_offer{ one.mLast.mVersion,
+                              one.mLast.mContentHash,
+                              one.mLast.mSender.mRelay,
+                              "/v1/document" };
+      }
+    }
+    return best;
+  }
+
+  asio::awaitable<void> Take(version_offer aOffer)
+  {
+    if (aOffer.mVersion <= mTables.Version()) {
+      co_return;
+    }
+    client_request request;
+    request.mTo = aOffer.mFrom;
+    request.mTarget = aOffer.mTarget;
+    request.mTimeout = std::chrono::milliseconds(5000);
+    std::optional<client_answer> answer = co_await Exchange(request);
+    bool good = answer && answer->mStatus == 200 &&
+                ContentHash(answer->mBody) == aOffer.mContentHash;
+    if (!good) {
+      mKernel.Counters().Add("document_fetch_failed_total");
+      co_return;
+    }
+    document_result parsed = ParseDocument(answer->mBody);
+    if (!parsed.mDocument) {
+      mKernel.Counters().Add("document_refused_total");
+      mKernel.Log().Warn("document_refused",
+                         { { "version", std::to_string(aOffer.mVersion) } });
+      co_return;
+    }
+    PutInForce(aOffer, std::move(answer->mBody), std::move(*parsed.mDocument));
+  }
+
+  void PutInForce(const version_offer& aOffer,
+                  std::string aText,
+                  document aDocument)
+  {
+    bool accepted = mTables.DocumentState().With([&](document_state& aState) {
+      return aState.Accept(
+        aOffer.mVersion,
+        aOffer.mContentHash,
+        std::make_shared<const std::string>(std::move(aText)),
+        std::make_shared<const document>(std::move(aDocument)));
+    });
+    if (accepted) {
+      mTables.RefreshHomes(std::chrono::steady_clock::now());
+      mKernel.Log().Info("document_in_force",
+                         { { "version", std::to_string(aOffer.mVersion) },
+                           { "hash", aOffer.mContentHash },
+                           { "from", aOffer.mFrom.Text() } });
+    }
+  }
+
+  asio::awaitable<void> Announce()
+  {
+    while (true) {
+      co_await AnnounceOnce(mTables.Self().mLeaving ? "leaving" : "live");
+      co_await Pause(kAnnounceEvery);
+    }
+  }
+
+  asio::awaitable<void> AnnounceOnce(std::string aState)
+  {
+    boost::json::object body;
+    body["address"] = mKernel.Settings().mPeer.Text();
+    body["state"] = aState;
+    client_request request;
+    request.mTo = mKernel.Settings().mPlatform;
+    request.mMethod = http::verb::put;
+    request.mTarget = "/v1/instances/" + mKernel.Settings().mInstance;
+    request.mBody = boost::json::serialize(body);
+    co_await Exchange(request);
+  }
+
+  kernel& mKernel;
+  entry_tables mTables;
+  asio::strand<asio::io_context::executor_type> mStrand;
+  std::mt19937_64 mRandom;
+};
+
+const registered<config_watch> kRegistered;
+
+} // namespace
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/connection_pool.h
@@ -0,0 +1,68 @@
+// Idle HTTP connections to upstreams and entry instances, for reuse.
+//
+// A connection is put back only after the whole answer to its last request
+// was read, so that an answer can never be taken for that of another request.
+// Taken connections are checked: one that was closed or holds unexpected bytes
+// is dropped.
+#pragma once
+
+#include "laburnumdyke/kernel/guarded.h"
+#include "laburnumdyke/plugin/http_types.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace laburnumdyke {
+
+// Owns a connected socket that belongs to no executor.
+class idle_socket
+{
+public:
+  idle_socket() = default;
+  explicit idle_socket(int aHandle)
+    : mHandle(aHandle)
+  {
+  }
+  idle_socket(idle_socket&& aOther) noexcept
+    : mHandle(aOther.Release())
+  {
+  }
+  idle_socket& operator=(idle_socket&& aOther) noexcept;
+  ~idle_socket();
+
+  // True where the peer has neither closed it nor sent anything.
+  bool IsQuiet() const;
+
+  // Gives the handle up; -1 where there is none.
+  int Release();
+
+private:
+  int mHandle = -1;
+};
+
+class connection_pool
+{
+public:
+  static constexpr lock_rank kLockRank = lock_rank::Connections;
+  static constexpr std::chrono::seconds kIdleLife{ 20 };
+  static constexpr std::size_t kIdlePerEndpoint = 16;
+
+  std::optional<idle_socket> Take(const endpoint& aEndpoint,
+                                  std::chrono::steady_clock::time_point aNow);
+  void Put(const endpoint& aEndpoint,
+           idle_socket aSocket,
+           std::chrono::steady_clock::time_point aNow);
+
+private:
+  struct idle_connection
+  {
+    idle_socket mSocket;
+    std::chrono::steady_clock::time_point mSince;
+  };
+
+  std::map<endpoint, std::vector<idle_connection>> mIdle;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/exposition.cc
@@ -0,0 +1,60 @@
+// Every name has the prefix laburnumdyke_; a counter's reason is its one
+// label. Histogram buckets are cumulative, in seconds.
+#include "laburnumdyke/plugin/exposition.h"
+
+#include <sstream>
+
+namespace laburnumdyke {
+
+namespace {
+
+void
+RenderLatency(const latency_summary& aSummary, std::ostringstream& aOut)
+{
+  constexpr std::string_view kName = "laburnumdyke_request_seconds";
+  std::uint64_t seen = 0;
+  for (const latency_bucket& bucket : aSummary.mBuckets) {
+    seen += bucket.mCount;
+    bool overflow = bucket.mUpperBound == std::chrono::microseconds::max();
+    aOut << kName << "_bucket{rank=\"" << aSummary.mLabel << "\",le=\"";
+    if (overflow) {
+      aOut << "+Inf";
+    } else {
+      aOut << static_cast<double>(bucket.mUpperBound.count()) / 1e6;
+    }
+    aOut << "\"} " << seen << '\n';
+  }
+  aOut << kName << "_count{rank=\"" << aSummary.mLabel << "\"} "
+       << aSummary.mCount << '\n';
+}
+
+} // namespace
+
+std::string
+RenderExposition(const counters::snapshot& aCounters,
+                 const std::vector<latency_summary>& aLatencies)
+{
+  std::ostringstream out;
+  std::string_view last;
+  for (const std::pair<const counter_key, std::uint64_t>& entry : aCounters) {
+    const counter_key& key = entry.first;
+    if (key.mName != last) {
+      out << "# TYPE laburnumdyke_" << key.mName << " counter\n";
+      last = key.mName;
+    }
+    out << "laburnumdyke_" << key.mName;
+    if (!key.mReason.empty()) {
+      out << "{reason=\"" << key.mReason << "\"}";
+    }
+    out << ' ' << entry.second << '\n';
+  }
+  if (!aLatencies.empty()) {
+    out << "# TYPE laburnumdyke_request_seconds histogram\n";
+  }
+  for (const latency_summary& summary : aLatencies) {
+    RenderLatency(summary, out);
+  }
+  return out.str();
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/http_client.cc
@@ -0,0 +1,46 @@
+// Connect, write, read under one deadline; any failure is no answer.
+#include "laburnumdyke/plugin/http_client.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace laburnumdyke {
+
+asio::awaitable<std::optional<client_answer>>
+Exchange(client_request aRequest)
+{
+  tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(aRequest.mTimeout);
+  error_code failure;
+  co_await stream.async_connect(
+    ToAsio(aRequest.mTo), asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return std::nullopt;
+  }
+  http::request<http::string_body> request(
+    aRequest.mMethod, aRequest.mTarget, 11);
+  request.set(http::field::host, aRequest.mTo.Text());
+  if (!aRequest.mIfMatch.empty()) {
+    request.set(http::field::if_match, aRequest.mIfMatch);
+  }
+  request.keep_alive(false);
+  request.body() = std::move(aRequest.mBody);
+  request.prepare_payload();
+  co_await http::async_write(
+    stream, request, asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return std::nullopt;
+  }
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(aRequest.mLimit);
+  co_await http::async_read(
+    stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return std::nullopt;
+  }
+  co_return client_answer{ parser.get().result_int(),
+                           std::move(parser.get().body()) };
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -0,0 +1,401 @@
+// A straight pipeline: connect, send header and body, read header, classify,
+// stream the answer, keep the connection. Two fixed buffers per request bound
+// its memory whatever the size of the bodies.
+//
+// What a failure means depends on the stage. Before the first byte is written
+// nothing can have run. From then on the outcome is unknown, unless the far
+// side itself says that it did not run the request.
+#include "laburnumdyke/plugin/http_forward.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+
+namespace laburnumdyke {
+
+namespace {
+
+using namespace asio::experimental::awaitable_operators;
+
+using request_head = http::request<http::buffer_body>;
+using answer_parser = http::response_parser<http::buffer_body>;
+using answer_head = http::response<http::buffer_body>;
+
+// Headers that concern one connection alone, and ours, which are set anew.
+constexpr std::array<http::field, 7> kHopByHop = {
+  http::field::connection,
+  http::field::keep_alive,
+  http::field::proxy_authenticate,
+  http::field::proxy_authorization,
+  http::field::te,
+  http::field::trailer,
+  http::field::upgrade,
+};
+
+struct far_side
+{
+  std::unique_ptr<tcp_stream> mStream;
+  beast::flat_buffer mBuffer;
+  std::unique_ptr<answer_parser> mParser;
+};
+
+forward_result
+Fail(outcome_kind aOutcome, refusal_reason aReason, bool aBegun = false)
+{
+  return { aOutcome, aReason, aBegun };
+}
+
+asio::awaitable<error_code>
+Connect(table<connection_pool>& aPool,
+        const forward_request& aRequest,
+        asio::any_io_executor aExecutor,
+        far_side& aFar)
+{
+  error_code failure;
+  aFar.mStream = std::make_unique<tcp_stream>(aExecutor);
+  if (aRequest.mReuse) {
+    std::optional<idle_socket> idle = aPool.With([&](connection_pool& aIdle) {
+      return aIdle.Take(aRequest.mTo, std::chrono::steady_clock::now());
+    });
+    if (idle) {
+      aFar.mStream->socket().assign(
+        ToAsio(aRequest.mTo).protocol(), idle->Release(), failure);
+      co_return failure;
+    }
+  }
+  aFar.mStream->expires_at(aRequest.mDeadline);
+  co_await aFar.mStream->async_connect(
+    ToAsio(aRequest.mTo), asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    aFar.mStream->socket().set_option(tcp::no_delay(true), failure);
+  }
+  co_return failure;
+}
+
+request_head
+MakeHead(const http_exchange& aExchange, const forward_request& aRequest)
+{
+  request_head head;
+  const request_parser::value_type& original = aExchange.Head();
+  head.method_string(original.method_string());
+  head.target(aRequest.mTarget);
+  head.version(11);
+  for (const http::fields::value_type& field : original) {
+    head.insert(field.name(), field.name_string(), field.value());
+  }
+  for (http::field name : kHopByHop) {
+    head.erase(name);
+  }
+  head.set(http::field::host, aRequest.mTo.Text());
+  for (const std::pair<std::string_view, std::string>& header :
+       aRequest.mHeaders) {
+    head.set(ToBeast(header.first), header.second);
+  }
+  head.keep_alive(true);
+  return head;
+}
+
+// Sends the header, the prefix and what the caller still sends.
+asio::awaitable<error_code>
+SendRequest(http_exchange& aExchange,
+            const body_prefix& aPrefix,
+            const forward_request& aRequest,
+            far_side& aFar)
+{
+  request_head head = MakeHead(aExchange, aRequest);
+  http::request_serializer<http::buffer_body> serializer(head);
+  std::array<char, kStreamBuffer> chunk;
+  request_parser& source = aExchange.mParser;
+  error_code failure;
+  // The serializer only reads the body's bytes.
+  head.body().data = const_cast<char*>(aPrefix.mBytes.data());
+  head.body().size = aPrefix.mBytes.size();
+  head.body().more = !aPrefix.mComplete;
+  if (aPrefix.mComplete && aPrefix.mBytes.empty()) {
+    head.body().data = nullptr;
+  }
+  while (true) {
+    aFar.mStream->expires_at(aRequest.mDeadline);
+    co_await http::async_write(
+      *aFar.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return failure;
+    }
+    if (serializer.is_done()) {
+      co_return error_code();
+    }
+    source.get().body().data = chunk.data();
+    source.get().body().size = chunk.size();
+    aExchange.mStream.expires_at(aRequest.mDeadline);
+    if (!source.is_done()) {
+      co_await http::async_read(
+        aExchange.mStream,
+        aExchange.mBuffer,
+        source,
+        asio::redirect_error(asio::use_awaitable, failure));
+      if (failure && failure != http::error::need_buffer) {
+        co_return failure;
+      }
+    }
+    head.body().data = chunk.data();
+    head.body().size = chunk.size() - source.get().body().size;
+    head.body().more = !source.is_done();
+  }
+}
+
+asio::awaitable<error_code>
+ReadAnswerHead(const forward_request& aRequest, far_side& aFar)
+{
+  error_code failure;
+  aFar.mStream->expires_at(aRequest.mDeadline);
+  co_await http::async_read_header(
+    *aFar.mStream,
+    aFar.mBuffer,
+    *aFar.mParser,
+    asio::redirect_error(asio::use_awaitable, failure));
+  co_return failure;
+}
+
+// Ends when the caller has closed its connection; otherwise waits until it is
+// cancelled.
+asio::awaitable<void>
+CallerGone(http_exchange& aExchange)
+{
+  tcp::socket& socket = aExchange.mStream.socket();
+  error_code failure;
+  co_await socket.async_wait(
+    tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    char byte = 0;
+    ssize_t got =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0) {
+      co_return;
+    }
+  }
+  asio::steady_timer never(co_await asio::this_coro::executor,
+                           asio::steady_timer::time_point::max());
+  co_await never.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+}
+
+refusal_reason
+LossReason(error_code aFailure)
+{
+  return aFailure == beast::error::timeout ? refusal_reason::UpstreamTimeout
+                                           : refusal_reason::UpstreamLost;
+}
+
+// What the far side's header says of the request.
+forward_result
+Classify(const answer_head& aHead)
+{
+  if (aHead.result() == http::status::service_unavailable &&
+      aHead.count(ToBeast(kUpstreamNotRunHeader)) > 0) {
+    return Fail(outcome_kind::NotRun, refusal_reason::UpstreamRefused);
+  }
+  std::string_view outcome = FromBeast(aHead[ToBeast(kOutcomeHeader)]);
+  if (outcome.empty()) {
+    return { outcome_kind::Answered, refusal_reason::None, false };
+  }
+  std::optional<outcome_kind> kind = ParseOutcome(outcome);
+  std::optional<refusal_reason> reason =
+    ParseRefusal(FromBeast(aHead[ToBeast(kReasonHeader)]));
+  return { kind.value_or(outcome_kind::Unknown),
+           reason.value_or(refusal_reason::None),
+           false };
+}
+
+bool
+HasNoBody(const http_exchange& aExchange, const answer_head& aHead)
+{
+  return aExchange.Head().method() == http::verb::head ||
+         aHead.result() == http::status::no_content ||
+         aHead.result() == http::status::not_modified;
+}
+
+answer_head
+MakeAnswer(const http_exchange& aExchange,
+           const forward_request& aRequest,
+           const answer_head& aFrom)
+{
+  answer_head head;
+  head.result(aFrom.result_int());
+  head.reason(aFrom.reason());
+  head.version(aExchange.Head().version());
+  for (const http::fields::value_type& field : aFrom) {
+    head.insert(field.name(), field.name_string(), field.value());
+  }
+  for (http::field name : kHopByHop) {
+    head.erase(name);
+  }
+  for (const std::pair<std::string_view, std::string>& header :
+       aRequest.mAnswer) {
+    head.set(ToBeast(header.first), header.second);
+  }
+  if (!head.has_content_length() && !head.chunked() &&
+      !HasNoBody(aExchange, aFrom)) {
+    if (head.version() == 11) {
+      head.chunked(true);
+    }
+  }
+  head.keep_alive(aExchange.mKeepAlive);
+  return head;
+}
+
+// Streams the answer to the caller. True where all of it was passed on.
+asio::awaitable<bool>
+StreamAnswer(http_exchange& aExchange,
+             const forward_request& aRequest,
+             far_side& aFar)
+{
+  answer_head head = MakeAnswer(aExchange, aRequest, aFar.mParser->get());
+  http::response_serializer<http::buffer_body> serializer(head);
+  std::array<char, kStreamBuffer> chunk;
+  error_code failure;
+  aExchange.mStream.expires_at(aRequest.mDeadline);
+  co_await http::async_write_header(
+    aExchange.mStream,
+    serializer,
+    asio::redirect_error(asio::use_awaitable, failure));
+  if (failure || HasNoBody(aExchange, aFar.mParser->get())) {
+    co_return !failure;
+  }
+  while (!serializer.is_done()) {
+    if (!aFar.mParser->is_done()) {
+      aFar.mParser->get().body().data = chunk.data();
+      aFar.mParser->get().body().size = chunk.size();
+      aFar.mStream->expires_at(aRequest.mDeadline);
+      co_await http::async_read(
+        *aFar.mStream,
+        aFar.mBuffer,
+        *aFar.mParser,
+        asio::redirect_error(asio::use_awaitable, failure));
+      if (failure && failure != http::error::need_buffer) {
+        co_return false;
+      }
+      head.body().data = chunk.data();
+      head.body().size = chunk.size() - aFar.mParser->get().body().size;
+      head.body().more = !aFar.mParser->is_done();
+    } else {
+      head.body().data = nullptr;
+      head.body().size = 0;
+      head.body().more = false;
+    }
+    aExchange.mStream.expires_at(aRequest.mDeadline);
+    co_await http::async_write(
+      aExchange.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+void
+KeepConnection(table<connection_pool>& aPool,
+               const forward_request& aRequest,
+               far_side& aFar)
+{
+  bool clean = aFar.mParser->is_done() && aFar.mParser->get().keep_alive() &&
+               aFar.mBuffer.size() == 0;
+  if (!clean) {
+    return;
+  }
+  error_code failure;
+  int handle = aFar.mStream->release_socket().release(failure);
+  if (failure) {
+    return;
+  }
+  aPool.With([&](connection_pool& aIdle) {
+    aIdle.Put(
+      aRequest.mTo, idle_socket(handle), std::chrono::steady_clock::now());
+  });
+}
+
+} // namespace
+
+asio::awaitable<std::optional<body_prefix>>
+ReadPrefix(http_exchange& aExchange)
+{
+  body_prefix prefix;
+  request_parser& parser = aExchange.mParser;
+  std::array<char, 4096> chunk;
+  while (!parser.is_done() && prefix.mBytes.size() < kReplayableBody) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    aExchange.mStream.expires_after(kProgressTimeout);
+    error_code failure;
+    co_await http::async_read(
+      aExchange.mStream,
+      aExchange.mBuffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      aExchange.mKeepAlive = false;
+      co_return std::nullopt;
+    }
+    prefix.mBytes.append(chunk.data(), chunk.size() - parser.get().body().size);
+  }
+  prefix.mComplete = parser.is_done();
+  co_return prefix;
+}
+
+asio::awaitable<forward_result>
+Forward(table<connection_pool>& aPool,
+        http_exchange& aExchange,
+        const body_prefix& aPrefix,
+        const forward_request& aRequest)
+{
+  far_side far;
+  error_code failure =
+    co_await Connect(aPool, aRequest, aExchange.mStream.get_executor(), far);
+  if (failure) {
+    co_return Fail(outcome_kind::NotRun, refusal_reason::UpstreamConnect);
+  }
+  // From here on bytes may have reached the far side.
+  far.mParser = std::make_unique<answer_parser>();
+  far.mParser->header_limit(kHeaderLimit);
+  far.mParser->body_limit(boost::none);
+  if (aExchange.Head().method() == http::verb::head) {
+    far.mParser->skip(true);
+  }
+  failure = co_await SendRequest(aExchange, aPrefix, aRequest, far);
+  if (failure && !aExchange.mParser.is_done()) {
+    aExchange.mKeepAlive = false;
+    co_return Fail(outcome_kind::Unknown, LossReason(failure));
+  }
+  if (aRequest.mCancel) {
+    std::variant<error_code, std::monostate> first =
+      co_await (ReadAnswerHead(aRequest, far) || CallerGone(aExchange));
+    if (first.index() == 1) {
+      aExchange.mKeepAlive = false;
+      co_return Fail(outcome_kind::Unknown, refusal_reason::CallerGone);
+    }
+    failure = std::get<0>(first);
+  } else {
+    failure = co_await ReadAnswerHead(aRequest, far);
+  }
+  if (failure) {
+    co_return Fail(outcome_kind::Unknown, LossReason(failure));
+  }
+  forward_result result = Classify(far.mParser->get());
+  if (result.mOutcome != outcome_kind::Answered) {
+    co_return result;
+  }
+  result.mBegun = true;
+  bool whole = co_await StreamAnswer(aExchange, aRequest, far);
+  if (!whole) {
+    aExchange.mKeepAlive = false;
+    co_return Fail(outcome_kind::Unknown, refusal_reason::UpstreamLost, true);
+  }
+  KeepConnection(aPool, aRequest, far);
+  co_return result;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/http_server.cc
@@ -0,0 +1,127 @@
+// Bodies are pulled through a fixed buffer only when a handler asks for them,
+// so that a slow reader or writer holds one buffer, never a body.
+#include "laburnumdyke/plugin/http_server.h"
+
+#include <array>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::size_t kDiscardLimit = 64 * 1024; // bytes
+
+bool
+IsClosing(error_code aFailure)
+{
+  return aFailure == http::error::end_of_stream ||
+         aFailure == beast::error::timeout ||
+         aFailure == asio::error::operation_aborted ||
+         aFailure == asio::error::connection_reset ||
+         aFailure == asio::error::eof;
+}
+
+asio::awaitable<void>
+Reject(kernel& aKernel, tcp_stream& aStream, error_code aFailure)
+{
+  bool tooLong = aFailure == http::error::header_limit ||
+                 aFailure == http::error::buffer_overflow;
+  aKernel.Counters().Add("http_rejected_total",
+                         tooLong ? "header_too_long" : "malformed");
+  string_answer answer(tooLong ? http::status::request_header_fields_too_large
+                               : http::status::bad_request,
+                       11);
+  answer.set(ToBeast(kOutcomeHeader), "not-run");
+  answer.set(ToBeast(kReasonHeader), "malformed_request");
+  answer.set(http::field::content_type, "text/plain");
+  answer.keep_alive(false);
+  answer.body() = aFailure.message() + "\n";
+  answer.prepare_payload();
+  aStream.expires_after(kHeaderTimeout);
+  error_code ignored;
+  co_await http::async_write(
+    aStream, answer, asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
+asio::awaitable<bool>
+ReadHead(kernel& aKernel,
+         tcp_stream& aStream,
+         beast::flat_buffer& aBuffer,
+         request_parser& aParser)
+{
+  aStream.expires_after(kIdleTimeout);
+  error_code failure;
+  co_await http::async_read_header(
+    aStream,
+    aBuffer,
+    aParser,
+    asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    co_return true;
+  }
+  if (!IsClosing(failure)) {
+    co_await Reject(aKernel, aStream, failure);
+  }
+  co_return false;
+}
+
+asio::awaitable<std::optional<std::string>>
+ReadBody(http_exchange& aExchange, std::size_t aLimit)
+{
+  std::string body;
+  std::array<char, 4096> chunk;
+  request_parser& parser = aExchange.mParser;
+  while (!parser.is_done()) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    parser.get().body().more = true;
+    error_code failure;
+    aExchange.mStream.expires_after(kProgressTimeout);
+    co_await http::async_read(
+      aExchange.mStream,
+      aExchange.mBuffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return std::nullopt;
+    }
+    body.append(chunk.data(), chunk.size() - parser.get().body().size);
+    if (body.size() > aLimit) {
+      co_return std::nullopt;
+    }
+  }
+  co_return body;
+}
+
+asio::awaitable<void>
+WriteAnswer(http_exchange& aExchange, string_answer aAnswer)
+{
+  if (aExchange.mKeepAlive && !aExchange.mParser.is_done()) {
+    std::optional<std::string> rest =
+      co_await ReadBody(aExchange, kDiscardLimit);
+    aExchange.mKeepAlive = rest.has_value();
+  }
+  aAnswer.version(aExchange.Head().version());
+  aAnswer.keep_alive(aExchange.mKeepAlive);
+  aAnswer.prepare_payload();
+  aExchange.mStream.expires_after(kProgressTimeout);
+  error_code failure;
+  if (aExchange.Head().method() == http::verb::head) {
+    http::response_serializer<http::string_body> serializer(aAnswer);
+    co_await http::async_write_header(
+      aExchange.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+  } else {
+    co_await http::async_write(
+      aExchange.mStream,
+      aAnswer,
+      asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (failure) {
+    aExchange.mKeepAlive = false;
+  }
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/http_server.h
@@ -0,0 +1,199 @@
+// An HTTP/1.1 server that passes each request to a handler.
+//
+// Usage:
+//   http_server<my_handler> server(kernel, handler);
+//   std::optional<std::string> failure = server.Listen(endpoint);
+//   server.Leave();        // answers close their connections from here on
+//   server.Close();        // stops accepting and closes every connection
+//
+// The handler is given an http_exchange: the request's header has been read,
+// its body has not. Each connection runs on its own strand. A request that is
+// no HTTP, or whose header is over kHeaderLimit, gets 400 or 431 and its
+// connection is closed; it is counted under http_rejected_total.
+#pragma once
+
+#include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/plugin/http_types.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace laburnumdyke {
+
+using request_parser = http::request_parser<http::buffer_body>;
+
+// One request on one connection.
+struct http_exchange
+{
+  tcp_stream& mStream;
+  beast::flat_buffer& mBuffer;
+  request_parser& mParser;
+  instant mReceived; // when its header had been read
+  // The connection may serve another request. A handler clears it when the
+  // answer is incomplete or the body was not read.
+  bool mKeepAlive;
+
+  const request_parser::value_type& Head() const { return mParser.get(); }
+};
+
+// Handles one request; must write one answer or clear mKeepAlive.
+template<class T>
+concept http_handler = requires(T& aHandler, http_exchange& aExchange)
+{
+  {
+    aHandler.Handle(aExchange)
+    } -> std::same_as<asio::awaitable<void>>;
+};
+
+// Reads what is left of the body, up to aLimit bytes. Nothing where it is
+// longer or the connection fails.
+asio::awaitable<std::optional<std::string>>
+ReadBody(http_exchange& aExchange, std::size_t aLimit);
+
+using string_answer = http::response<http::string_body>;
+
+// Writes a whole answer. Clears mKeepAlive on failure, and where the request's
+// body was not read to its end.
+asio::awaitable<void>
+WriteAnswer(http_exchange& aExchange, string_answer aAnswer);
+
+// Reads the header of the next request. Returns whether there is one; on a
+// malformed request it answers and counts.
+asio::awaitable<bool>
+ReadHead(kernel& aKernel,
+         tcp_stream& aStream,
+         beast::flat_buffer& aBuffer,
+         request_parser& aParser);
+
+// The live connections of one server, so that Close reaches them.
+struct connection_set
+{
+  static constexpr lock_rank kLockRank = lock_rank::Connections;
+  std::set<std::shared_ptr<tcp_stream>> mStreams;
+};
+
+template<class Handler>
+class http_server
+{
+public:
+  http_server(kernel& aKernel, Handler& aHandler)
+    : mKernel(aKernel)
+    , mHandler(aHandler)
+    , mAcceptor(asio::make_strand(aKernel.Context()))
+  {
+    // Here and not on the class: a plug-in holds a server whose handler it is
+    // itself, while its own type is still incomplete.
+    static_assert(http_handler<Handler>);
+  }
+
+  std::optional<std::string> Listen(const endpoint& aEndpoint)
+  {
+    error_code failure;
+    tcp::endpoint address = ToAsio(aEndpoint);
+    mAcceptor.open(address.protocol(), failure);
+    if (!failure) {
+      mAcceptor.set_option(asio::socket_base::reuse_address(true), failure);
+      mAcceptor.bind(address, failure);
+    }
+    if (!failure) {
+      mAcceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+      return aEndpoint.Text() + ": " + failure.message();
+    }
+    asio::co_spawn(mAcceptor.get_executor(), Accept(), asio::detached);
+    return std::nullopt;
+  }
+
+  void Leave() { mLeaving = true; }
+
+  // Requests that have begun and have not been answered.
+  std::size_t InFlight() const { return mInFlight; }
+
+  // Called when no worker runs.
+  void Close()
+  {
+    error_code ignored;
+    mAcceptor.close(ignored);
+    mConnections.With([](connection_set& aSet) { aSet.mStreams.clear(); });
+  }
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (mAcceptor.is_open()) {
+      error_code failure;
+      tcp::socket socket = co_await mAcceptor.async_accept(
+        asio::make_strand(mKernel.Context()),
+        asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_await PauseAfter(failure);
+        continue;
+      }
+      std::shared_ptr<tcp_stream> stream =
+        std::make_shared<tcp_stream>(std::move(socket));
+      stream->socket().set_option(tcp::no_delay(true), failure);
+      mConnections.With(
+        [&](connection_set& aSet) { aSet.mStreams.insert(stream); });
+      asio::co_spawn(stream->get_executor(), Serve(stream), asio::detached);
+    }
+  }
+
+  // Descriptors may be exhausted: waits instead of trying again at once.
+  asio::awaitable<void> PauseAfter(error_code aFailure)
+  {
+    if (aFailure == asio::error::operation_aborted) {
+      co_return;
+    }
+    mKernel.Counters().Add("accept_failed_total");
+    asio::steady_timer timer(mAcceptor.get_executor(),
+                             std::chrono::milliseconds(100));
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, aFailure));
+  }
+
+  asio::awaitable<void> Serve(std::shared_ptr<tcp_stream> aStream)
+  {
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+      request_parser parser;
+      parser.header_limit(kHeaderLimit);
+      parser.body_limit(boost::none);
+      open = co_await ReadHead(mKernel, *aStream, buffer, parser);
+      if (open) {
+        ++mInFlight;
+        http_exchange exchange{ *aStream,
+                                buffer,
+                                parser,
+                                std::chrono::steady_clock::now(),
+                                parser.get().keep_alive() && !mLeaving };
+        co_await mHandler.Handle(exchange);
+        --mInFlight;
+        open = exchange.mKeepAlive;
+      }
+    }
+    error_code ignored;
+    aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    mConnections.With(
+      [&](connection_set& aSet) { aSet.mStreams.erase(aStream); });
+  }
+
+  kernel& mKernel;
+  Handler& mHandler;
+  tcp::acceptor mAcceptor;
+  std::atomic<bool> mLeaving{ false };
+  std::atomic<std::size_t> mInFlight{ 0 };
+  guarded<connection_set, connection_set::kLockRank> mConnections;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/lookup.cc
@@ -0,0 +1,118 @@
+// Placement decides on types; this turns the question and the answer into
+// HTTP and JSON.
+#include "laburnumdyke/plugin/lookup.h"
+
+#include "laburnumdyke/decision/placement.h"
+
+#include <boost/json.hpp>
+
+namespace laburnumdyke {
+
+namespace {
+
+string_answer
+JsonAnswer(http::status aStatus, const boost::json::object& aBody)
+{
+  string_answer answer(aStatus, 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.set(http::field::cache_control, "no-store");
+  answer.body() = boost::json::serialize(aBody) + "\n";
+  return answer;
+}
+
+string_answer
+RefuseLookup(kernel& aKernel,
+             http::status aStatus,
+             refusal_reason aReason,
+             std::string_view aMessage)
+{
+  aKernel.Counters().Add("lookup_refused_total", ToString(aReason));
+  boost::json::object body;
+  body["error"] = aMessage;
+  body["reason"] = ToString(aReason);
+  return JsonAnswer(aStatus, body);
+}
+
+} // namespace
+
+std::optional<std::string_view>
+QueryParameter(std::string_view aTarget, std::string_view aName)
+{
+  std::size_t question = aTarget.find('?');
+  while (question != std::string_view::npos) {
+    aTarget.remove_prefix(question + 1);
+    question = aTarget.find('&');
+    std::string_view pair = aTarget.substr(0, question);
+    std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+      return pair.substr(equals + 1);
+    }
+  }
+  return std::nullopt;
+}
+
+string_answer
+AnswerLookup(kernel& aKernel,
+             entry_tables& aTables,
+             std::string_view aTarget,
+             instant aNow)
+{
+  std::shared_ptr<const document> document = aTables.Document();
+  if (!document) {
+    return RefuseLookup(aKernel,
+                        http::status::service_unavailable,
+                        refusal_reason::NoDocument,
+                        "no configuration in force yet");
+  }
+  service_id service{ std::string(
+    QueryParameter(aTarget, "service").value_or("")) };
+  std::optional<address_bytes> client =
+    ParseAddress(QueryParameter(aTarget, "client").value_or(""));
+  auto found = document->mServices.find(service);
+  if (found == document->mServices.end()) {
+    return RefuseLookup(aKernel,
+                        http::status::not_found,
+                        refusal_reason::UnknownService,
+                        "no service \"" + service.mValue + "\"");
+  }
+  if (!client) {
+    return RefuseLookup(aKernel,
+                        http::status::bad_request,
+                        refusal_reason::MalformedRequest,
+                        "expected client= with an IP address");
+  }
+  std::vector<entry_choice> choices = PlaceClient(
+    *document, service, *client, aTables.Self(), aTables.LivePeers(aNow));
+  aKernel.Counters().Add("lookups_total");
+  boost::json::array entries;
+  for (const entry_choice& choice : choices) {
+    boost::json::object entry;
+    entry["instance"] = choice.mInstance.mValue;
+    entry["address"] = choice.mCaller.Text();
+    entry["failure_domain"] = choice.mDomain.mValue;
+    entries.push_back(std::move(entry));
+  }
+  boost::json::object body;
+  body["service"] = service.mValue;
+  body["version"] = aTables.Version();
+  body["ttl_ms"] = found->second.mAnswerLife.count();
+  body["entries"] = std::move(entries);
+  if (!found->second.mIdempotent) {
+    body["identity"] = aTables.Ledger().With(
+      [&](identity_ledger& aLedger) { return aLedger.Issue(aNow).Text(); });
+  }
+  return JsonAnswer(http::status::ok, body);
+}
+
+string_answer
+AnswerIdentity(entry_tables& aTables, instant aNow)
+{
+  boost::json::object body;
+  body["identity"] = aTables.Ledger().With(
+    [&](identity_ledger& aLedger) { return aLedger.Issue(aNow).Text(); });
+  body["begin_within_ms"] =
+    std::chrono::milliseconds(identity_ledger::kBeginWithin).count();
+  return JsonAnswer(http::status::ok, body);
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/peer_link.cc
@@ -0,0 +1,191 @@
+// Heartbeats between instances over ZeroMQ, one PUSH socket for each target
+// and one PULL socket to listen.
+//
+// A ZeroMQ socket serves one thread at a time: all of them are used on one
+// strand. The PULL socket's descriptor signals edges only, so after each wake
+// messages are read until there are none. Sends never wait: what a slow or
+// lost target can't take is dropped, and the next heartbeat replaces it.
+#include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/heartbeat_codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <zmq.hpp>
+
+#include <map>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr int kSendQueue = 4;       // heartbeats to one target
+constexpr int kReceiveQueue = 1000; // heartbeats
+
+class peer_link
+{
+public:
+  static constexpr std::string_view kName = "peer_link";
+  static constexpr plugin_stage kStage = plugin_stage::Peer;
+
+  explicit peer_link(kernel& aKernel)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mStrand(asio::make_strand(aKernel.Context()))
+    , mReceiver(mZmq, zmq::socket_type::pull)
+    , mReadable(mStrand)
+  {
+  }
+
+  std::optional<std::string> Start(instant)
+  {
+    mReceiver.set(zmq::sockopt::linger, 0);
+    mReceiver.set(zmq::sockopt::rcvhwm, kReceiveQueue);
+    mReceiver.set(zmq::sockopt::maxmsgsize,
+                  static_cast<std::int64_t>(kLongestHeartbeat));
+    const endpoint& address = mKernel.Settings().mPeer;
+    try {
+      mReceiver.bind("tcp://" + address.Text());
+    } catch (const zmq::error_t& failure) {
+      return address.Text() + ": " + failure.what();
+    }
+    mReadable.assign(mReceiver.get(zmq::sockopt::fd));
+    asio::co_spawn(mStrand, Receive(), asio::detached);
+    asio::co_spawn(mStrand, Beat(), asio::detached);
+    return std::nullopt;
+  }
+
+  void Leave(instant)
+  {
+    mTables.Membership().With(
+      [](membership& aMembership) { aMembership.BeginLeaving(); });
+    asio::post(mStrand, [this]() { SendHeartbeats(Now()); });
+  }
+
+  std::string Waiting(instant) { return {}; }
+
+  void Stop()
+  {
+    // The descriptor belongs to ZeroMQ.
+    mReadable.release();
+    mTargets.clear();
+    mReceiver.close();
+  }
+
+private:
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
+  asio::awaitable<void> Receive()
+  {
+    while (true) {
+      Drain();
+      error_code failure;
+      co_await mReadable.async_wait(
+        asio::posix::stream_descriptor::wait_read,
+        asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
+    }
+  }
+
+  void Drain()
+  {
+    zmq::message_t message;
+    while (mReceiver.recv(message, zmq::recv_flags::dontwait)) {
+      std::optional<heartbeat> decoded = DecodeHeartbeat(
+        { static_cast<const char*>(message.data()), message.size() });
+      if (!decoded) {
+        mKernel.Counters().Add("heartbeat_rejected_total", "malformed");
+        continue;
+      }
+      bool taken = mTables.Membership().With([&](membership& aMembership) {
+        return aMembership.Hear(*decoded, Now());
+      });
+      mKernel.Counters().Add(taken ? "heartbeats_total"
+                                   : "heartbeats_ignored_total");
+    }
+  }
+
+  asio::awaitable<void> Beat()
+  {
+    asio::steady_timer timer(mStrand);
+    while (true) {
+      instant now = Now();
+      SendHeartbeats(now);
+      Drain();
+      mTables.RefreshHomes(now);
+      timer.expires_after(membership::kPeriod);
+      error_code ignored;
+      co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+
+  heartbeat Compose(instant aNow)
+  {
+    heartbeat message;
+    message.mSender = mTables.Self();
+    message.mSequence = ++mSequence;
+    mTables.DocumentState().With([&](document_state& aState) {
+      message.mVersion = aState.Version();
+      message.mContentHash = aState.ContentHash();
+    });
+    message.mStamp = mTables.Stamp(aNow);
+    message.mCredits = mTables.Admission().With(
+      [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+    for (const peer& one : mTables.LivePeers(aNow)) {
+      message.mKnownPeers.push_back(one.mLast.mSender.mPeer);
+    }
+    return message;
+  }
+
+  void SendHeartbeats(instant aNow)
+  {
+    std::string bytes = EncodeHeartbeat(Compose(aNow));
+    std::vector<endpoint> targets = mTables.Membership().With(
+      [&](membership& aMembership) { return aMembership.Targets(aNow); });
+    std::map<endpoint, zmq::socket_t> kept;
+    for (const endpoint& target : targets) {
+      auto found = mTargets.find(target);
+      zmq::socket_t socket =
+        found == mTargets.end() ? Open(target) : std::move(found->second);
+      zmq::message_t message(bytes.data(), bytes.size());
+      bool sent = socket.send(message, zmq::send_flags::dontwait).has_value();
+      if (!sent) {
+        mKernel.Counters().Add("heartbeats_dropped_total");
+      }
+      kept.emplace(target, std::move(socket));
+    }
+    mTargets = std::move(kept);
+  }
+
+  zmq::socket_t Open(const endpoint& aTarget)
+  {
+    zmq::socket_t socket(mZmq, zmq::socket_type::push);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, kSendQueue);
+    socket.connect("tcp://" + aTarget.Text());
+    return socket;
+  }
+
+  kernel& mKernel;
+  entry_tables mTables;
+  zmq::context_t mZmq;
+  asio::strand<asio::io_context::executor_type> mStrand;
+  zmq::socket_t mReceiver;
+  asio::posix::stream_descriptor mReadable;
+  std::map<endpoint, zmq::socket_t> mTargets;
+  std::uint64_t mSequence = 0;
+};
+
+const registered<peer_link> kRegistered;
+
+} // namespace
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -0,0 +1,106 @@
+// What the stages share that does not depend on the transport.
+#include "laburnumdyke/plugin/request_pipeline.h"
+
+#include <random>
+
+namespace laburnumdyke {
+
+namespace {
+
+http::status
+StatusOf(const forward_result& aResult)
+{
+  switch (aResult.mReason) {
+    case refusal_reason::MalformedRequest:
+    case refusal_reason::IdentityRequired:
+      return http::status::bad_request;
+    case refusal_reason::UnknownService:
+      return http::status::not_found;
+    case refusal_reason::InProgress:
+    case refusal_reason::AlreadyRun:
+    case refusal_reason::IdentityExpired:
+      return http::status::conflict;
+    case refusal_reason::DeadlinePassed:
+    case refusal_reason::UpstreamTimeout:
+      return http::status::gateway_timeout;
+    default:
+      return aResult.mOutcome == outcome_kind::NotRun
+               ? http::status::service_unavailable
+               : http::status::bad_gateway;
+  }
+}
+
+// Whole seconds, jittered so that refused callers don't return together.
+std::string
+RetryAfter()
+{
+  thread_local std::minstd_rand sRandom{ std::random_device{}() };
+  return std::to_string(std::uniform_int_distribution<int>(1, 3)(sRandom));
+}
+
+} // namespace
+
+asio::awaitable<void>
+WriteOutcome(kernel& aKernel,
+             http_exchange& aExchange,
+             const forward_result& aResult,
+             std::string_view aMessage)
+{
+  aKernel.Counters().Add("refused_total", ToString(aResult.mReason));
+  string_answer answer(StatusOf(aResult), 11);
+  answer.set(ToBeast(kOutcomeHeader), ToBeast(ToString(aResult.mOutcome)));
+  answer.set(ToBeast(kReasonHeader), ToBeast(ToString(aResult.mReason)));
+  answer.set(ToBeast(kInstanceHeader), aKernel.Settings().mInstance);
+  answer.set(http::field::content_type, "text/plain");
+  if (answer.result() == http::status::service_unavailable) {
+    answer.set(http::field::retry_after, RetryAfter());
+  }
+  answer.body() = "outcome=" + std::string(ToString(aResult.mOutcome)) +
+                  " reason=" + std::string(ToString(aResult.mReason)) + "\n" +
+                  std::string(aMessage);
+  co_await WriteAnswer(aExchange, std::move(answer));
+}
+
+attempt_result
+JudgeAttempt(const forward_result& aResult)
+{
+  if (aResult.mOutcome == outcome_kind::Answered ||
+      aResult.mReason == refusal_reason::CallerGone ||
+      aResult.mReason == refusal_reason::LeaseLapsed) {
+    return attempt_result::Answered;
+  }
+  return aResult.mOutcome == outcome_kind::NotRun ? attempt_result::Refused
+                                                  : attempt_result::Failed;
+}
+
+std::optional<retry_reason>
+RetryReason(const forward_result& aResult, bool aRelayed, bool aIdempotent)
+{
+  if (aResult.mOutcome == outcome_kind::Answered) {
+    return std::nullopt;
+  }
+  if (aResult.mOutcome == outcome_kind::Unknown) {
+    bool lost = aResult.mReason == refusal_reason::UpstreamLost ||
+                aResult.mReason == refusal_reason::RelayLost;
+    return aIdempotent && lost ? std::optional(retry_reason::UpstreamLost)
+                               : std::nullopt;
+  }
+  switch (aResult.mReason) {
+    case refusal_reason::UpstreamConnect:
+      return retry_reason::UpstreamConnect;
+    case refusal_reason::UpstreamRefused:
+      return retry_reason::UpstreamRefused;
+    case refusal_reason::RelayConnect:
+      return retry_reason::RelayConnect;
+    case refusal_reason::CallerGone:
+    case refusal_reason::DeadlinePassed:
+    case refusal_reason::NoUpstream:
+      return aRelayed ? std::optional(retry_reason::RelayRefused)
+                      : std::nullopt;
+    default:
+      return aRelayed ? std::optional(retry_reason::RelayRefused)
+                      : std::nullopt;
+  }
+}
+
+} // namespace laburnumdyke
