--- a/laburnumdyke/decision/document.h
+++ b/laburnumdyke/decision/document.h
@@ -123,16 +123,25 @@
   bool operator==(const shift_spec&) const = default;
 };
 
+using region_map = std::map<region_id, region_spec>;
+using domain_map = std::map<domain_id, domain_spec>;
+using service_map = std::map<service_id, service_spec>;
+using upstream_map = std::map<upstream_id, upstream_spec>;
+using link_map = std::map<std::string, link_spec>;
+using shift_map = std::map<std::string, shift_spec>;
+using block_map = std::map<domain_id, std::vector<client_prefix>>;
+
 struct document
 {
-  std::map<region_id, region_spec> mRegions;
-  std::map<domain_id, domain_spec> mDomains;
-  std::map<service_id, service_spec> mServices;
-  std::map<upstream_id, upstream_spec> mUpstreams;
+  region_map mRegions;
+  domain_map mDomains;
+  service_map mServices;
+  upstream_map mUpstreams;
   std::array<rank_spec, kRankCount> mRanks{};
-  std::map<std::string, link_spec> mLinks;
-  std::map<std::string, shift_spec> mShifts;
-  std::map<client_prefix, domain_id> mBlocks;
+  link_map mLinks;
+  shift_map mShifts;
+  // Sorted, without repeats; no domain has an empty list. 17 bytes a block.
+  block_map mBlocks;
 
   bool operator==(const document&) const = default;
 
@@ -146,7 +155,8 @@
   std::vector<text_fault> mFaults;
 };
 
-// Reads and validates.
+// Reads and validates. Faults of form and of references are reported together;
+// the sums over the document are checked once these hold.
 document_result
 ParseDocument(std::string_view aText);
 
@@ -154,6 +164,15 @@
 std::string
 RenderDocument(const document& aDocument);
 
+// Names that nothing declares, sections that nothing uses, repeated addresses.
+// Faults name the field and carry no line.
+std::vector<text_fault>
+ValidateReferences(const document& aDocument);
+
+// Sums over the document against its limits. Its references must hold.
+std::vector<text_fault>
+ValidateLimits(const document& aDocument);
+
 // SHA-256 of a text, in lower-case hexadecimal.
 std::string
 ContentHash(std::string_view aText);
--- /dev/null
+++ b/laburnumdyke/decision/document_reader.cc
@@ -0,0 +1,287 @@
+// One pass over the INI entries, driven by the table of fields. Each section's
+// missing keys and each field's line are kept, so that the checks of the whole,
+// which know no text, can be placed. Blocks are gathered in one vector and
+// sorted once: n log n without a node for each block.
+#include "laburnumdyke/decision/document_schema.h"
+
+#include "laburnumdyke/kernel/settings.h"
+
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::string_view kBlocks = "blocks";
+
+struct missing_field
+{
+  std::string_view mKey;
+  std::string_view mExpected;
+};
+
+struct section_state
+{
+  std::size_t mLine = 0; // of its first entry
+  std::vector<missing_field> mMissing;
+};
+
+struct block_line
+{
+  client_prefix mPrefix;
+  std::uint32_t mLine;
+
+  auto operator<=>(const block_line&) const = default;
+};
+
+std::string_view
+Trim(std::string_view aText)
+{
+  std::size_t first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+// Names of shifts may also start with a digit, as a date does.
+bool
+IsSectionName(std::string_view aKind, std::string_view aName)
+{
+  if (aKind == "shift" && !aName.empty() && aName[0] >= '0' &&
+      aName[0] <= '9') {
+    return IsName("s" + std::string(aName));
+  }
+  return IsName(aName);
+}
+
+class document_reader
+{
+public:
+  document_result Read(std::string_view aText);
+
+private:
+  void TakeEntry(const ini_entry& aEntry);
+  void TakeRankEntry(const ini_entry& aEntry, std::string_view aName);
+  void TakeBlocks(const ini_entry& aEntry);
+  void FinishBlocks();
+  void ReportMissing();
+  void Place(std::vector<text_fault> aFaults);
+  void AddFault(const ini_entry& aEntry, std::string_view aExpected);
+
+  template<class Spec>
+  void TakeField(const ini_entry& aEntry, Spec& aSpec);
+
+  document mDocument;
+  std::vector<text_fault> mFaults;
+  std::map<std::string, section_state> mSections;
+  std::unordered_map<std::string, std::size_t> mLines; // by field
+  std::vector<block_line> mBlockLines;
+};
+
+document_result
+document_reader::Read(std::string_view aText)
+{
+  ini_text text = ParseIni(aText);
+  mFaults = std::move(text.mFaults);
+  for (const ini_entry& entry : text.mEntries) {
+    TakeEntry(entry);
+  }
+  text.mEntries = {};
+  ReportMissing();
+  FinishBlocks();
+  Place(ValidateReferences(mDocument));
+  if (mFaults.empty()) {
+    Place(ValidateLimits(mDocument));
+  }
+  std::stable_sort(mFaults.begin(),
+                   mFaults.end(),
+                   [](const text_fault& aLeft, const text_fault& aRight) {
+                     return aLeft.mLine < aRight.mLine;
+                   });
+  document_result result;
+  result.mFaults = std::move(mFaults);
+  if (result.mFaults.empty()) {
+    result.mDocument = std::move(mDocument);
+  }
+  return result;
+}
+
+void
+document_reader::AddFault(const ini_entry& aEntry, std::string_view aExpected)
+{
+  mFaults.push_back({ aEntry.mLine,
+                      aEntry.mSection + "." + aEntry.mKey,
+                      std::string(aExpected) });
+}
+
+void
+document_reader::TakeEntry(const ini_entry& aEntry)
+{
+  if (aEntry.mSection == kBlocks) {
+    TakeBlocks(aEntry);
+    return;
+  }
+  std::string_view section = aEntry.mSection;
+  std::size_t space = section.find(' ');
+  std::string_view kind = section.substr(0, space);
+  std::string_view name =
+    space == std::string_view::npos ? "" : section.substr(space + 1);
+  if (kind == "rank") {
+    TakeRankEntry(aEntry, name);
+    return;
+  }
+  bool known = false;
+  VisitKinds(mDocument, [&]<class Map>(std::string_view aKind, Map& aSpecs) {
+    if (aKind != kind) {
+      return;
+    }
+    known = true;
+    if (!IsSectionName(kind, name)) {
+      AddFault(aEntry,
+               "a section with a name of lower-case letters, digits and "
+               "hyphens, such as [region leinster]");
+      return;
+    }
+    TakeField(aEntry, aSpecs[typename Map::key_type{ std::string(name) }]);
+  });
+  if (!known) {
+    AddFault(aEntry,
+             "a known section: region, failure_domain, service, upstream, "
+             "rank, link, shift or blocks");
+  }
+}
+
+void
+document_reader::TakeRankEntry(const ini_entry& aEntry, std::string_view aName)
+{
+  std::optional<work_rank> rank = ParseRank(aName);
+  if (!rank) {
+    AddFault(aEntry, "[rank urgent], [rank standard] or [rank bulk]");
+    return;
+  }
+  TakeField(aEntry, mDocument.mRanks.at(static_cast<std::size_t>(*rank)));
+}
+
+template<class Spec>
+void
+document_reader::TakeField(const ini_entry& aEntry, Spec& aSpec)
+{
+  section_state& state = mSections[aEntry.mSection];
+  if (state.mLine == 0) {
+    state.mLine = aEntry.mLine;
+    for (const field_rule<Spec>& rule : Fields<Spec>()) {
+      if (rule.mRequired) {
+        state.mMissing.push_back({ rule.mKey, rule.mExpected });
+      }
+    }
+  }
+  for (const field_rule<Spec>& rule : Fields<Spec>()) {
+    if (rule.mKey != aEntry.mKey) {
+      continue;
+    }
+    std::erase_if(state.mMissing, [&](const missing_field& aField) {
+      return aField.mKey == rule.mKey;
+    });
+    if (!mLines.emplace(aEntry.mSection + "." + aEntry.mKey, aEntry.mLine)
+           .second) {
+      AddFault(aEntry, "the key only once in its section");
+    } else if (!rule.mTake(aSpec, aEntry.mValue)) {
+      AddFault(aEntry, rule.mExpected);
+    }
+    return;
+  }
+  AddFault(aEntry, "a known key of the section");
+}
+
+void
+document_reader::TakeBlocks(const ini_entry& aEntry)
+{
+  if (!IsName(aEntry.mKey)) {
+    AddFault(aEntry, "the name of a failure domain");
+    return;
+  }
+  std::vector<client_prefix>& blocks =
+    mDocument.mBlocks[domain_id{ aEntry.mKey }];
+  mLines.emplace(std::string(kBlocks) + "." + aEntry.mKey, aEntry.mLine);
+  std::string_view rest = aEntry.mValue;
+  bool more = true;
+  while (more) {
+    std::size_t comma = rest.find(',');
+    std::string_view one = Trim(rest.substr(0, comma));
+    std::optional<client_prefix> prefix = ParsePrefix(one);
+    if (!prefix) {
+      AddFault(aEntry,
+               "prefixes without bits beyond their length, separated by "
+               "commas, such as 10.0.0.0/24 or 2001:db8::/32, instead of \"" +
+                 std::string(one) + "\"");
+    } else {
+      blocks.push_back(*prefix);
+      mBlockLines.push_back(
+        { *prefix, static_cast<std::uint32_t>(aEntry.mLine) });
+    }
+    more = comma != std::string_view::npos;
+    rest.remove_prefix(more ? comma + 1 : rest.size());
+  }
+}
+
+void
+document_reader::FinishBlocks()
+{
+  for (block_map::value_type& entry : mDocument.mBlocks) {
+    std::sort(entry.second.begin(), entry.second.end());
+  }
+  std::sort(mBlockLines.begin(), mBlockLines.end());
+  for (std::size_t i = 1; i < mBlockLines.size(); ++i) {
+    if (mBlockLines[i].mPrefix == mBlockLines[i - 1].mPrefix) {
+      mFaults.push_back({ mBlockLines[i].mLine,
+                          std::string(kBlocks),
+                          "the block " + mBlockLines[i].mPrefix.Text() +
+                            " only once (also on line " +
+                            std::to_string(mBlockLines[i - 1].mLine) + ")" });
+    }
+  }
+  mBlockLines = {};
+}
+
+void
+document_reader::ReportMissing()
+{
+  using section_entry = std::map<std::string, section_state>::value_type;
+  for (const section_entry& entry : mSections) {
+    for (const missing_field& field : entry.second.mMissing) {
+      mFaults.push_back({ entry.second.mLine,
+                          entry.first + "." + std::string(field.mKey),
+                          std::string(field.mExpected) + " (missing)" });
+    }
+  }
+}
+
+// Gives each fault the line of its field, else of its section.
+void
+document_reader::Place(std::vector<text_fault> aFaults)
+{
+  for (text_fault& fault : aFaults) {
+    auto line = mLines.find(fault.mField);
+    auto section =
+      mSections.find(fault.mField.substr(0, fault.mField.find('.')));
+    if (line != mLines.end()) {
+      fault.mLine = line->second;
+    } else if (section != mSections.end()) {
+      fault.mLine = section->second.mLine;
+    }
+    mFaults.push_back(std::move(fault));
+  }
+}
+
+} // namespace
+
+document_result
+ParseDocument(std::string_view aText)
+{
+  return document_reader().Read(aText);
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/kernel/ini.cc
+++ b/laburnumdyke/kernel/ini.cc
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr std::size_t kLongestLine = 198; // bytes, of inih's line buffer
+constexpr std::size_t kLongestLine = 198;   // bytes, of inih's line buffer
+constexpr std::size_t kLongestSection = 49; // bytes, of inih's section buffer
+constexpr std::string_view kBlanks = " \t\r\v\f";
 
 struct ini_reading
 {
@@ -32,11 +34,20 @@
 bool
 IsIndented(std::string_view aLine)
 {
-  std::size_t first = aLine.find_first_not_of(" \t\r");
+  std::size_t first = aLine.find_first_not_of(kBlanks);
   return first != 0 && first != std::string_view::npos && aLine[first] != ';' &&
          aLine[first] != '#';
 }
 
+// True where inih would cut the section's name short.
+bool
+IsLongSection(std::string_view aLine)
+{
+  std::size_t end = aLine.find(']');
+  return !aLine.empty() && aLine.front() == '[' &&
+         end != std::string_view::npos && end - 1 > kLongestSection;
+}
+
 char*
 NextLine(char* aBuffer, int aSize, void* aStream)
 {
@@ -58,6 +69,9 @@
   } else if (IsIndented(line)) {
     AddFault(reading, "a line that does not begin with a blank");
     line = {};
+  } else if (IsLongSection(line)) {
+    AddFault(reading, "a section of at most 49 bytes");
+    line = {};
   }
   std::size_t length =
     std::min(line.size(), static_cast<std::size_t>(aSize) - 2);
@@ -88,15 +102,14 @@
 bool
 IsMalformed(std::string_view aLine)
 {
-  std::size_t first = aLine.find_first_not_of(" \t\r");
+  std::size_t first = aLine.find_first_not_of(kBlanks);
   if (first == std::string_view::npos || aLine[first] == ';' ||
       aLine[first] == '#') {
     return false;
   }
-  if (aLine[first] == '[') {
-    return aLine.find(']') == std::string_view::npos;
-  }
-  return aLine.find_first_of("=:") == std::string_view::npos;
+  std::size_t end = aLine.find_first_of(aLine[first] == '[' ? "]" : "=:");
+  std::size_t comment = aLine.find(';');
+  return end == std::string_view::npos || comment < end;
 }
 
 void
