--- a/laburnumdyke/decision/placement.cc
+++ b/laburnumdyke/decision/placement.cc
@@ -10,16 +10,18 @@
 
 namespace {
 
-// Clears the bits beyond aLength.
-address_bytes
-Truncate(address_bytes aAddress, std::uint8_t aLength)
+bool
+Contains(const client_prefix& aPrefix, const address_bytes& aAddress)
 {
-  for (std::size_t i = 0; i < aAddress.size(); ++i) {
-    int bits =
-      std::clamp(static_cast<int>(aLength) - static_cast<int>(i) * 8, 0, 8);
-    aAddress[i] &= static_cast<std::uint8_t>(0xff00 >> bits);
+  std::size_t whole = aPrefix.mLength / 8;
+  unsigned rest = aPrefix.mLength % 8;
+  if (!std::equal(aAddress.begin(),
+                  aAddress.begin() + static_cast<std::ptrdiff_t>(whole),
+                  aPrefix.mAddress.begin())) {
+    return false;
   }
-  return aAddress;
+  return rest == 0 ||
+         ((aAddress.at(whole) ^ aPrefix.mAddress.at(whole)) >> (8 - rest)) == 0;
 }
 
 domain_id
@@ -27,15 +29,18 @@
          const address_bytes& aClient,
          const domain_id& aDefault)
 {
-  for (int length = 128; length >= 0; --length) {
-    std::uint8_t bits = static_cast<std::uint8_t>(length);
-    auto found =
-      aDocument.mBlocks.find(client_prefix{ Truncate(aClient, bits), bits });
-    if (found != aDocument.mBlocks.end()) {
-      return found->second;
+  domain_id best = aDefault;
+  int longest = -1;
+  for (const std::pair<const domain_id, std::vector<client_prefix>>& blocks :
+       aDocument.mBlocks) {
+    for (const client_prefix& prefix : blocks.second) {
+      if (prefix.mLength > longest && Contains(prefix, aClient)) {
+        best = blocks.first;
+        longest = prefix.mLength;
+      }
     }
   }
-  return aDefault;
+  return best;
 }
 
 } // namespace
--- a/laburnumdyke/kernel/event_log.cc
+++ b/laburnumdyke/kernel/event_log.cc
@@ -94,7 +94,7 @@
 ConfigureLogging()
 {
   log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
-    "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n"));
+    "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p %m%n"));
   log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(
     layout, log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::Logger::getRootLogger()->addAppender(appender);
--- a/laburnumdyke/plugin/heartbeat_codec.h
+++ b/laburnumdyke/plugin/heartbeat_codec.h
@@ -9,7 +9,7 @@
 
 namespace laburnumdyke {
 
-inline constexpr std::size_t kLongestHeartbeat = 64 * 1024; // bytes
+inline constexpr std::size_t kLongestHeartbeat = 64UL * 1024; // bytes
 
 std::string
 EncodeHeartbeat(const heartbeat& aHeartbeat);
--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kDiscardLimit = 64 * 1024; // bytes
+constexpr std::size_t kDiscardLimit = 64UL * 1024; // bytes
 
 bool
 IsClosing(error_code aFailure)
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -85,21 +85,21 @@
     return aIdempotent && lost ? std::optional(retry_reason::UpstreamLost)
                                : std::nullopt;
   }
+  if (aResult.mReason == refusal_reason::CallerGone) {
+    return std::nullopt;
+  }
+  if (aRelayed) {
+    return aResult.mReason == refusal_reason::RelayConnect
+             ? retry_reason::RelayConnect
+             : retry_reason::RelayRefused;
+  }
   switch (aResult.mReason) {
     case refusal_reason::UpstreamConnect:
       return retry_reason::UpstreamConnect;
     case refusal_reason::UpstreamRefused:
       return retry_reason::UpstreamRefused;
-    case refusal_reason::RelayConnect:
-      return retry_reason::RelayConnect;
-    case refusal_reason::CallerGone:
-    case refusal_reason::DeadlinePassed:
-    case refusal_reason::NoUpstream:
-      return aRelayed ? std::optional(retry_reason::RelayRefused)
-                      : std::nullopt;
     default:
-      return aRelayed ? std::optional(retry_reason::RelayRefused)
-                      : std::nullopt;
+      return std::nullopt;
   }
 }
 
