--- /dev/null
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -0,0 +1,264 @@
+// Settings and logs go to a fresh folder below the system's folder for
+// temporary files; it is removed with the deployment unless KEEP_LOGS is set.
+#include "laburnumdyke/testing/harness/deployment.h"
+
+#include "laburnumdyke/decision/config_row.h"
+#include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/testing/harness/http_call.h"
+
+#include <boost/json.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <thread>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPoll{ 50 };
+constexpr std::chrono::seconds kStartLimit{ 60 };
+
+std::string
+MakeFolder()
+{
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "laburnumdyke-XXXXXX").string();
+  return ::mkdtemp(pattern.data());
+}
+
+boost::json::value
+ParseJson(const std::string& aText)
+{
+  boost::system::error_code failure;
+  boost::json::value parsed = boost::json::parse(aText, failure);
+  return failure ? boost::json::value() : parsed;
+}
+
+} // namespace
+
+endpoint
+FreeEndpoint()
+{
+  // Ports handed out before stay reserved for this process.
+  static std::set<std::uint16_t> sGiven;
+  asio::io_context context;
+  while (true) {
+    tcp::acceptor acceptor(
+      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::uint16_t port = acceptor.local_endpoint().port();
+    if (sGiven.insert(port).second) {
+      return { "127.0.0.1", port };
+    }
+  }
+}
+
+bool
+WaitUntil(const std::function<bool()>& aCondition,
+          std::chrono::milliseconds aLimit)
+{
+  std::chrono::steady_clock::time_point limit =
+    std::chrono::steady_clock::now() + aLimit;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() >= limit) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+std::string
+ProgramFolder()
+{
+  // Test programs stand in laburnumdyke/testing below the build folder.
+  std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
+  return self.parent_path().parent_path().parent_path().string();
+}
+
+deployment::deployment()
+  : mFolder(MakeFolder())
+  , mPlatform(FreeEndpoint())
+{
+}
+
+deployment::~deployment()
+{
+  if (std::getenv("KEEP_LOGS") != nullptr) {
+    std::fprintf(stderr, "logs: %s\n", mFolder.c_str());
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(mFolder, ignored);
+}
+
+void
+deployment::AddDomain(const std::string& aDomain, const std::string& aRegion)
+{
+  mRegionOf[aDomain] = aRegion;
+}
+
+void
+deployment::AddUpstream(const upstream_plan& aPlan)
+{
+  mPlans.push_back(aPlan);
+  mUpstreamAddresses[aPlan.mName] = FreeEndpoint();
+}
+
+void
+deployment::AddDaemon(const std::string& aName, const std::string& aDomain)
+{
+  mNames.push_back(aName);
+  mDomainOf[aName] = aDomain;
+  mAddresses[aName] = {
+    FreeEndpoint(), FreeEndpoint(), FreeEndpoint(), FreeEndpoint()
+  };
+}
+
+std::string
+deployment::Settings(const std::string& aName) const
+{
+  const daemon_addresses& own = mAddresses.at(aName);
+  const std::string& domain = mDomainOf.at(aName);
+  const endpoint& seed = mAddresses.at(mNames.front()).mPeer;
+  return "[instance]\nname = " + aName +
+         "\nregion = " + mRegionOf.at(domain) +
+         "\nfailure_domain = " + domain +
+         "\n[listen]\ncaller = " + own.mCaller.Text() +
+         "\nrelay = " + own.mRelay.Text() + "\npeer = " + own.mPeer.Text() +
+         "\noperator = " + own.mOperator.Text() +
+         "\n[platform]\naddress = " + mPlatform.Text() +
+         "\n[peers]\nseeds = " + seed.Text() + "\n";
+}
+
+void
+deployment::StartDaemon(const std::string& aName)
+{
+  std::string file = mFolder + "/" + aName + ".ini";
+  std::ofstream(file) << Settings(aName);
+  mDaemons.erase(aName);
+  mDaemons.emplace(aName,
+                   process(ProgramFolder() + "/laburnumdyked",
+                           { "--config", file },
+                           mFolder + "/" + aName + ".log"));
+}
+
+std::string
+deployment::Document(const std::vector<std::string>& aLeaving) const
+{
+  std::set<std::string> leaving(aLeaving.begin(), aLeaving.end());
+  std::string text = mHead;
+  for (const std::pair<const std::string, std::string>& domain : mRegionOf) {
+    text += "[failure_domain " + domain.first + "]\nregion = " + domain.second +
+            "\n";
+  }
+  for (const upstream_plan& plan : mPlans) {
+    text += "[upstream " + plan.mName + "]\nservice = " + plan.mService +
+            "\nfailure_domain = " + plan.mDomain +
+            "\naddress = " + mUpstreamAddresses.at(plan.mName).Text() +
+            "\nslots = " + std::to_string(plan.mSlots) +
+            "\nconnections = 650\nstate = " +
+            (leaving.count(plan.mName) > 0 ? "leaving" : "serving") + "\n";
+  }
+  return text;
+}
+
+bool
+deployment::Submit(std::uint64_t aVersion, const std::string& aText)
+{
+  document_result parsed = ParseDocument(aText);
+  for (const text_fault& fault : parsed.mFaults) {
+    std::fprintf(stderr, "%s\n", fault.Describe("document").c_str());
+  }
+  if (!parsed.mDocument) {
+    return false;
+  }
+  std::string canonical = RenderDocument(*parsed.mDocument);
+  config_row row;
+  row.mVersion = aVersion;
+  row.mContentHash = ContentHash(canonical);
+  row.mChangeId = "change-" + std::to_string(aVersion);
+  row.mSubmitter = "test";
+  call_request object;
+  object.mTo = mPlatform;
+  object.mMethod = http::verb::put;
+  object.mTarget = "/v1/objects/" + row.mContentHash;
+  object.mBody = canonical;
+  call_request write;
+  write.mTo = mPlatform;
+  write.mMethod = http::verb::put;
+  write.mTarget = "/v1/tables/config/rows/current";
+  write.mHeaders = { { "If-Match", std::to_string(aVersion - 1) } };
+  write.mBody = EncodeConfigRow(row);
+  return CallNow(object).mStatus == 200 && CallNow(write).mStatus == 200;
+}
+
+void
+deployment::Start(const std::string& aHead)
+{
+  mHead = aHead;
+  std::string standIns = ProgramFolder() + "/laburnumdyke/testing/";
+  mStandIns.emplace_back(
+    standIns + "platform_standin",
+    std::vector<std::string>{ "--listen", mPlatform.Text() },
+    mFolder + "/platform.log");
+  for (const upstream_plan& plan : mPlans) {
+    mStandIns.emplace_back(
+      standIns + "upstream_standin",
+      std::vector<std::string>{ "--listen",
+                                mUpstreamAddresses.at(plan.mName).Text(),
+                                "--name",
+                                plan.mName,
+                                "--slots",
+                                std::to_string(plan.mSlots) },
+      mFolder + "/" + plan.mName + ".log");
+  }
+  bool up = WaitUntil(
+    [&]() { return Submit(1, Document({})); }, kStartLimit);
+  if (!up) {
+    std::fprintf(stderr, "the platform's stand-in took no document\n");
+    std::exit(2);
+  }
+  for (const std::string& name : mNames) {
+    StartDaemon(name);
+  }
+}
+
+std::string
+deployment::Status(const std::string& aName) const
+{
+  return GetText(mAddresses.at(aName).mOperator, "/v1/status");
+}
+
+bool
+deployment::WaitForVersion(std::uint64_t aVersion,
+                           std::chrono::milliseconds aLimit)
+{
+  return WaitUntil(
+    [&]() {
+      std::size_t running = 0;
+      std::size_t ready = 0;
+      for (std::pair<const std::string, process>& one : mDaemons) {
+        running += one.second.Status() ? 0 : 1;
+      }
+      for (std::pair<const std::string, process>& one : mDaemons) {
+        boost::json::value status =
+          one.second.Status() ? boost::json::value()
+                              : ParseJson(Status(one.first));
+        if (status.is_object()) {
+          const boost::json::object& object = status.get_object();
+          bool good = object.at("version").to_number<std::uint64_t>() >=
+                        aVersion &&
+                      object.at("peers").as_array().size() + 1 >= running;
+          ready += good ? 1 : 0;
+        }
+      }
+      return ready == running;
+    },
+    aLimit);
+}
+
+} // namespace laburnumdyke
