--- /dev/null
+++ b/laburnumdyke/decision/document_difference.cc
@@ -0,0 +1,150 @@
+// Sections stand in sorted maps and blocks in sorted lists, so that each kind
+// is compared by one merge. Fields come from the table that renders them: what
+// the difference shows is what the canonical text holds.
+#include "laburnumdyke/decision/document_difference.h"
+
+#include "laburnumdyke/decision/document_schema.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace laburnumdyke {
+
+namespace {
+
+using change_list = std::vector<document_change>;
+
+constexpr std::string_view kNone = "(none)";
+
+// Either spec may be null: the section is added or removed.
+template<class Spec>
+void
+CompareSections(const std::string& aSection,
+                const Spec* aBefore,
+                const Spec* aAfter,
+                change_list& aChanges)
+{
+  for (const field_rule<Spec>& rule : Fields<Spec>()) {
+    document_change change;
+    change.mSection = aSection;
+    change.mField = rule.mKey;
+    if (aBefore != nullptr) {
+      change.mBefore = rule.mShow(*aBefore);
+    }
+    if (aAfter != nullptr) {
+      change.mAfter = rule.mShow(*aAfter);
+    }
+    if (change.mBefore != change.mAfter) {
+      aChanges.push_back(std::move(change));
+    }
+  }
+}
+
+template<class Map>
+void
+CompareMaps(std::string_view aKind,
+            const Map& aBefore,
+            const Map& aAfter,
+            change_list& aChanges)
+{
+  using spec = typename Map::mapped_type;
+  auto before = aBefore.begin();
+  auto after = aAfter.begin();
+  while (before != aBefore.end() || after != aAfter.end()) {
+    bool hasBefore = before != aBefore.end() &&
+                     (after == aAfter.end() || !(after->first < before->first));
+    bool hasAfter = after != aAfter.end() && (before == aBefore.end() ||
+                                              !(before->first < after->first));
+    const spec* beforeSpec = hasBefore ? &before->second : nullptr;
+    const spec* afterSpec = hasAfter ? &after->second : nullptr;
+    const std::string& name =
+      NameText(hasBefore ? before->first : after->first);
+    CompareSections(
+      std::string(aKind) + " " + name, beforeSpec, afterSpec, aChanges);
+    before = hasBefore ? std::next(before) : before;
+    after = hasAfter ? std::next(after) : after;
+  }
+}
+
+// The blocks of aFrom's lists that aOther doesn't give to the same domain.
+std::map<client_prefix, std::string>
+BlocksLost(const block_map& aFrom, const block_map& aOther)
+{
+  static const std::vector<client_prefix> kEmpty;
+  std::map<client_prefix, std::string> lost;
+  for (const block_map::value_type& entry : aFrom) {
+    auto found = aOther.find(entry.first);
+    const std::vector<client_prefix>& other =
+      found == aOther.end() ? kEmpty : found->second;
+    std::vector<client_prefix> gone;
+    std::set_difference(entry.second.begin(),
+                        entry.second.end(),
+                        other.begin(),
+                        other.end(),
+                        std::back_inserter(gone));
+    for (const client_prefix& block : gone) {
+      lost.emplace(block, entry.first.mValue);
+    }
+  }
+  return lost;
+}
+
+void
+CompareBlocks(const block_map& aBefore,
+              const block_map& aAfter,
+              change_list& aChanges)
+{
+  using block_entry = std::map<client_prefix, std::string>::value_type;
+  std::map<client_prefix, document_change> changes;
+  for (const block_entry& entry : BlocksLost(aBefore, aAfter)) {
+    changes[entry.first].mBefore = entry.second;
+  }
+  for (const block_entry& entry : BlocksLost(aAfter, aBefore)) {
+    changes[entry.first].mAfter = entry.second;
+  }
+  using change_entry = std::map<client_prefix, document_change>::value_type;
+  for (change_entry& entry : changes) {
+    entry.second.mSection = "blocks";
+    entry.second.mField = entry.first.Text();
+    aChanges.push_back(std::move(entry.second));
+  }
+}
+
+} // namespace
+
+std::vector<document_change>
+Difference(const document& aBefore, const document& aAfter)
+{
+  change_list changes;
+  CompareMaps("region", aBefore.mRegions, aAfter.mRegions, changes);
+  CompareMaps("failure_domain", aBefore.mDomains, aAfter.mDomains, changes);
+  CompareMaps("service", aBefore.mServices, aAfter.mServices, changes);
+  CompareMaps("upstream", aBefore.mUpstreams, aAfter.mUpstreams, changes);
+  CompareMaps("link", aBefore.mLinks, aAfter.mLinks, changes);
+  CompareMaps("shift", aBefore.mShifts, aAfter.mShifts, changes);
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    std::string_view rank = ToString(static_cast<work_rank>(i));
+    CompareSections("rank " + std::string(rank),
+                    &aBefore.mRanks.at(i),
+                    &aAfter.mRanks.at(i),
+                    changes);
+  }
+  CompareBlocks(aBefore.mBlocks, aAfter.mBlocks, changes);
+  return changes;
+}
+
+std::string
+RenderDifference(const std::vector<document_change>& aChanges)
+{
+  std::string out;
+  for (const document_change& change : aChanges) {
+    out.append(change.mSection).append(": ").append(change.mField).append(": ");
+    out.append(change.mBefore ? std::string_view(*change.mBefore) : kNone);
+    out.append(" -> ");
+    out.append(change.mAfter ? std::string_view(*change.mAfter) : kNone);
+    out.append("\n");
+  }
+  return out;
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/document_reader.cc
+++ b/laburnumdyke/decision/document_reader.cc
@@ -1,13 +1,14 @@
 // One pass over the INI entries, driven by the table of fields. Each section's
 // missing keys and each field's line are kept, so that the checks of the whole,
-// which know no text, can be placed. Blocks are gathered in one vector and
-// sorted once: n log n without a node for each block.
+// which know no text, can be placed. Blocks are sorted once for each failure
+// domain and merged to find repeats: n log n, without a node for each block.
 #include "laburnumdyke/decision/document_schema.h"
 
 #include "laburnumdyke/kernel/settings.h"
 
 #include <algorithm>
-#include <tuple>
+#include <queue>
+#include <set>
 #include <unordered_map>
 
 namespace laburnumdyke {
@@ -28,14 +29,6 @@
   std::vector<missing_field> mMissing;
 };
 
-struct block_line
-{
-  client_prefix mPrefix;
-  std::uint32_t mLine;
-
-  auto operator<=>(const block_line&) const = default;
-};
-
 std::string_view
 Trim(std::string_view aText)
 {
@@ -57,41 +50,93 @@
   return IsName(aName);
 }
 
+std::string
+FieldName(std::string_view aSection, std::string_view aKey)
+{
+  return std::string(aSection) + "." + std::string(aKey);
+}
+
+template<class Function>
+void
+ForEachItem(std::string_view aList, Function&& aFunction)
+{
+  std::size_t comma = aList.find(',');
+  while (comma != std::string_view::npos) {
+    aFunction(Trim(aList.substr(0, comma)));
+    aList.remove_prefix(comma + 1);
+    comma = aList.find(',');
+  }
+  aFunction(Trim(aList));
+}
+
+// Blocks that stand more than once, by one merge of the sorted lists.
+std::set<client_prefix>
+RepeatedBlocks(const block_map& aBlocks)
+{
+  using position = std::pair<const client_prefix*, const client_prefix*>;
+  struct later
+  {
+    bool operator()(const position& aLeft, const position& aRight) const
+    {
+      return *aRight.first < *aLeft.first;
+    }
+  };
+  std::priority_queue<position, std::vector<position>, later> heads;
+  for (const block_map::value_type& entry : aBlocks) {
+    const std::vector<client_prefix>& list = entry.second;
+    if (!list.empty()) {
+      heads.emplace(list.data(), list.data() + list.size());
+    }
+  }
+  std::set<client_prefix> repeated;
+  const client_prefix* previous = nullptr;
+  while (!heads.empty()) {
+    position head = heads.top();
+    heads.pop();
+    if (previous != nullptr && *previous == *head.first) {
+      repeated.insert(*head.first);
+    }
+    previous = head.first;
+    if (++head.first != head.second) {
+      heads.push(head);
+    }
+  }
+  return repeated;
+}
+
 class document_reader
 {
 public:
   document_result Read(std::string_view aText);
 
 private:
-  void TakeEntry(const ini_entry& aEntry);
-  void TakeRankEntry(const ini_entry& aEntry, std::string_view aName);
-  void TakeBlocks(const ini_entry& aEntry);
-  void FinishBlocks();
+  void TakeEntry(const ini_entry_view& aEntry);
+  void TakeRankEntry(const ini_entry_view& aEntry, std::string_view aName);
+  void TakeBlocks(const ini_entry_view& aEntry);
+  void SortBlocks();
+  void ReportRepeatedBlocks(std::string_view aText);
   void ReportMissing();
   void Place(std::vector<text_fault> aFaults);
-  void AddFault(const ini_entry& aEntry, std::string_view aExpected);
+  void AddFault(const ini_entry_view& aEntry, std::string_view aExpected);
 
   template<class Spec>
-  void TakeField(const ini_entry& aEntry, Spec& aSpec);
+  void TakeField(const ini_entry_view& aEntry, Spec& aSpec);
 
   document mDocument;
   std::vector<text_fault> mFaults;
   std::map<std::string, section_state> mSections;
   std::unordered_map<std::string, std::size_t> mLines; // by field
-  std::vector<block_line> mBlockLines;
 };
 
 document_result
 document_reader::Read(std::string_view aText)
 {
-  ini_text text = ParseIni(aText);
-  mFaults = std::move(text.mFaults);
-  for (const ini_entry& entry : text.mEntries) {
-    TakeEntry(entry);
-  }
-  text.mEntries = {};
+  std::vector<text_fault> malformed =
+    ReadIni(aText, [this](const ini_entry_view& aEntry) { TakeEntry(aEntry); });
+  mFaults.insert(mFaults.end(), malformed.begin(), malformed.end());
   ReportMissing();
-  FinishBlocks();
+  SortBlocks();
+  ReportRepeatedBlocks(aText);
   Place(ValidateReferences(mDocument));
   if (mFaults.empty()) {
     Place(ValidateLimits(mDocument));
@@ -110,15 +155,16 @@
 }
 
 void
-document_reader::AddFault(const ini_entry& aEntry, std::string_view aExpected)
+document_reader::AddFault(const ini_entry_view& aEntry,
+                          std::string_view aExpected)
 {
   mFaults.push_back({ aEntry.mLine,
-                      aEntry.mSection + "." + aEntry.mKey,
+                      FieldName(aEntry.mSection, aEntry.mKey),
                       std::string(aExpected) });
 }
 
 void
-document_reader::TakeEntry(const ini_entry& aEntry)
+document_reader::TakeEntry(const ini_entry_view& aEntry)
 {
   if (aEntry.mSection == kBlocks) {
     TakeBlocks(aEntry);
@@ -155,7 +201,8 @@
 }
 
 void
-document_reader::TakeRankEntry(const ini_entry& aEntry, std::string_view aName)
+document_reader::TakeRankEntry(const ini_entry_view& aEntry,
+                               std::string_view aName)
 {
   std::optional<work_rank> rank = ParseRank(aName);
   if (!rank) {
@@ -167,9 +214,9 @@
 
 template<class Spec>
 void
-document_reader::TakeField(const ini_entry& aEntry, Spec& aSpec)
+document_reader::TakeField(const ini_entry_view& aEntry, Spec& aSpec)
 {
-  section_state& state = mSections[aEntry.mSection];
+  section_state& state = mSections[std::string(aEntry.mSection)];
   if (state.mLine == 0) {
     state.mLine = aEntry.mLine;
     for (const field_rule<Spec>& rule : Fields<Spec>()) {
@@ -185,7 +232,7 @@
     std::erase_if(state.mMissing, [&](const missing_field& aField) {
       return aField.mKey == rule.mKey;
     });
-    if (!mLines.emplace(aEntry.mSection + "." + aEntry.mKey, aEntry.mLine)
+    if (!mLines.emplace(FieldName(aEntry.mSection, aEntry.mKey), aEntry.mLine)
            .second) {
       AddFault(aEntry, "the key only once in its section");
     } else if (!rule.mTake(aSpec, aEntry.mValue)) {
@@ -197,53 +244,66 @@
 }
 
 void
-document_reader::TakeBlocks(const ini_entry& aEntry)
+document_reader::TakeBlocks(const ini_entry_view& aEntry)
 {
   if (!IsName(aEntry.mKey)) {
     AddFault(aEntry, "the name of a failure domain");
     return;
   }
   std::vector<client_prefix>& blocks =
-    mDocument.mBlocks[domain_id{ aEntry.mKey }];
-  mLines.emplace(std::string(kBlocks) + "." + aEntry.mKey, aEntry.mLine);
-  std::string_view rest = aEntry.mValue;
-  bool more = true;
-  while (more) {
-    std::size_t comma = rest.find(',');
-    std::string_view one = Trim(rest.substr(0, comma));
-    std::optional<client_prefix> prefix = ParsePrefix(one);
+    mDocument.mBlocks[domain_id{ std::string(aEntry.mKey) }];
+  mLines.emplace(FieldName(kBlocks, aEntry.mKey), aEntry.mLine);
+  ForEachItem(aEntry.mValue, [&](std::string_view aItem) {
+    std::optional<client_prefix> prefix = ParsePrefix(aItem);
     if (!prefix) {
       AddFault(aEntry,
                "prefixes without bits beyond their length, separated by "
                "commas, such as 10.0.0.0/24 or 2001:db8::/32, instead of \"" +
-                 std::string(one) + "\"");
+                 std::string(aItem) + "\"");
     } else {
       blocks.push_back(*prefix);
-      mBlockLines.push_back(
-        { *prefix, static_cast<std::uint32_t>(aEntry.mLine) });
     }
-    more = comma != std::string_view::npos;
-    rest.remove_prefix(more ? comma + 1 : rest.size());
-  }
+  });
 }
 
 void
-document_reader::FinishBlocks()
+document_reader::SortBlocks()
 {
   for (block_map::value_type& entry : mDocument.mBlocks) {
     std::sort(entry.second.begin(), entry.second.end());
+    entry.second.shrink_to_fit();
   }
-  std::sort(mBlockLines.begin(), mBlockLines.end());
-  for (std::size_t i = 1; i < mBlockLines.size(); ++i) {
-    if (mBlockLines[i].mPrefix == mBlockLines[i - 1].mPrefix) {
-      mFaults.push_back({ mBlockLines[i].mLine,
-                          std::string(kBlocks),
-                          "the block " + mBlockLines[i].mPrefix.Text() +
-                            " only once (also on line " +
-                            std::to_string(mBlockLines[i - 1].mLine) + ")" });
-    }
+}
+
+// Lines are looked up by a second reading, and only where there are repeats,
+// so that no line is kept for each of millions of blocks.
+void
+document_reader::ReportRepeatedBlocks(std::string_view aText)
+{
+  std::set<client_prefix> repeated = RepeatedBlocks(mDocument.mBlocks);
+  if (repeated.empty()) {
+    return;
   }
-  mBlockLines = {};
+  std::map<client_prefix, std::size_t> firstLines;
+  ReadIni(aText, [&](const ini_entry_view& aEntry) {
+    if (aEntry.mSection != kBlocks) {
+      return;
+    }
+    ForEachItem(aEntry.mValue, [&](std::string_view aItem) {
+      std::optional<client_prefix> prefix = ParsePrefix(aItem);
+      if (!prefix || repeated.count(*prefix) == 0) {
+        return;
+      }
+      auto first = firstLines.emplace(*prefix, 0).first;
+      if (first->second > 0) {
+        AddFault(aEntry,
+                 "the block " + prefix->Text() + " only once (also on line " +
+                   std::to_string(first->second) + ")");
+      } else {
+        first->second = aEntry.mLine;
+      }
+    });
+  });
 }
 
 void
--- a/laburnumdyke/kernel/ini.cc
+++ b/laburnumdyke/kernel/ini.cc
@@ -19,13 +19,14 @@
 {
   std::string_view mRest;
   std::size_t mLine = 0;
-  ini_text mText;
+  std::vector<text_fault> mFaults;
+  const std::function<void(const ini_entry_view&)>* mTake = nullptr;
 };
 
 void
 AddFault(ini_reading& aReading, std::string aExpected)
 {
-  aReading.mText.mFaults.push_back(
+  aReading.mFaults.push_back(
     { aReading.mLine, std::string(), std::move(aExpected) });
 }
 
@@ -92,38 +93,61 @@
     AddFault(reading, "a section before the first key");
     return 1;
   }
-  reading.mText.mEntries.push_back(
+  (*reading.mTake)(
     { reading.mLine, aSection, aName, aValue == nullptr ? "" : aValue });
   return 1;
 }
 
-// A line that is no entry, section, comment or blank. inih reports only the
-// first of these, so they are looked for here.
-bool
-IsMalformed(std::string_view aLine)
+enum class line_kind
+{
+  Blank, // or a comment
+  Section,
+  Entry,
+  Malformed,
+};
+
+line_kind
+KindOf(std::string_view aLine)
 {
   std::size_t first = aLine.find_first_not_of(kBlanks);
   if (first == std::string_view::npos || aLine[first] == ';' ||
       aLine[first] == '#') {
-    return false;
+    return line_kind::Blank;
   }
-  std::size_t end = aLine.find_first_of(aLine[first] == '[' ? "]" : "=:");
-  std::size_t comment = aLine.find(';');
-  return end == std::string_view::npos || comment < end;
+  bool isSection = aLine[first] == '[';
+  std::size_t end = aLine.find_first_of(isSection ? "]" : "=:");
+  if (end == std::string_view::npos || aLine.find(';') < end) {
+    return line_kind::Malformed;
+  }
+  return isSection ? line_kind::Section : line_kind::Entry;
 }
 
+// Faults that inih doesn't report, or reports only once: malformed lines and
+// sections without a key.
 void
-FindMalformedLines(std::string_view aText, ini_text& aResult)
+FindMalformedLines(std::string_view aText, std::vector<text_fault>& aFaults)
 {
   std::size_t number = 0;
+  std::vector<std::size_t> empty; // lines of sections without a key
+  bool hasKey = true;
   while (!aText.empty()) {
     std::size_t end = aText.find('\n');
+    line_kind kind = KindOf(aText.substr(0, end));
+    aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
     ++number;
-    if (IsMalformed(aText.substr(0, end))) {
-      aResult.mFaults.push_back(
+    if (kind == line_kind::Malformed) {
+      aFaults.push_back(
         { number, std::string(), "\"[section]\" or \"key = value\"" });
+    } else if (kind == line_kind::Section) {
+      empty.push_back(number);
+      hasKey = false;
+    } else if (kind == line_kind::Entry && !hasKey) {
+      empty.pop_back();
+      hasKey = true;
     }
-    aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+  }
+  for (std::size_t line : empty) {
+    aFaults.push_back({ line, std::string(), "a key in the section" });
   }
 }
 
@@ -142,19 +166,34 @@
   return text + ": expected " + mExpected;
 }
 
-ini_text
-ParseIni(std::string_view aText)
+std::vector<text_fault>
+ReadIni(std::string_view aText,
+        const std::function<void(const ini_entry_view&)>& aTake)
 {
   ini_reading reading;
   reading.mRest = aText;
+  reading.mTake = &aTake;
   ini_parse_stream(NextLine, &reading, TakeEntry, &reading);
-  FindMalformedLines(aText, reading.mText);
-  std::stable_sort(reading.mText.mFaults.begin(),
-                   reading.mText.mFaults.end(),
+  FindMalformedLines(aText, reading.mFaults);
+  std::stable_sort(reading.mFaults.begin(),
+                   reading.mFaults.end(),
                    [](const text_fault& aLeft, const text_fault& aRight) {
                      return aLeft.mLine < aRight.mLine;
                    });
-  return std::move(reading.mText);
+  return std::move(reading.mFaults);
+}
+
+ini_text
+ParseIni(std::string_view aText)
+{
+  ini_text text;
+  text.mFaults = ReadIni(aText, [&text](const ini_entry_view& aEntry) {
+    text.mEntries.push_back({ aEntry.mLine,
+                              std::string(aEntry.mSection),
+                              std::string(aEntry.mKey),
+                              std::string(aEntry.mValue) });
+  });
+  return text;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/kernel/ini.h
+++ b/laburnumdyke/kernel/ini.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,21 @@
   std::vector<text_fault> mFaults;
 };
 
+// An entry while it is read; valid during the call alone.
+struct ini_entry_view
+{
+  std::size_t mLine;
+  std::string_view mSection;
+  std::string_view mKey;
+  std::string_view mValue;
+};
+
+// Hands over one entry after the other, for texts too large to be kept twice.
+// Returns the faults of form.
+std::vector<text_fault>
+ReadIni(std::string_view aText,
+        const std::function<void(const ini_entry_view&)>& aTake);
+
 ini_text
 ParseIni(std::string_view aText);
 
