Add submission by compare-and-swap with a change id

A pure state machine returns what to do next (read the row, store the object, write the row, wait) and takes the answers. The object is stored first. A write whose answer was lost is repeated only on the revision that it expected first, so that a late arrival and its repetition can't both take effect; a row that has moved on without the change id means that it never can.

Ruled out: repeating on the newer revision. It is never applied twice either, but it overwrites the change that came between.

--- /dev/null
+++ b/laburnumdyke/decision/config_row.cc
@@ -0,0 +1,170 @@
+// Tokens hold no blanks, so that lines split at blanks without quoting.
+// Decoding accepts what encoding writes and nothing else, which leaves one
+// text for each row.
+#include "laburnumdyke/decision/config_row.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::size_t kLongestToken = 64; // bytes
+constexpr std::size_t kHashDigits = 64;
+
+bool
+IsHash(std::string_view aText)
+{
+  return aText.size() == kHashDigits &&
+         aText.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+bool
+TakeVersion(std::uint64_t& aTarget, std::string_view aText)
+{
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result parsed = std::from_chars(aText.data(), end, aTarget);
+  return parsed.ec == std::errc() && parsed.ptr == end && aTarget > 0;
+}
+
+// The rest of the first line after aKey; the line is removed from aText.
+std::optional<std::string_view>
+TakeLine(std::string_view& aText, std::string_view aKey)
+{
+  std::size_t end = aText.find('\n');
+  if (!aText.starts_with(aKey) || end == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view value = aText.substr(aKey.size(), end - aKey.size());
+  aText.remove_prefix(end + 1);
+  return value;
+}
+
+std::string_view
+TakeWord(std::string_view& aText)
+{
+  std::size_t end = aText.find(' ');
+  std::string_view word = aText.substr(0, end);
+  aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+  return word;
+}
+
+bool
+IsWhole(const config_version& aVersion)
+{
+  return IsHash(aVersion.mHash) && IsRowToken(aVersion.mChangeId) &&
+         IsRowToken(aVersion.mSubmitter);
+}
+
+} // namespace
+
+const config_version*
+config_row::Find(std::string_view aChangeId) const
+{
+  if (mCurrent.mVersion > 0 && mCurrent.mChangeId == aChangeId) {
+    return &mCurrent;
+  }
+  auto found = std::find_if(mPrevious.begin(),
+                            mPrevious.end(),
+                            [aChangeId](const config_version& aVersion) {
+                              return aVersion.mChangeId == aChangeId;
+                            });
+  return found == mPrevious.end() ? nullptr : &*found;
+}
+
+bool
+config_row::ReachesBackTo(std::uint64_t aVersion) const
+{
+  std::uint64_t oldest =
+    mPrevious.empty() ? mCurrent.mVersion : mPrevious.back().mVersion;
+  return oldest <= aVersion + 1;
+}
+
+config_row
+config_row::Next(std::string_view aHash,
+                 std::string_view aChangeId,
+                 std::string_view aSubmitter) const
+{
+  config_row next;
+  next.mCurrent.mVersion = mCurrent.mVersion + 1;
+  next.mCurrent.mHash = aHash;
+  next.mCurrent.mChangeId = aChangeId;
+  next.mCurrent.mSubmitter = aSubmitter;
+  if (mCurrent.mVersion > 0) {
+    next.mPrevious.push_back(mCurrent);
+  }
+  next.mPrevious.insert(
+    next.mPrevious.end(), mPrevious.begin(), mPrevious.end());
+  if (next.mPrevious.size() > kHistoryLength) {
+    next.mPrevious.resize(kHistoryLength);
+  }
+  return next;
+}
+
+bool
+IsRowToken(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kLongestToken &&
+         aText.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
+                                 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 "0123456789-_.@") == std::string_view::npos;
+}
+
+std::string
+EncodeRow(const config_row& aRow)
+{
+  const config_version& current = aRow.mCurrent;
+  std::string out = "version=" + std::to_string(current.mVersion);
+  out.append("\nhash=").append(current.mHash);
+  out.append("\nchange_id=").append(current.mChangeId);
+  out.append("\nsubmitter=").append(current.mSubmitter).append("\n");
+  for (const config_version& version : aRow.mPrevious) {
+    out.append("previous=").append(std::to_string(version.mVersion));
+    out.append(" ").append(version.mHash);
+    out.append(" ").append(version.mChangeId);
+    out.append(" ").append(version.mSubmitter).append("\n");
+  }
+  return out;
+}
+
+std::optional<config_row>
+DecodeRow(std::string_view aText)
+{
+  config_row row;
+  std::optional<std::string_view> version = TakeLine(aText, "version=");
+  std::optional<std::string_view> hash = TakeLine(aText, "hash=");
+  std::optional<std::string_view> changeId = TakeLine(aText, "change_id=");
+  std::optional<std::string_view> submitter = TakeLine(aText, "submitter=");
+  if (!version || !hash || !changeId || !submitter ||
+      !TakeVersion(row.mCurrent.mVersion, *version)) {
+    return std::nullopt;
+  }
+  row.mCurrent.mHash = *hash;
+  row.mCurrent.mChangeId = *changeId;
+  row.mCurrent.mSubmitter = *submitter;
+  if (!IsWhole(row.mCurrent)) {
+    return std::nullopt;
+  }
+  std::uint64_t newer = row.mCurrent.mVersion;
+  while (!aText.empty()) {
+    std::optional<std::string_view> line = TakeLine(aText, "previous=");
+    config_version previous;
+    if (!line || !TakeVersion(previous.mVersion, TakeWord(*line))) {
+      return std::nullopt;
+    }
+    previous.mHash = TakeWord(*line);
+    previous.mChangeId = TakeWord(*line);
+    previous.mSubmitter = TakeWord(*line);
+    if (!line->empty() || !IsWhole(previous) ||
+        previous.mVersion + 1 != newer ||
+        row.mPrevious.size() == kHistoryLength) {
+      return std::nullopt;
+    }
+    newer = previous.mVersion;
+    row.mPrevious.push_back(std::move(previous));
+  }
+  return row;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/submission.cc
@@ -0,0 +1,219 @@
+// A state machine without input or output. What has been learnt decides the
+// next step: a row read before any write fixes the expected revision; a row
+// read after one tells whether the change is in force, still possible (the
+// revision is unchanged) or lost (it is not, and the change isn't there).
+#include "laburnumdyke/decision/submission.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <algorithm>
+#include <array>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFirstBackoff{ 100 };
+constexpr std::chrono::milliseconds kLongestBackoff{ 2000 };
+
+constexpr std::array<std::string_view, 6> kKindNames = {
+  "accepted", "unchanged", "conflict", "refused", "unavailable", "unknown"
+};
+
+} // namespace
+
+std::string_view
+ToString(submission_kind aKind)
+{
+  return kKindNames.at(static_cast<std::size_t>(aKind));
+}
+
+submission::submission(submission_request aRequest, instant aNow)
+  : mRequest(std::move(aRequest))
+  , mGiveUpAt(aNow + mRequest.mPatience)
+  , mBackoff(kFirstBackoff)
+{
+}
+
+submission_action
+submission::Start(instant aNow)
+{
+  submission_outcome refused;
+  refused.mKind = submission_kind::Refused;
+  document_result parsed = ParseDocument(mRequest.mText);
+  refused.mFaults = std::move(parsed.mFaults);
+  if (!IsRowToken(mRequest.mChangeId) || !IsRowToken(mRequest.mSubmitter)) {
+    refused.mFaults.push_back(
+      { 0,
+        "change_id, submitter",
+        "1 to 64 letters, digits, '-', '_', '.' or '@'" });
+  }
+  if (!refused.mFaults.empty()) {
+    refused.mReason = "the document has faults";
+    return refused;
+  }
+  mDocument = std::move(parsed.mDocument);
+  mCanonical = RenderDocument(*mDocument);
+  mHash = ContentHash(mCanonical);
+  mRequest.mText.clear();
+  mGiveUpAt = aNow + mRequest.mPatience;
+  return read_row_action{};
+}
+
+submission_action
+submission::OnRow(const std::optional<row_reading>& aRow, instant aNow)
+{
+  if (!aRow) {
+    return RetryLater(read_row_action{}, aNow);
+  }
+  config_row state;
+  if (aRow->mRevision > 0) {
+    std::optional<config_row> decoded = DecodeRow(aRow->mValue);
+    if (!decoded) {
+      return Finish(mWritten ? submission_kind::Unknown
+                             : submission_kind::Unavailable,
+                    0,
+                    "the row in the platform's table is malformed");
+    }
+    state = std::move(*decoded);
+  }
+  const config_version* own = state.Find(mRequest.mChangeId);
+  if (own != nullptr) {
+    bool same = own->mHash == mHash;
+    return Finish(same ? submission_kind::Accepted : submission_kind::Refused,
+                  own->mVersion,
+                  same ? "" : "the change id was used for another document");
+  }
+  return mWritten ? Resolve(*aRow, state, aNow) : FirstRow(*aRow, state);
+}
+
+submission_action
+submission::FirstRow(const row_reading& aRow, const config_row& aState)
+{
+  std::uint64_t version = aState.mCurrent.mVersion;
+  if (version > 0 && aState.mCurrent.mHash == mHash) {
+    return Finish(submission_kind::Unchanged, version, "");
+  }
+  if (mRequest.mBase && *mRequest.mBase != version) {
+    return Conflict(aState);
+  }
+  config_row next = aState.Next(mHash, mRequest.mChangeId, mRequest.mSubmitter);
+  CheckInvariant(next.mCurrent.mVersion > version,
+                 "config_version_grows",
+                 "version=" + std::to_string(version));
+  mBaseVersion = version;
+  mWrite = write_row_action{ aRow.mRevision, EncodeRow(next) };
+  return put_object_action{ mHash, mCanonical };
+}
+
+submission_action
+submission::Resolve(const row_reading& aRow,
+                    const config_row& aState,
+                    instant aNow)
+{
+  bool isStale = aRow.mRevision < mWrite->mRevision ||
+                 (mMismatch && aRow.mRevision == mWrite->mRevision);
+  if (isStale) {
+    return RetryLater(read_row_action{}, aNow);
+  }
+  if (aRow.mRevision == mWrite->mRevision) {
+    return *mWrite;
+  }
+  if (!aState.ReachesBackTo(mBaseVersion)) {
+    return Finish(submission_kind::Unknown,
+                  aState.mCurrent.mVersion,
+                  "more versions have followed than the row keeps");
+  }
+  return Conflict(aState);
+}
+
+submission_action
+submission::Conflict(const config_row& aState)
+{
+  mWinner = aState.mCurrent.mVersion;
+  if (mWinner == 0) {
+    return Finish(submission_kind::Conflict, 0, "no version is in force");
+  }
+  return get_object_action{ aState.mCurrent.mHash };
+}
+
+submission_action
+submission::OnObjectStored(bool aStored, instant aNow)
+{
+  if (!aStored) {
+    return RetryLater(put_object_action{ mHash, mCanonical }, aNow);
+  }
+  mWritten = true;
+  return *mWrite;
+}
+
+submission_action
+submission::OnObject(const std::optional<std::string>& aText, instant)
+{
+  submission_outcome outcome;
+  outcome.mKind = submission_kind::Conflict;
+  outcome.mVersion = mWinner;
+  outcome.mReason = "another version came first";
+  if (aText) {
+    document_result winner = ParseDocument(*aText);
+    if (winner.mDocument) {
+      outcome.mChanges = Difference(*winner.mDocument, *mDocument);
+    }
+  }
+  return outcome;
+}
+
+submission_action
+submission::OnWritten(write_result aResult, instant aNow)
+{
+  switch (aResult) {
+    case write_result::Written:
+      return Finish(submission_kind::Accepted, mBaseVersion + 1, "");
+    case write_result::Mismatch:
+      mMismatch = true;
+      return read_row_action{};
+    case write_result::NoAnswer:
+      break;
+  }
+  return RetryLater(read_row_action{}, aNow);
+}
+
+submission_action
+submission::OnTimer(instant aNow)
+{
+  CheckInvariant(mPending.has_value(), "submission_waits", "pending=none");
+  submission_action next = std::move(*mPending);
+  mPending.reset();
+  if (aNow < mGiveUpAt) {
+    return next;
+  }
+  return mWritten ? Finish(submission_kind::Unknown,
+                           0,
+                           "the platform did not answer after a write")
+                  : Finish(submission_kind::Unavailable,
+                           0,
+                           "the platform did not answer");
+}
+
+submission_action
+submission::RetryLater(submission_action aAction, instant aNow)
+{
+  mPending = std::move(aAction);
+  instant until = std::min(aNow + mBackoff, mGiveUpAt);
+  mBackoff = std::min(mBackoff * 2, kLongestBackoff);
+  return wait_action{ std::max(until, aNow) };
+}
+
+submission_action
+submission::Finish(submission_kind aKind,
+                   std::uint64_t aVersion,
+                   std::string aReason) const
+{
+  submission_outcome outcome;
+  outcome.mKind = aKind;
+  outcome.mVersion = aVersion;
+  outcome.mReason = std::move(aReason);
+  return outcome;
+}
+
+} // namespace laburnumdyke
