--- a/laburnumdyke/testing/harness/deployment.cc
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -47,8 +47,8 @@
   static std::set<std::uint16_t> sGiven;
   asio::io_context context;
   while (true) {
-    tcp::acceptor acceptor(
-      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tcp::acceptor acceptor(context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     std::uint16_t port = acceptor.local_endpoint().port();
     if (sGiven.insert(port).second) {
       return { "127.0.0.1", port };
@@ -124,8 +124,7 @@
   const daemon_addresses& own = mAddresses.at(aName);
   const std::string& domain = mDomainOf.at(aName);
   const endpoint& seed = mAddresses.at(mNames.front()).mPeer;
-  return "[instance]\nname = " + aName +
-         "\nregion = " + mRegionOf.at(domain) +
+  return "[instance]\nname = " + aName + "\nregion = " + mRegionOf.at(domain) +
          "\nfailure_domain = " + domain +
          "\n[listen]\ncaller = " + own.mCaller.Text() +
          "\nrelay = " + own.mRelay.Text() + "\npeer = " + own.mPeer.Text() +
@@ -152,8 +151,8 @@
   std::set<std::string> leaving(aLeaving.begin(), aLeaving.end());
   std::string text = mHead;
   for (const std::pair<const std::string, std::string>& domain : mRegionOf) {
-    text += "[failure_domain " + domain.first + "]\nregion = " + domain.second +
-            "\n";
+    text +=
+      "[failure_domain " + domain.first + "]\nregion = " + domain.second + "\n";
   }
   for (const upstream_plan& plan : mPlans) {
     text += "[upstream " + plan.mName + "]\nservice = " + plan.mService +
@@ -216,8 +215,7 @@
                                 std::to_string(plan.mSlots) },
       mFolder + "/" + plan.mName + ".log");
   }
-  bool up = WaitUntil(
-    [&]() { return Submit(1, Document({})); }, kStartLimit);
+  bool up = WaitUntil([&]() { return Submit(1, Document({})); }, kStartLimit);
   if (!up) {
     std::fprintf(stderr, "the platform's stand-in took no document\n");
     std::exit(2);
@@ -245,14 +243,14 @@
         running += one.second.Status() ? 0 : 1;
       }
       for (std::pair<const std::string, process>& one : mDaemons) {
-        boost::json::value status =
-          one.second.Status() ? boost::json::value()
-                              : ParseJson(Status(one.first));
+        boost::json::value status = one.second.Status()
+                                      ? boost::json::value()
+                                      : ParseJson(Status(one.first));
         if (status.is_object()) {
           const boost::json::object& object = status.get_object();
-          bool good = object.at("version").to_number<std::uint64_t>() >=
-                        aVersion &&
-                      object.at("peers").as_array().size() + 1 >= running;
+          bool good =
+            object.at("version").to_number<std::uint64_t>() >= aVersion &&
+            object.at("peers").as_array().size() + 1 >= running;
           ready += good ? 1 : 0;
         }
       }
--- a/laburnumdyke/testing/harness/http_call.cc
+++ b/laburnumdyke/testing/harness/http_call.cc
@@ -42,10 +42,7 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(boost::none);
   co_await http::async_read(
-    stream,
-    buffer,
-    parser,
-    asio::redirect_error(asio::use_awaitable, failure));
+    stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
   result.mComplete = !failure;
   if (parser.is_header_done()) {
     result.mStatus = parser.get().result_int();
@@ -61,9 +58,7 @@
   asio::io_context context;
   call_result result;
   asio::co_spawn(
-    context,
-    Call(aRequest),
-    [&](std::exception_ptr, call_result aResult) {
+    context, Call(aRequest), [&](std::exception_ptr, call_result aResult) {
       result = std::move(aResult);
     });
   context.run();
--- a/laburnumdyke/testing/harness/process.cc
+++ b/laburnumdyke/testing/harness/process.cc
@@ -32,11 +32,8 @@
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions,
-                                   STDOUT_FILENO,
-                                   aLog.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND,
-                                   0644);
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   int failure = posix_spawn(
     &mPid, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
