--- a/laburnumdyke/decision/config_row.cc
+++ b/laburnumdyke/decision/config_row.cc
@@ -53,7 +53,7 @@
 bool
 IsWhole(const config_version& aVersion)
 {
-  return IsHash(aVersion.mHash) && IsRowToken(aVersion.mChangeId) &&
+  return IsHash(aVersion.mContentHash) && IsRowToken(aVersion.mChangeId) &&
          IsRowToken(aVersion.mSubmitter);
 }
 
@@ -62,8 +62,8 @@
 const config_version*
 config_row::Find(std::string_view aChangeId) const
 {
-  if (mCurrent.mVersion > 0 && mCurrent.mChangeId == aChangeId) {
-    return &mCurrent;
+  if (mVersion > 0 && mChangeId == aChangeId) {
+    return this;
   }
   auto found = std::find_if(mPrevious.begin(),
                             mPrevious.end(),
@@ -77,7 +77,7 @@
 config_row::ReachesBackTo(std::uint64_t aVersion) const
 {
   std::uint64_t oldest =
-    mPrevious.empty() ? mCurrent.mVersion : mPrevious.back().mVersion;
+    mPrevious.empty() ? mVersion : mPrevious.back().mVersion;
   return oldest <= aVersion + 1;
 }
 
@@ -87,12 +87,12 @@
                  std::string_view aSubmitter) const
 {
   config_row next;
-  next.mCurrent.mVersion = mCurrent.mVersion + 1;
-  next.mCurrent.mHash = aHash;
-  next.mCurrent.mChangeId = aChangeId;
-  next.mCurrent.mSubmitter = aSubmitter;
-  if (mCurrent.mVersion > 0) {
-    next.mPrevious.push_back(mCurrent);
+  next.mVersion = mVersion + 1;
+  next.mContentHash = aHash;
+  next.mChangeId = aChangeId;
+  next.mSubmitter = aSubmitter;
+  if (mVersion > 0) {
+    next.mPrevious.push_back(*this);
   }
   next.mPrevious.insert(
     next.mPrevious.end(), mPrevious.begin(), mPrevious.end());
@@ -112,16 +112,16 @@
 }
 
 std::string
-EncodeRow(const config_row& aRow)
+EncodeConfigRow(const config_row& aRow)
 {
-  const config_version& current = aRow.mCurrent;
+  const config_version& current = aRow;
   std::string out = "version=" + std::to_string(current.mVersion);
-  out.append("\nhash=").append(current.mHash);
+  out.append("\nhash=").append(current.mContentHash);
   out.append("\nchange_id=").append(current.mChangeId);
   out.append("\nsubmitter=").append(current.mSubmitter).append("\n");
   for (const config_version& version : aRow.mPrevious) {
     out.append("previous=").append(std::to_string(version.mVersion));
-    out.append(" ").append(version.mHash);
+    out.append(" ").append(version.mContentHash);
     out.append(" ").append(version.mChangeId);
     out.append(" ").append(version.mSubmitter).append("\n");
   }
@@ -129,7 +129,7 @@
 }
 
 std::optional<config_row>
-DecodeRow(std::string_view aText)
+DecodeConfigRow(std::string_view aText)
 {
   config_row row;
   std::optional<std::string_view> version = TakeLine(aText, "version=");
@@ -137,23 +137,23 @@
   std::optional<std::string_view> changeId = TakeLine(aText, "change_id=");
   std::optional<std::string_view> submitter = TakeLine(aText, "submitter=");
   if (!version || !hash || !changeId || !submitter ||
-      !TakeVersion(row.mCurrent.mVersion, *version)) {
+      !TakeVersion(row.mVersion, *version)) {
     return std::nullopt;
   }
-  row.mCurrent.mHash = *hash;
-  row.mCurrent.mChangeId = *changeId;
-  row.mCurrent.mSubmitter = *submitter;
-  if (!IsWhole(row.mCurrent)) {
+  row.mContentHash = *hash;
+  row.mChangeId = *changeId;
+  row.mSubmitter = *submitter;
+  if (!IsWhole(row)) {
     return std::nullopt;
   }
-  std::uint64_t newer = row.mCurrent.mVersion;
+  std::uint64_t newer = row.mVersion;
   while (!aText.empty()) {
     std::optional<std::string_view> line = TakeLine(aText, "previous=");
     config_version previous;
     if (!line || !TakeVersion(previous.mVersion, TakeWord(*line))) {
       return std::nullopt;
     }
-    previous.mHash = TakeWord(*line);
+    previous.mContentHash = TakeWord(*line);
     previous.mChangeId = TakeWord(*line);
     previous.mSubmitter = TakeWord(*line);
     if (!line->empty() || !IsWhole(previous) ||
--- a/laburnumdyke/decision/config_row.h
+++ b/laburnumdyke/decision/config_row.h
@@ -26,16 +26,16 @@
 struct config_version
 {
   std::uint64_t mVersion = 0; // 0: none yet
-  std::string mHash;          // content hash of the document
+  std::string mContentHash;   // content hash of the document
   std::string mChangeId;
   std::string mSubmitter;
 
   bool operator==(const config_version&) const = default;
 };
 
-struct config_row
+// The version in force, with those before it.
+struct config_row : config_version
 {
-  config_version mCurrent;
   std::vector<config_version> mPrevious; // newest first
 
   bool operator==(const config_row&) const = default;
@@ -58,10 +58,10 @@
 IsRowToken(std::string_view aText);
 
 std::string
-EncodeRow(const config_row& aRow);
+EncodeConfigRow(const config_row& aRow);
 
 // Nothing where the text is no row.
 std::optional<config_row>
-DecodeRow(std::string_view aText);
+DecodeConfigRow(std::string_view aText);
 
 } // namespace laburnumdyke
