--- a/laburnumdyke/decision/submission.cc
+++ b/laburnumdyke/decision/submission.cc
@@ -68,7 +68,7 @@
   }
   config_row state;
   if (aRow->mRevision > 0) {
-    std::optional<config_row> decoded = DecodeRow(aRow->mValue);
+    std::optional<config_row> decoded = DecodeConfigRow(aRow->mValue);
     if (!decoded) {
       return Finish(mWritten ? submission_kind::Unknown
                              : submission_kind::Unavailable,
@@ -79,7 +79,7 @@
   }
   const config_version* own = state.Find(mRequest.mChangeId);
   if (own != nullptr) {
-    bool same = own->mHash == mHash;
+    bool same = own->mContentHash == mHash;
     return Finish(same ? submission_kind::Accepted : submission_kind::Refused,
                   own->mVersion,
                   same ? "" : "the change id was used for another document");
@@ -90,19 +90,19 @@
 submission_action
 submission::FirstRow(const row_reading& aRow, const config_row& aState)
 {
-  std::uint64_t version = aState.mCurrent.mVersion;
-  if (version > 0 && aState.mCurrent.mHash == mHash) {
+  std::uint64_t version = aState.mVersion;
+  if (version > 0 && aState.mContentHash == mHash) {
     return Finish(submission_kind::Unchanged, version, "");
   }
   if (mRequest.mBase && *mRequest.mBase != version) {
     return Conflict(aState);
   }
   config_row next = aState.Next(mHash, mRequest.mChangeId, mRequest.mSubmitter);
-  CheckInvariant(next.mCurrent.mVersion > version,
+  CheckInvariant(next.mVersion > version,
                  "config_version_grows",
                  "version=" + std::to_string(version));
   mBaseVersion = version;
-  mWrite = write_row_action{ aRow.mRevision, EncodeRow(next) };
+  mWrite = write_row_action{ aRow.mRevision, EncodeConfigRow(next) };
   return put_object_action{ mHash, mCanonical };
 }
 
@@ -121,7 +121,7 @@
   }
   if (!aState.ReachesBackTo(mBaseVersion)) {
     return Finish(submission_kind::Unknown,
-                  aState.mCurrent.mVersion,
+                  aState.mVersion,
                   "more versions have followed than the row keeps");
   }
   return Conflict(aState);
@@ -130,11 +130,11 @@
 submission_action
 submission::Conflict(const config_row& aState)
 {
-  mWinner = aState.mCurrent.mVersion;
+  mWinner = aState.mVersion;
   if (mWinner == 0) {
     return Finish(submission_kind::Conflict, 0, "no version is in force");
   }
-  return get_object_action{ aState.mCurrent.mHash };
+  return get_object_action{ aState.mContentHash };
 }
 
 submission_action
--- a/laburnumdyke/testing/submission_test.cc
+++ b/laburnumdyke/testing/submission_test.cc
@@ -69,11 +69,11 @@
     }
     ++mRevision;
     mValue = aWrite.mValue;
-    std::optional<config_row> row = DecodeRow(mValue);
+    std::optional<config_row> row = DecodeConfigRow(mValue);
     CHECK(row.has_value());
-    CHECK(mObjects.count(row->mCurrent.mHash) == 1);
-    CHECK_EQUAL(mApplied.size() + 1, row->mCurrent.mVersion);
-    mApplied.push_back(row->mCurrent);
+    CHECK(mObjects.count(row->mContentHash) == 1);
+    CHECK_EQUAL(mApplied.size() + 1, row->mVersion);
+    mApplied.push_back(*row);
     return true;
   }
 
@@ -90,14 +90,14 @@
   {
     config_row row;
     if (mRevision > 0) {
-      row = *DecodeRow(mValue);
+      row = *DecodeConfigRow(mValue);
     }
     std::uint32_t queue = 1000 + static_cast<std::uint32_t>(mApplied.size());
     mObjects[HashOf(queue)] =
       RenderDocument(*ParseDocument(Text(queue)).mDocument);
     config_row next = row.Next(
       HashOf(queue), "other-" + std::to_string(mApplied.size()), "otto");
-    CHECK(Write({ mRevision, EncodeRow(next) }));
+    CHECK(Write({ mRevision, EncodeConfigRow(next) }));
   }
 
   // How often a change took effect.
@@ -315,11 +315,11 @@
   config_row row;
   for (std::uint32_t i = 0; i < 30; ++i) {
     row = row.Next(HashOf(i), "change-" + std::to_string(i), "niamh");
-    std::optional<config_row> decoded = DecodeRow(EncodeRow(row));
+    std::optional<config_row> decoded = DecodeConfigRow(EncodeConfigRow(row));
     CHECK(decoded.has_value());
     CHECK(*decoded == row);
   }
-  CHECK_EQUAL(30u, row.mCurrent.mVersion);
+  CHECK_EQUAL(30u, row.mVersion);
   CHECK_EQUAL(kHistoryLength, row.mPrevious.size());
   CHECK_EQUAL(10u, row.Find("change-9")->mVersion);
   CHECK(row.Find("change-8") == nullptr);
@@ -332,7 +332,7 @@
   std::mt19937_64 random(5);
   config_row row;
   row = row.Next(HashOf(1), "a", "niamh").Next(HashOf(2), "b", "otto");
-  const std::string good = EncodeRow(row);
+  const std::string good = EncodeConfigRow(row);
   for (int round = 0; round < 5000; ++round) {
     std::string text = good;
     std::size_t at = random() % text.size();
@@ -347,8 +347,8 @@
         text.insert(at, text.substr(random() % text.size(), 5));
         break;
     }
-    std::optional<config_row> decoded = DecodeRow(text);
-    CHECK(!decoded || EncodeRow(*decoded) == text);
+    std::optional<config_row> decoded = DecodeConfigRow(text);
+    CHECK(!decoded || EncodeConfigRow(*decoded) == text);
   }
 }
 
