--- a/laburnumdyke/testing/demo_main.cc
+++ b/laburnumdyke/testing/demo_main.cc
@@ -20,9 +20,9 @@
 using namespace laburnumdyke;
 
 constexpr std::string_view kHead = "[region leinster]\n"
-                                   "cap = 40\n"
+                                   "cap = 36\n"
                                    "[region munster]\n"
-                                   "cap = 20\n"
+                                   "cap = 18\n"
                                    "[service booking]\n"
                                    "rank = urgent\n"
                                    "idempotent = no\n"
@@ -69,7 +69,7 @@
   aDeployment.AddDomain("leinster-a", "leinster");
   aDeployment.AddDomain("leinster-b", "leinster");
   aDeployment.AddDomain("munster-a", "munster");
-  for (const std::string& service : { "booking", "job-sheet", "report" }) {
+  for (const std::string service : { "booking", "job-sheet", "report" }) {
     for (const std::string& domain : domains) {
       for (const char* number : { "-1", "-2" }) {
         aDeployment.AddUpstream(
