--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -105,6 +105,8 @@
   }
 
 private:
+  static constexpr std::size_t kMostAttempts = 4; // for one request
+
   // Keeps what the stages of one request share.
   struct attempt_state
   {
@@ -181,13 +183,13 @@
   {
     mTables.RetryBudget().With(
       [&](retry_budget& aBudget) { aBudget.CountRequest(Now()); });
-    while (true) {
+    for (std::size_t attempt = 1;; ++attempt) {
       bool relayed = false;
       forward_result result = co_await Attempt(aState, relayed);
       std::optional<retry_reason> reason =
         RetryReason(result, relayed, aState.mFacts.mIdempotent);
       if (!reason || result.mBegun || !aState.mPrefix.mComplete ||
-          Now() >= aState.mDeadline) {
+          attempt >= kMostAttempts || Now() >= aState.mDeadline) {
         co_return result;
       }
       bool allowed = mTables.RetryBudget().With(
@@ -213,7 +215,6 @@
     route next = mTables.Route(aState.mFacts.mService, aState.mTried, now);
     switch (next.mStep) {
       case route_step::Here:
-        aState.mTried.insert(mTables.Self().mInstance);
         co_return co_await RunHere(aState);
       case route_step::Relay:
         aRelayed = true;
@@ -234,6 +235,9 @@
     admission_answer answer = mTables.Admission().With(
       [&](admission& aAdmission) { return aAdmission.Ask(request, Now()); });
     if (answer.mStep == admission_step::Refused) {
+      // Another attempt goes elsewhere; after a failed upstream it may come
+      // here again, where admission now prefers another upstream.
+      aState.mTried.insert(mTables.Self().mInstance);
       co_return NotRun(answer.mReason);
     }
     if (answer.mStep == admission_step::Queued) {
--- /dev/null
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -0,0 +1,205 @@
+// The request pipeline with a mock in place of its transport: what is retried,
+// what is not, and what callers are told.
+#include "laburnumdyke/plugin/request_pipeline.h"
+#include "laburnumdyke/testing/harness/http_call.h"
+#include "laburnumdyke/testing/harness/one_kernel.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+
+namespace {
+
+// Answers with scripted results, and counts what it was asked to send.
+class mock_transport
+{
+public:
+  asio::awaitable<forward_result> Send(http_exchange& aExchange,
+                                       const body_prefix& aPrefix,
+                                       const forward_request& aRequest)
+  {
+    ++mSends;
+    mLastBody = aPrefix.mBytes;
+    mLastReuse = aRequest.mReuse;
+    forward_result result{ outcome_kind::Answered, refusal_reason::None, true };
+    if (!mScript.empty()) {
+      result = mScript.front();
+      mScript.pop_front();
+    }
+    if (result.mBegun) {
+      string_answer answer(http::status::ok, 11);
+      answer.set(ToBeast(kOutcomeHeader), "answered");
+      co_await WriteAnswer(aExchange, std::move(answer));
+    }
+    co_return result;
+  }
+
+  std::deque<forward_result> mScript;
+  int mSends = 0;
+  std::string mLastBody;
+  bool mLastReuse = false;
+};
+
+static_assert(request_transport<mock_transport>);
+
+struct pipeline_handler
+{
+  request_pipeline<mock_transport>& mPipeline;
+
+  asio::awaitable<void> Handle(http_exchange& aExchange)
+  {
+    return mPipeline.Serve(aExchange, false);
+  }
+};
+
+constexpr forward_result kLost{ outcome_kind::Unknown,
+                                refusal_reason::UpstreamLost,
+                                false };
+constexpr forward_result kRefused{ outcome_kind::NotRun,
+                                   refusal_reason::UpstreamRefused,
+                                   false };
+constexpr forward_result kNoConnection{ outcome_kind::NotRun,
+                                        refusal_reason::UpstreamConnect,
+                                        false };
+
+struct pipeline_row
+{
+  const char* mName;
+  const char* mService;
+  std::vector<forward_result> mScript;
+  int mSends;
+  const char* mOutcome;
+  const char* mReason;
+};
+
+} // namespace
+
+TEST_GROUP(RequestPipeline)
+{
+  settings mSettings;
+  std::unique_ptr<kernel> mKernel;
+  mock_transport mTransport;
+  std::unique_ptr<request_pipeline<mock_transport>> mPipeline;
+  std::unique_ptr<pipeline_handler> mHandler;
+  std::unique_ptr<http_server<pipeline_handler>> mServer;
+
+  void setup() override
+  {
+    mSettings = FreeSettings("one", "leinster-a", "leinster");
+    mKernel =
+      std::make_unique<kernel>(mSettings, std::vector<plugin_record>());
+    mPipeline = std::make_unique<request_pipeline<mock_transport>>(
+      *mKernel, mTransport);
+    mHandler = std::make_unique<pipeline_handler>(
+      pipeline_handler{ *mPipeline });
+    mServer =
+      std::make_unique<http_server<pipeline_handler>>(*mKernel, *mHandler);
+    mServer->Listen(mSettings.mCaller);
+    ForceDocument(*mKernel, 1, SmallDocument({ "127.0.0.1", 1 }));
+    mKernel->Start(std::chrono::steady_clock::now());
+  }
+
+  void teardown() override
+  {
+    mKernel->Stop();
+    mServer->Close();
+    mServer.reset();
+    mPipeline.reset();
+    mKernel.reset();
+  }
+
+  std::string NewIdentity()
+  {
+    return entry_tables(*mKernel).Ledger().With([](identity_ledger& aLedger) {
+      return aLedger.Issue(std::chrono::steady_clock::now()).Text();
+    });
+  }
+
+  call_result Send(const std::string& aService, const std::string& aIdentity)
+  {
+    call_request request;
+    request.mTo = mSettings.mCaller;
+    request.mMethod = http::verb::post;
+    request.mTarget = "/v1/request/" + aService + "/x";
+    request.mBody = "body";
+    if (!aIdentity.empty()) {
+      request.mHeaders = { { std::string(kIdentityHeader), aIdentity } };
+    }
+    return CallNow(request);
+  }
+};
+
+TEST(RequestPipeline, RetriesOnlyWhatWasNotRunOrIsIdempotent)
+{
+  const std::vector<pipeline_row> rows = {
+    { "answered", "report", {}, 1, "answered", "" },
+    { "idempotent, refused once", "report", { kRefused }, 2, "answered", "" },
+    { "idempotent, lost once", "report", { kLost }, 2, "answered", "" },
+    { "booking, refused before work",
+      "booking",
+      { kRefused },
+      2,
+      "answered",
+      "" },
+    { "booking, no connection", "booking", { kNoConnection }, 2, "answered",
+      "" },
+    { "booking, lost after sending",
+      "booking",
+      { kLost },
+      1,
+      "unknown",
+      "upstream_lost" },
+  };
+  for (const pipeline_row& row : rows) {
+    mTransport.mScript.assign(row.mScript.begin(), row.mScript.end());
+    mTransport.mSends = 0;
+    bool booking = std::string(row.mService) == "booking";
+    call_result result =
+      Send(row.mService, booking ? NewIdentity() : std::string());
+    CHECK_EQUAL_TEXT(row.mSends, mTransport.mSends, row.mName);
+    CHECK_EQUAL_TEXT(
+      std::string(row.mOutcome), result.Field(kOutcomeHeader), row.mName);
+    CHECK_EQUAL_TEXT(
+      std::string(row.mReason), result.Field(kReasonHeader), row.mName);
+    CHECK_EQUAL_TEXT(std::string("body"), mTransport.mLastBody, row.mName);
+    CHECK_EQUAL_TEXT(!booking, mTransport.mLastReuse, row.mName);
+  }
+}
+
+TEST(RequestPipeline, ABookingWhoseAnswerWasLostIsNotRunAgain)
+{
+  std::string identity = NewIdentity();
+  mTransport.mScript = { kLost };
+  call_result first = Send("booking", identity);
+  CHECK_EQUAL(std::string("unknown"), first.Field(kOutcomeHeader));
+  call_result second = Send("booking", identity);
+  CHECK_EQUAL(std::string("unknown"), second.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("already_run"), second.Field(kReasonHeader));
+  CHECK_EQUAL(1, mTransport.mSends);
+}
+
+TEST(RequestPipeline, AnAnsweredBookingIsNotRunAgain)
+{
+  std::string identity = NewIdentity();
+  Send("booking", identity);
+  call_result second = Send("booking", identity);
+  CHECK_EQUAL(409u, second.mStatus);
+  CHECK_EQUAL(std::string("answered"), second.Field(kOutcomeHeader));
+  CHECK_EQUAL(1, mTransport.mSends);
+}
+
+TEST(RequestPipeline, AFailingUpstreamIsNotRetriedWithoutEnd)
+{
+  constexpr int kRequests = 6;
+  for (int i = 0; i < kRequests; ++i) {
+    mTransport.mScript.assign(100, kRefused);
+    Send("report", "");
+  }
+  // Each request has its own send; retries come from the budget's reserve.
+  CHECK(mTransport.mSends <=
+        kRequests + static_cast<int>(retry_budget::kReserve));
+}
