--- a/laburnumdyke/testing/standin/platform_exchange.h
+++ b/laburnumdyke/testing/standin/platform_exchange.h
@@ -4,15 +4,13 @@
 
 #include "laburnumdyke/testing/standin/http_exchange.h"
 #include "laburnumdyke/testing/standin/platform_model.h"
+#include "laburnumdyke/testing/standin/whole_session.h"
 
 #include <optional>
 #include <string>
 
 namespace laburnumdyke {
 
-using whole_request =
-  boost::beast::http::request<boost::beast::http::string_body>;
-
 // Performs the request on the model. Nothing where its answer is to be lost.
 std::optional<short_answer>
 PerformPlatformRequest(platform_model& aModel,
--- a/laburnumdyke/testing/standin/platform_standin.cc
+++ b/laburnumdyke/testing/standin/platform_standin.cc
@@ -4,13 +4,10 @@
 
 #include "laburnumdyke/testing/standin/connections.h"
 #include "laburnumdyke/testing/standin/platform_exchange.h"
+#include "laburnumdyke/testing/standin/whole_session.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace laburnumdyke {
 
@@ -19,13 +16,6 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-namespace {
-
-constexpr std::uint64_t kMaxObjectBytes = 64ull << 20;
-constexpr std::size_t kBufferLimit = 131072;
-
-} // namespace
-
 class platform_standin::server : public std::enable_shared_from_this<server>
 {
 public:
@@ -40,29 +30,16 @@
   std::optional<std::string> Start();
   void Stop();
 
+  // For ServeWhole.
+  static constexpr std::uint64_t kMaxBody = 64ull << 20;
+  asio::awaitable<std::optional<short_answer>> Perform(whole_request aRequest);
+  void Malformed() { mModel.Counters().mMalformed++; }
+
   std::uint16_t mPort = 0;
 
 private:
-  struct session
-  {
-    session(connection_set& aSet, tcp::socket aSocket)
-      : mSocket(std::move(aSocket))
-      , mGuard(aSet, mSocket)
-      , mBuffer(kBufferLimit)
-    {
-    }
-
-    tcp::socket mSocket;
-    connection_guard mGuard;
-    beast::flat_buffer mBuffer;
-    bool mOpen = true; // goes on after the present request
-  };
-
   asio::awaitable<void> Accepted(std::shared_ptr<server> aSelf,
                                  tcp::socket aSocket);
-  asio::awaitable<void> ServeOne(session& aSession);
-  asio::awaitable<void> ServeRequest(session& aSession, whole_request aRequest);
-  asio::awaitable<void> Send(session& aSession, short_answer aAnswer);
   short_answer Control(const whole_request& aRequest);
 
   platform_standin_options mOptions;
@@ -106,47 +83,14 @@
   [[maybe_unused]] std::shared_ptr<server> aSelf,
   tcp::socket aSocket)
 {
-  session current(mConnections, std::move(aSocket));
-  while (current.mOpen) {
-    co_await ServeOne(current);
-  }
-  CloseSocket(current.mSocket);
+  co_await ServeWhole(*this, mConnections, std::move(aSocket));
 }
 
-asio::awaitable<void>
-platform_standin::server::ServeOne(session& aSession)
-{
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(kHeaderLimit);
-  parser.body_limit(kMaxObjectBytes);
-  beast::error_code failure;
-  aSession.mGuard.SetIdle(true);
-  co_await http::async_read(aSession.mSocket,
-                            aSession.mBuffer,
-                            parser,
-                            asio::redirect_error(asio::use_awaitable, failure));
-  aSession.mGuard.SetIdle(false);
-  if (failure) {
-    aSession.mOpen = false;
-    std::optional<http::status> status = StatusForReadFailure(failure);
-    if (status) {
-      mModel.Counters().mMalformed++;
-      co_await Send(aSession,
-                    MakeAnswer(*status, ErrorJson(failure.message()), false));
-    }
-    co_return;
-  }
-  aSession.mOpen = parser.keep_alive();
-  co_await ServeRequest(aSession, parser.release());
-}
-
-asio::awaitable<void>
-platform_standin::server::ServeRequest(session& aSession,
-                                       whole_request aRequest)
+asio::awaitable<std::optional<short_answer>>
+platform_standin::server::Perform(whole_request aRequest)
 {
   if (aRequest.target() == "/control") {
-    co_await Send(aSession, Control(aRequest));
-    co_return;
+    co_return Control(aRequest);
   }
   if (!mModel.Faults().mOutage && mModel.Faults().mDelay.count() > 0) {
     asio::steady_timer timer(mStrand, mModel.Faults().mDelay);
@@ -155,27 +99,10 @@
       asio::redirect_error(asio::use_awaitable, ignored));
   }
   if (mModel.Faults().mOutage) {
-    aSession.mOpen = false;
-    co_return;
-  }
-  std::optional<short_answer> answer =
-    PerformPlatformRequest(mModel, aRequest, std::chrono::steady_clock::now());
-  if (!answer) {
-    aSession.mOpen = false;
-    co_return;
+    co_return std::nullopt;
   }
-  co_await Send(aSession, std::move(*answer));
-}
-
-asio::awaitable<void>
-platform_standin::server::Send(session& aSession, short_answer aAnswer)
-{
-  beast::error_code failure;
-  co_await http::async_write(
-    aSession.mSocket,
-    aAnswer,
-    asio::redirect_error(asio::use_awaitable, failure));
-  aSession.mOpen = aSession.mOpen && !failure;
+  co_return PerformPlatformRequest(
+    mModel, aRequest, std::chrono::steady_clock::now());
 }
 
 short_answer
--- a/laburnumdyke/testing/standin/upstream_standin.cc
+++ b/laburnumdyke/testing/standin/upstream_standin.cc
@@ -1,15 +1,14 @@
 // One coroutine a connection, all on one strand, so that the model needs no
-// lock. While work is under way the coroutine waits for whichever comes first
-// of its timer and the socket becoming readable: a readable socket without
-// bytes is a peer that closed, which cancels the work.
+// lock. While work is under way the coroutine waits for its timer and watches
+// the socket: a peer that closes cancels the work.
 #include "laburnumdyke/testing/standin/upstream_standin.h"
 
 #include "laburnumdyke/testing/standin/connections.h"
 #include "laburnumdyke/testing/standin/control_form.h"
 #include "laburnumdyke/testing/standin/http_exchange.h"
+#include "laburnumdyke/testing/standin/socket_watch.h"
 #include "laburnumdyke/testing/standin/work_request.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
@@ -27,7 +26,6 @@
 #include <algorithm>
 #include <array>
 #include <random>
-#include <variant>
 
 namespace laburnumdyke {
 
@@ -36,7 +34,6 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 using asio::ip::tcp;
-using namespace asio::experimental::awaitable_operators;
 
 namespace {
 
@@ -58,17 +55,6 @@
   return { aText.data(), aText.size() };
 }
 
-bool
-PeerClosed(tcp::socket& aSocket)
-{
-  beast::error_code failure;
-  char byte = 0;
-  aSocket.non_blocking(true, failure);
-  std::size_t seen =
-    aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-  return failure != asio::error::would_block && seen == 0;
-}
-
 // How a wait for work, or a write of an answer, ended.
 enum class step_end
 {
@@ -115,13 +101,13 @@
   struct session
   {
     session(connection_set& aSet, tcp::socket aSocket)
-      : mSocket(std::move(aSocket))
-      , mGuard(aSet, mSocket)
+      : mSocket(std::make_shared<tcp::socket>(std::move(aSocket)))
+      , mGuard(aSet, *mSocket)
       , mBuffer(kHeaderLimit + kReadBuffer)
     {
     }
 
-    tcp::socket mSocket;
+    shared_socket mSocket;
     connection_guard mGuard;
     beast::flat_buffer mBuffer;
     bool mControlAlone = false;
@@ -267,7 +253,7 @@
     while (current.mOpen) {
       co_await ServeOne(current);
     }
-    CloseSocket(current.mSocket);
+    CloseSocket(*current.mSocket);
   }
   mModel.SetConnections(Now(), mConnections.Size());
 }
@@ -282,7 +268,7 @@
   while (current.mOpen) {
     co_await ServeOne(current);
   }
-  CloseSocket(current.mSocket);
+  CloseSocket(*current.mSocket);
 }
 
 asio::awaitable<void>
@@ -294,7 +280,7 @@
   beast::error_code failure;
   aSession.mGuard.SetIdle(true);
   co_await http::async_read_header(
-    aSession.mSocket,
+    *aSession.mSocket,
     aSession.mBuffer,
     parser,
     asio::redirect_error(asio::use_awaitable, failure));
@@ -373,7 +359,9 @@
     http::response<http::empty_body> go(http::status::continue_, 11);
     beast::error_code failure;
     co_await http::async_write(
-      aSession.mSocket, go, asio::redirect_error(asio::use_awaitable, failure));
+      *aSession.mSocket,
+      go,
+      asio::redirect_error(asio::use_awaitable, failure));
   }
   std::uint64_t received = 0;
   step_end end = co_await ReadBody(aSession, aParser, deadline, received);
@@ -423,19 +411,17 @@
                                    std::uint64_t& aBytes)
 {
   std::array<char, kReadBuffer> chunk;
-  asio::steady_timer timer(mStrand, aDeadline);
+  deadline_watch watch(aSession.mSocket, aDeadline);
   while (!aParser.is_done()) {
     aParser.get().body().data = chunk.data();
     aParser.get().body().size = chunk.size();
     beast::error_code failure;
-    beast::error_code timerEnd;
-    std::variant<std::size_t, std::monostate> first = co_await (
-      http::async_read(aSession.mSocket,
-                       aSession.mBuffer,
-                       aParser,
-                       asio::redirect_error(asio::use_awaitable, failure)) ||
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)));
-    if (first.index() == 1) {
+    co_await http::async_read(
+      *aSession.mSocket,
+      aSession.mBuffer,
+      aParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (watch.Passed()) {
       co_return step_end::DeadlinePassed;
     }
     if (failure && failure != http::error::need_buffer) {
@@ -452,26 +438,11 @@
                                instant aDeadline)
 {
   instant end = std::min(aUntil, aDeadline);
-  asio::steady_timer timer(mStrand, end);
-  bool watching = aSession.mBuffer.size() == 0;
-  while (Now() < end) {
-    beast::error_code timerEnd;
-    if (!watching) {
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, timerEnd));
-      continue;
-    }
-    beast::error_code readable;
-    std::variant<std::monostate, std::monostate> first = co_await (
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)) ||
-      aSession.mSocket.async_wait(
-        tcp::socket::wait_read,
-        asio::redirect_error(asio::use_awaitable, readable)));
-    if (first.index() == 1) {
-      if (readable || PeerClosed(aSession.mSocket)) {
-        co_return step_end::Closed;
-      }
-      watching = false; // the next request is already here
+  if (Now() < end) {
+    bool watched = aSession.mBuffer.size() == 0;
+    bool open = co_await WaitWhileOpen(aSession.mSocket, watched, end);
+    if (!open) {
+      co_return step_end::Closed;
     }
   }
   co_return aDeadline < aUntil ? step_end::DeadlinePassed : step_end::Done;
@@ -495,7 +466,7 @@
   http::response_serializer<http::empty_body> serializer(head);
   beast::error_code failure;
   co_await http::async_write_header(
-    aSession.mSocket,
+    *aSession.mSocket,
     serializer,
     asio::redirect_error(asio::use_awaitable, failure));
   std::uint64_t left = aRequest.mHeadOnly ? 0 : aRequest.mAnswerBytes;
@@ -503,17 +474,15 @@
     co_return failure ? step_end::Closed : step_end::Done;
   }
   std::string block = AnswerBlock(aRequest.mSeed);
-  asio::steady_timer timer(mStrand, aDeadline);
+  deadline_watch watch(aSession.mSocket, aDeadline);
   while (left > 0) {
     co_await Thawed(aSession);
     std::size_t size = std::min<std::uint64_t>(left, block.size());
-    beast::error_code timerEnd;
-    std::variant<std::size_t, std::monostate> first = co_await (
-      asio::async_write(aSession.mSocket,
-                        asio::buffer(block.data(), size),
-                        asio::redirect_error(asio::use_awaitable, failure)) ||
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)));
-    if (first.index() == 1) {
+    co_await asio::async_write(
+      *aSession.mSocket,
+      asio::buffer(block.data(), size),
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (watch.Passed()) {
       co_return step_end::DeadlinePassed;
     }
     if (failure) {
@@ -534,7 +503,7 @@
     aParser.get().body().size = chunk.size();
     beast::error_code failure;
     co_await http::async_read(
-      aSession.mSocket,
+      *aSession.mSocket,
       aSession.mBuffer,
       aParser,
       asio::redirect_error(asio::use_awaitable, failure));
@@ -565,7 +534,7 @@
 {
   beast::error_code failure;
   co_await http::async_write(
-    aSession.mSocket,
+    *aSession.mSocket,
     aAnswer,
     asio::redirect_error(asio::use_awaitable, failure));
   aSession.mOpen = aSession.mOpen && !failure;
