Split the upstream stand-in's pages from its server

The server's file held the JSON of three pages beside its sockets; they stand apart now, as the platform stand-in's do.

--- a/laburnumdyke/testing/standin/upstream_model.h
+++ b/laburnumdyke/testing/standin/upstream_model.h
@@ -125,6 +125,7 @@
   std::optional<std::chrono::milliseconds> LastRunAge(instant aNow) const;
 
   upstream_counters& Counters() { return mCounters; }
+  const upstream_counters& Counters() const { return mCounters; }
   const upstream_model_options& Options() const { return mOptions; }
 
 private:
--- a/laburnumdyke/testing/standin/upstream_standin.cc
+++ b/laburnumdyke/testing/standin/upstream_standin.cc
@@ -4,9 +4,9 @@
 #include "laburnumdyke/testing/standin/upstream_standin.h"
 
 #include "laburnumdyke/testing/standin/connections.h"
-#include "laburnumdyke/testing/standin/control_form.h"
 #include "laburnumdyke/testing/standin/http_exchange.h"
 #include "laburnumdyke/testing/standin/socket_watch.h"
+#include "laburnumdyke/testing/standin/upstream_pages.h"
 #include "laburnumdyke/testing/standin/work_request.h"
 
 #include <boost/asio/post.hpp>
@@ -20,8 +20,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <array>
@@ -32,7 +30,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-namespace json = boost::json;
 using asio::ip::tcp;
 
 namespace {
@@ -49,12 +46,6 @@
   return std::chrono::steady_clock::now();
 }
 
-json::string_view
-View(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
 // How a wait for work, or a write of an answer, ended.
 enum class step_end
 {
@@ -175,8 +166,6 @@
   asio::awaitable<void> Thawed(const session& aSession);
 
   std::optional<std::string> Control(const std::string& aBody);
-  std::string ControlJson() const;
-  std::string LoadJson() const;
 
   upstream_standin_options mOptions;
   asio::any_io_executor mStrand;
@@ -185,7 +174,7 @@
   asio::steady_timer mThaw; // cancelled when frozen ends
   connection_set mConnections;
   connection_set mControlConnections;
-  mutable upstream_model mModel;
+  upstream_model mModel;
 };
 
 std::optional<std::string>
@@ -308,8 +297,10 @@
   } else if (path == "/load") {
     co_await Thawed(aSession);
     co_await Discard(aSession, parser);
-    co_await SendShort(
-      aSession, MakeAnswer(http::status::ok, LoadJson(), aSession.mOpen));
+    co_await SendShort(aSession,
+                       MakeAnswer(http::status::ok,
+                                  UpstreamLoadJson(mModel, Now()),
+                                  aSession.mOpen));
   } else {
     co_await Thawed(aSession);
     co_await ServeWork(aSession, parser);
@@ -519,9 +510,9 @@
   if (aParser.get().method() == http::verb::post) {
     std::optional<std::string> fault = Control(body);
     status = fault ? http::status::bad_request : http::status::ok;
-    answer = fault ? ErrorJson(*fault) : ControlJson();
+    answer = fault ? ErrorJson(*fault) : UpstreamCountersJson(mModel, Now());
   } else if (aParser.get().method() == http::verb::get) {
-    answer = ControlJson();
+    answer = UpstreamCountersJson(mModel, Now());
   } else {
     status = http::status::method_not_allowed;
     answer = ErrorJson("expected GET or POST");
@@ -578,75 +569,19 @@
 std::optional<std::string>
 upstream_standin::server::Control(const std::string& aBody)
 {
-  constexpr std::uint64_t kMaxLost = 1000000;
-  upstream_faults next = mModel.Faults();
-  control_form form;
-  form.Flag("draining", next.mDraining);
-  form.Time("load_lag_ms", kMaxLoadLag, next.mLoadLag);
-  form.Flag("load_lies", next.mLoadLies);
-  form.Flag("fail_fast", next.mFailFast);
-  form.Number("lose_answers", kMaxLost, next.mLoseAnswers);
-  form.Flag("close_idle", next.mCloseIdle);
-  form.Flag("frozen", next.mFrozen);
-  std::optional<std::string> fault = form.Read(aBody);
+  std::optional<std::string> fault = ControlUpstream(mModel, aBody, Now());
   if (fault) {
     return fault;
   }
-  mModel.SetFaults(Now(), next);
-  if (next.mCloseIdle) {
+  if (mModel.Faults().mCloseIdle) {
     mConnections.CloseIdle();
   }
-  if (!next.mFrozen) {
+  if (!mModel.Faults().mFrozen) {
     mThaw.cancel();
   }
   return std::nullopt;
 }
 
-std::string
-upstream_standin::server::ControlJson() const
-{
-  const upstream_counters& counters = mModel.Counters();
-  json::object refused;
-  for (std::size_t i = 0; i < counters.mRefused.size(); i++) {
-    refused[View(ToString(static_cast<upstream_refusal>(i)))] =
-      counters.mRefused[i];
-  }
-  json::object runsById;
-  for (const std::pair<const std::string, std::uint64_t>& run :
-       counters.mRunsById) {
-    runsById[run.first] = run.second;
-  }
-  json::object result;
-  result["name"] = mOptions.mModel.mName;
-  result["runs"] = counters.mRuns;
-  result["max_busy"] = counters.mMaxBusy;
-  result["overshot"] = counters.mOvershot;
-  result["refused"] = std::move(refused);
-  result["over_connections"] = counters.mOverConnections;
-  result["cancelled"] = counters.mCancelled;
-  result["deadline_stopped"] = counters.mDeadlineStopped;
-  result["lost_answers"] = counters.mLostAnswers;
-  result["failed_fast"] = counters.mFailedFast;
-  result["malformed"] = counters.mMalformed;
-  std::optional<std::chrono::milliseconds> age = mModel.LastRunAge(Now());
-  result["last_run_age_ms"] = age ? json::value(age->count()) : json::value();
-  result["runs_by_id"] = std::move(runsById);
-  return json::serialize(result);
-}
-
-std::string
-upstream_standin::server::LoadJson() const
-{
-  load_report load = mModel.Load(Now());
-  json::object result;
-  result["name"] = mOptions.mModel.mName;
-  result["slots"] = mOptions.mModel.mSlots;
-  result["busy"] = load.mBusy;
-  result["connections"] = load.mConnections;
-  result["state"] = View(load.mState);
-  return json::serialize(result);
-}
-
 upstream_standin::upstream_standin(asio::io_context& aContext,
                                    upstream_standin_options aOptions)
   : mServer(std::make_shared<server>(aContext, std::move(aOptions)))
