--- a/laburnumdyke/testing/standin/upstream_standin.cc
+++ b/laburnumdyke/testing/standin/upstream_standin.cc
@@ -1,15 +1,14 @@
 // One coroutine a connection, all on one strand, so that the model needs no
-// lock. While work is under way the coroutine waits for whichever comes first
-// of its timer and the socket becoming readable: a readable socket without
-// bytes is a peer that closed, which cancels the work.
+// lock. While work is under way the coroutine waits for its timer and watches
+// the socket: a peer that closes cancels the work.
 #include "laburnumdyke/testing/standin/upstream_standin.h"
 
 #include "laburnumdyke/testing/standin/connections.h"
-#include "laburnumdyke/testing/standin/control_form.h"
 #include "laburnumdyke/testing/standin/http_exchange.h"
+#include "laburnumdyke/testing/standin/socket_watch.h"
+#include "laburnumdyke/testing/standin/upstream_pages.h"
 #include "laburnumdyke/testing/standin/work_request.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
@@ -21,22 +20,17 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <array>
 #include <random>
-#include <variant>
 
 namespace laburnumdyke {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-namespace json = boost::json;
 using asio::ip::tcp;
-using namespace asio::experimental::awaitable_operators;
 
 namespace {
 
@@ -52,23 +46,6 @@
   return std::chrono::steady_clock::now();
 }
 
-json::string_view
-View(std::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-bool
-PeerClosed(tcp::socket& aSocket)
-{
-  beast::error_code failure;
-  char byte = 0;
-  aSocket.non_blocking(true, failure);
-  std::size_t seen =
-    aSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-  return failure != asio::error::would_block && seen == 0;
-}
-
 // How a wait for work, or a write of an answer, ended.
 enum class step_end
 {
@@ -115,13 +92,13 @@
   struct session
   {
     session(connection_set& aSet, tcp::socket aSocket)
-      : mSocket(std::move(aSocket))
-      , mGuard(aSet, mSocket)
+      : mSocket(std::make_shared<tcp::socket>(std::move(aSocket)))
+      , mGuard(aSet, *mSocket)
       , mBuffer(kHeaderLimit + kReadBuffer)
     {
     }
 
-    tcp::socket mSocket;
+    shared_socket mSocket;
     connection_guard mGuard;
     beast::flat_buffer mBuffer;
     bool mControlAlone = false;
@@ -189,8 +166,6 @@
   asio::awaitable<void> Thawed(const session& aSession);
 
   std::optional<std::string> Control(const std::string& aBody);
-  std::string ControlJson() const;
-  std::string LoadJson() const;
 
   upstream_standin_options mOptions;
   asio::any_io_executor mStrand;
@@ -199,7 +174,7 @@
   asio::steady_timer mThaw; // cancelled when frozen ends
   connection_set mConnections;
   connection_set mControlConnections;
-  mutable upstream_model mModel;
+  upstream_model mModel;
 };
 
 std::optional<std::string>
@@ -267,7 +242,7 @@
     while (current.mOpen) {
       co_await ServeOne(current);
     }
-    CloseSocket(current.mSocket);
+    CloseSocket(*current.mSocket);
   }
   mModel.SetConnections(Now(), mConnections.Size());
 }
@@ -282,7 +257,7 @@
   while (current.mOpen) {
     co_await ServeOne(current);
   }
-  CloseSocket(current.mSocket);
+  CloseSocket(*current.mSocket);
 }
 
 asio::awaitable<void>
@@ -294,7 +269,7 @@
   beast::error_code failure;
   aSession.mGuard.SetIdle(true);
   co_await http::async_read_header(
-    aSession.mSocket,
+    *aSession.mSocket,
     aSession.mBuffer,
     parser,
     asio::redirect_error(asio::use_awaitable, failure));
@@ -322,8 +297,10 @@
   } else if (path == "/load") {
     co_await Thawed(aSession);
     co_await Discard(aSession, parser);
-    co_await SendShort(
-      aSession, MakeAnswer(http::status::ok, LoadJson(), aSession.mOpen));
+    co_await SendShort(aSession,
+                       MakeAnswer(http::status::ok,
+                                  UpstreamLoadJson(mModel, Now()),
+                                  aSession.mOpen));
   } else {
     co_await Thawed(aSession);
     co_await ServeWork(aSession, parser);
@@ -373,7 +350,9 @@
     http::response<http::empty_body> go(http::status::continue_, 11);
     beast::error_code failure;
     co_await http::async_write(
-      aSession.mSocket, go, asio::redirect_error(asio::use_awaitable, failure));
+      *aSession.mSocket,
+      go,
+      asio::redirect_error(asio::use_awaitable, failure));
   }
   std::uint64_t received = 0;
   step_end end = co_await ReadBody(aSession, aParser, deadline, received);
@@ -423,19 +402,17 @@
                                    std::uint64_t& aBytes)
 {
   std::array<char, kReadBuffer> chunk;
-  asio::steady_timer timer(mStrand, aDeadline);
+  deadline_watch watch(aSession.mSocket, aDeadline);
   while (!aParser.is_done()) {
     aParser.get().body().data = chunk.data();
     aParser.get().body().size = chunk.size();
     beast::error_code failure;
-    beast::error_code timerEnd;
-    std::variant<std::size_t, std::monostate> first = co_await (
-      http::async_read(aSession.mSocket,
-                       aSession.mBuffer,
-                       aParser,
-                       asio::redirect_error(asio::use_awaitable, failure)) ||
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)));
-    if (first.index() == 1) {
+    co_await http::async_read(
+      *aSession.mSocket,
+      aSession.mBuffer,
+      aParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (watch.Passed()) {
       co_return step_end::DeadlinePassed;
     }
     if (failure && failure != http::error::need_buffer) {
@@ -452,26 +429,11 @@
                                instant aDeadline)
 {
   instant end = std::min(aUntil, aDeadline);
-  asio::steady_timer timer(mStrand, end);
-  bool watching = aSession.mBuffer.size() == 0;
-  while (Now() < end) {
-    beast::error_code timerEnd;
-    if (!watching) {
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, timerEnd));
-      continue;
-    }
-    beast::error_code readable;
-    std::variant<std::monostate, std::monostate> first = co_await (
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)) ||
-      aSession.mSocket.async_wait(
-        tcp::socket::wait_read,
-        asio::redirect_error(asio::use_awaitable, readable)));
-    if (first.index() == 1) {
-      if (readable || PeerClosed(aSession.mSocket)) {
-        co_return step_end::Closed;
-      }
-      watching = false; // the next request is already here
+  if (Now() < end) {
+    bool watched = aSession.mBuffer.size() == 0;
+    bool open = co_await WaitWhileOpen(aSession.mSocket, watched, end);
+    if (!open) {
+      co_return step_end::Closed;
     }
   }
   co_return aDeadline < aUntil ? step_end::DeadlinePassed : step_end::Done;
@@ -495,7 +457,7 @@
   http::response_serializer<http::empty_body> serializer(head);
   beast::error_code failure;
   co_await http::async_write_header(
-    aSession.mSocket,
+    *aSession.mSocket,
     serializer,
     asio::redirect_error(asio::use_awaitable, failure));
   std::uint64_t left = aRequest.mHeadOnly ? 0 : aRequest.mAnswerBytes;
@@ -503,17 +465,15 @@
     co_return failure ? step_end::Closed : step_end::Done;
   }
   std::string block = AnswerBlock(aRequest.mSeed);
-  asio::steady_timer timer(mStrand, aDeadline);
+  deadline_watch watch(aSession.mSocket, aDeadline);
   while (left > 0) {
     co_await Thawed(aSession);
     std::size_t size = std::min<std::uint64_t>(left, block.size());
-    beast::error_code timerEnd;
-    std::variant<std::size_t, std::monostate> first = co_await (
-      asio::async_write(aSession.mSocket,
-                        asio::buffer(block.data(), size),
-                        asio::redirect_error(asio::use_awaitable, failure)) ||
-      timer.async_wait(asio::redirect_error(asio::use_awaitable, timerEnd)));
-    if (first.index() == 1) {
+    co_await asio::async_write(
+      *aSession.mSocket,
+      asio::buffer(block.data(), size),
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (watch.Passed()) {
       co_return step_end::DeadlinePassed;
     }
     if (failure) {
@@ -534,7 +494,7 @@
     aParser.get().body().size = chunk.size();
     beast::error_code failure;
     co_await http::async_read(
-      aSession.mSocket,
+      *aSession.mSocket,
       aSession.mBuffer,
       aParser,
       asio::redirect_error(asio::use_awaitable, failure));
@@ -550,9 +510,9 @@
   if (aParser.get().method() == http::verb::post) {
     std::optional<std::string> fault = Control(body);
     status = fault ? http::status::bad_request : http::status::ok;
-    answer = fault ? ErrorJson(*fault) : ControlJson();
+    answer = fault ? ErrorJson(*fault) : UpstreamCountersJson(mModel, Now());
   } else if (aParser.get().method() == http::verb::get) {
-    answer = ControlJson();
+    answer = UpstreamCountersJson(mModel, Now());
   } else {
     status = http::status::method_not_allowed;
     answer = ErrorJson("expected GET or POST");
@@ -565,7 +525,7 @@
 {
   beast::error_code failure;
   co_await http::async_write(
-    aSession.mSocket,
+    *aSession.mSocket,
     aAnswer,
     asio::redirect_error(asio::use_awaitable, failure));
   aSession.mOpen = aSession.mOpen && !failure;
@@ -609,75 +569,19 @@
 std::optional<std::string>
 upstream_standin::server::Control(const std::string& aBody)
 {
-  constexpr std::uint64_t kMaxLost = 1000000;
-  upstream_faults next = mModel.Faults();
-  control_form form;
-  form.Flag("draining", next.mDraining);
-  form.Time("load_lag_ms", kMaxLoadLag, next.mLoadLag);
-  form.Flag("load_lies", next.mLoadLies);
-  form.Flag("fail_fast", next.mFailFast);
-  form.Number("lose_answers", kMaxLost, next.mLoseAnswers);
-  form.Flag("close_idle", next.mCloseIdle);
-  form.Flag("frozen", next.mFrozen);
-  std::optional<std::string> fault = form.Read(aBody);
+  std::optional<std::string> fault = ControlUpstream(mModel, aBody, Now());
   if (fault) {
     return fault;
   }
-  mModel.SetFaults(Now(), next);
-  if (next.mCloseIdle) {
+  if (mModel.Faults().mCloseIdle) {
     mConnections.CloseIdle();
   }
-  if (!next.mFrozen) {
+  if (!mModel.Faults().mFrozen) {
     mThaw.cancel();
   }
   return std::nullopt;
 }
 
-std::string
-upstream_standin::server::ControlJson() const
-{
-  const upstream_counters& counters = mModel.Counters();
-  json::object refused;
-  for (std::size_t i = 0; i < counters.mRefused.size(); i++) {
-    refused[View(ToString(static_cast<upstream_refusal>(i)))] =
-      counters.mRefused[i];
-  }
-  json::object runsById;
-  for (const std::pair<const std::string, std::uint64_t>& run :
-       counters.mRunsById) {
-    runsById[run.first] = run.second;
-  }
-  json::object result;
-  result["name"] = mOptions.mModel.mName;
-  result["runs"] = counters.mRuns;
-  result["max_busy"] = counters.mMaxBusy;
-  result["overshot"] = counters.mOvershot;
-  result["refused"] = std::move(refused);
-  result["over_connections"] = counters.mOverConnections;
-  result["cancelled"] = counters.mCancelled;
-  result["deadline_stopped"] = counters.mDeadlineStopped;
-  result["lost_answers"] = counters.mLostAnswers;
-  result["failed_fast"] = counters.mFailedFast;
-  result["malformed"] = counters.mMalformed;
-  std::optional<std::chrono::milliseconds> age = mModel.LastRunAge(Now());
-  result["last_run_age_ms"] = age ? json::value(age->count()) : json::value();
-  result["runs_by_id"] = std::move(runsById);
-  return json::serialize(result);
-}
-
-std::string
-upstream_standin::server::LoadJson() const
-{
-  load_report load = mModel.Load(Now());
-  json::object result;
-  result["name"] = mOptions.mModel.mName;
-  result["slots"] = mOptions.mModel.mSlots;
-  result["busy"] = load.mBusy;
-  result["connections"] = load.mConnections;
-  result["state"] = View(load.mState);
-  return json::serialize(result);
-}
-
 upstream_standin::upstream_standin(asio::io_context& aContext,
                                    upstream_standin_options aOptions)
   : mServer(std::make_shared<server>(aContext, std::move(aOptions)))
