--- /dev/null
+++ b/ctl/commands.h
@@ -0,0 +1,206 @@
+// The commands of laburnumctl, apart from where their time and their answers
+// come from.
+//
+// Usage:
+//   commands<blocking_http, system_clock> run(options, http, clock, out, err);
+//   return static_cast<int>(run.Run());
+//
+// Results go to the first stream, faults of use and of the network to the
+// second.
+#pragma once
+
+#include "ctl/report.h"
+#include "ctl/submit_driver.h"
+
+#include <array>
+#include <fstream>
+#include <optional>
+#include <ostream>
+#include <string>
+
+namespace laburnumdyke {
+
+template<http_exchanger Http, submission_clock Clock>
+class commands
+{
+public:
+  commands(ctl_options aOptions,
+           Http& aHttp,
+           Clock& aClock,
+           std::ostream& aOut,
+           std::ostream& aErrors)
+    : mOptions(std::move(aOptions))
+    , mHttp(aHttp)
+    , mClock(aClock)
+    , mOut(aOut)
+    , mErrors(aErrors)
+  {
+  }
+
+  exit_status Run()
+  {
+    switch (mOptions.mCommand) {
+      case command_kind::Check:
+        return Check();
+      case command_kind::Submit:
+        return Submit();
+      case command_kind::Show:
+        return Show();
+      case command_kind::History:
+        return History();
+      case command_kind::Status:
+        return Ask(*mOptions.mOperator, "/v1/status");
+      case command_kind::Lookup:
+        return Ask(*mOptions.mCaller,
+                   "/v1/lookup?service=" + mOptions.mService +
+                     "&client=" + mOptions.mClient);
+      case command_kind::Help:
+      case command_kind::Version:
+        break;
+    }
+    mOut << HelpText();
+    return exit_status::Ok;
+  }
+
+private:
+  static constexpr std::size_t kReadSize = 64UL * 1024; // bytes
+
+  exit_status Check()
+  {
+    std::optional<std::string> text = ReadFile();
+    if (!text) {
+      return exit_status::Usage;
+    }
+    document_result result = ParseDocument(*text);
+    if (!result.mDocument) {
+      ReportFaults(mOut, mOptions, result.mFaults);
+      return exit_status::Refused;
+    }
+    boost::json::object summary;
+    summary["outcome"] = "valid";
+    summary["hash"] = ContentHash(RenderDocument(*result.mDocument));
+    ReportJson(mOut, mOptions, summary);
+    return exit_status::Ok;
+  }
+
+  exit_status Submit()
+  {
+    std::optional<std::string> text = ReadFile();
+    if (!text) {
+      return exit_status::Usage;
+    }
+    submission_request request;
+    request.mText = std::move(*text);
+    request.mChangeId = mOptions.mChangeId;
+    request.mSubmitter = mOptions.mSubmitter;
+    request.mBase = mOptions.mBase;
+    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    submission_outcome outcome =
+      RunSubmission(std::move(request), platform, mClock);
+    ReportOutcome(mOut, mOptions, outcome);
+    return StatusOf(outcome.mKind);
+  }
+
+  exit_status Show()
+  {
+    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    std::optional<config_row> row = InForce(platform);
+    if (!row) {
+      return exit_status::Unavailable;
+    }
+    std::optional<std::string> text = platform.GetObject(row->mContentHash);
+    if (!text) {
+      mErrors << "laburnumctl: the document of version " << row->mVersion
+              << " can't be read\n";
+      return exit_status::Unavailable;
+    }
+    if (mOptions.mJson) {
+      boost::json::object json;
+      json["version"] = row->mVersion;
+      json["hash"] = row->mContentHash;
+      json["change_id"] = row->mChangeId;
+      json["submitter"] = row->mSubmitter;
+      json["document"] = *text;
+      mOut << boost::json::serialize(json) << "\n";
+    } else {
+      mOut << "; version " << row->mVersion << " by " << row->mSubmitter
+           << ", hash " << row->mContentHash << "\n"
+           << *text;
+    }
+    return exit_status::Ok;
+  }
+
+  exit_status History()
+  {
+    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    std::optional<config_row> row = InForce(platform);
+    if (!row) {
+      return exit_status::Unavailable;
+    }
+    ReportHistory(mOut, mOptions, *row);
+    return exit_status::Ok;
+  }
+
+  exit_status Ask(const endpoint& aAddress, std::string aTarget)
+  {
+    client_request request;
+    request.mTo = aAddress;
+    request.mTarget = std::move(aTarget);
+    std::optional<client_answer> answer = mHttp.Exchange(std::move(request));
+    boost::system::error_code failure;
+    boost::json::value parsed;
+    if (answer) {
+      parsed = boost::json::parse(answer->mBody, failure);
+    }
+    if (!answer || failure) {
+      mErrors << "laburnumctl: no answer from " << aAddress.Text() << "\n";
+      return exit_status::Unavailable;
+    }
+    ReportJson(mOut, mOptions, parsed);
+    if (answer->mStatus == 200) {
+      return exit_status::Ok;
+    }
+    return answer->mStatus < 500 ? exit_status::Refused
+                                 : exit_status::Unavailable;
+  }
+
+  std::optional<config_row> InForce(platform_client<Http>& aPlatform)
+  {
+    std::optional<row_reading> reading = aPlatform.ReadRow();
+    if (!reading) {
+      mErrors << "laburnumctl: no answer from the platform\n";
+      return std::nullopt;
+    }
+    std::optional<config_row> row = DecodeConfigRow(reading->mValue);
+    if (!row) {
+      mErrors << (reading->mRevision == 0
+                    ? "laburnumctl: no document was submitted yet\n"
+                    : "laburnumctl: the platform's row is malformed\n");
+    }
+    return row;
+  }
+
+  std::optional<std::string> ReadFile()
+  {
+    std::ifstream file(mOptions.mFile, std::ios::binary);
+    std::string text;
+    std::array<char, kReadSize> buffer;
+    do {
+      file.read(buffer.data(), buffer.size());
+      text.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
+    } while (file);
+    if (file.bad() || !file.eof()) {
+      mErrors << "laburnumctl: " << mOptions.mFile << ": can't be read\n";
+      return std::nullopt;
+    }
+    return text;
+  }
+
+  ctl_options mOptions;
+  Http& mHttp;
+  Clock& mClock;
+  std::ostream& mOut;
+  std::ostream& mErrors;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/ctl/options.h
@@ -0,0 +1,64 @@
+// The command line of laburnumctl.
+//
+// Usage:
+//   options_result parsed = ParseOptions(argumentCount, arguments);
+//   if (!parsed.mOptions) { std::cerr << parsed.mReason; }
+#pragma once
+
+#include "laburnumdyke/kernel/endpoint.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace laburnumdyke {
+
+enum class command_kind
+{
+  Check,
+  Submit,
+  Show,
+  History,
+  Status,
+  Lookup,
+  Help,
+  Version,
+};
+
+enum class exit_status
+{
+  Ok = 0,
+  Refused = 1,     // refused, or a conflict
+  Usage = 2,       // a faulty command line or an unreadable file
+  Unavailable = 3, // no answer, or none that can be relied on
+};
+
+struct ctl_options
+{
+  command_kind mCommand = command_kind::Help;
+  std::string mFile;
+  std::optional<endpoint> mPlatform;
+  std::optional<endpoint> mOperator;
+  std::optional<endpoint> mCaller;
+  std::string mSubmitter;
+  std::string mChangeId;
+  std::optional<std::uint64_t> mBase;
+  std::string mService;
+  std::string mClient;
+  bool mJson = false;
+};
+
+struct options_result
+{
+  std::optional<ctl_options> mOptions;
+  std::string mReason; // where there are no options
+};
+
+options_result
+ParseOptions(int aCount, char* const* aArguments);
+
+std::string_view
+HelpText();
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/submission.cc
+++ b/laburnumdyke/decision/submission.cc
@@ -164,15 +164,15 @@
 }
 
 submission_action
-submission::OnWritten(write_result aResult, instant aNow)
+submission::OnWritten(write_answer aResult, instant aNow)
 {
   switch (aResult) {
-    case write_result::Written:
+    case write_answer::Written:
       return Finish(submission_kind::Accepted, mBaseVersion + 1, "");
-    case write_result::Mismatch:
+    case write_answer::Mismatch:
       mMismatch = true;
       return read_row_action{};
-    case write_result::NoAnswer:
+    case write_answer::NoAnswer:
       break;
   }
   return RetryLater(read_row_action{}, aNow);
--- a/laburnumdyke/decision/submission.h
+++ b/laburnumdyke/decision/submission.h
@@ -104,7 +104,7 @@
   std::string mValue;
 };
 
-enum class write_result
+enum class write_answer
 {
   Written,
   Mismatch, // the row had another revision
@@ -124,7 +124,7 @@
   // aText: nothing where the object could not be read.
   submission_action OnObject(const std::optional<std::string>& aText,
                              instant aNow);
-  submission_action OnWritten(write_result aResult, instant aNow);
+  submission_action OnWritten(write_answer aResult, instant aNow);
   submission_action OnTimer(instant aNow);
 
 private:
--- /dev/null
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -0,0 +1,353 @@
+// The command-line tool: options, and each command against a mock of HTTP.
+#include "ctl/commands.h"
+
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+#include <CppUTestExt/MockSupport.h>
+
+using namespace laburnumdyke;
+
+namespace {
+
+constexpr std::string_view kText =
+  "[region leinster]\ncap = 1\n"
+  "[failure_domain leinster-a]\nregion = leinster\n"
+  "[service booking]\nrank = urgent\n"
+  "[upstream booking-1]\nservice = booking\n"
+  "failure_domain = leinster-a\naddress = 10.0.0.1:80\n"
+  "slots = 3\nconnections = 650\n";
+
+options_result
+Parse(std::vector<std::string> aWords)
+{
+  aWords.insert(aWords.begin(), "laburnumctl");
+  std::vector<char*> arguments;
+  for (std::string& word : aWords) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
+  return ParseOptions(static_cast<int>(aWords.size()), arguments.data());
+}
+
+// Answers in the order given, and none when they run out.
+struct mock_http
+{
+  std::deque<std::optional<client_answer>> mAnswers;
+  std::vector<client_request> mRequests;
+
+  std::optional<client_answer> Exchange(client_request aRequest)
+  {
+    mock()
+      .actualCall("Exchange")
+      .withParameter("target", aRequest.mTarget.c_str());
+    mRequests.push_back(std::move(aRequest));
+    if (mAnswers.empty()) {
+      return std::nullopt;
+    }
+    std::optional<client_answer> answer = std::move(mAnswers.front());
+    mAnswers.pop_front();
+    return answer;
+  }
+};
+
+struct virtual_clock
+{
+  instant mNow;
+
+  instant Now() { return mNow; }
+  void SleepUntil(instant aUntil) { mNow = std::max(mNow, aUntil); }
+};
+
+std::string
+RowJson(std::uint64_t aRevision, const config_row& aRow)
+{
+  boost::json::object json;
+  json["revision"] = aRevision;
+  json["value"] = EncodeConfigRow(aRow);
+  return boost::json::serialize(json);
+}
+
+std::string
+Canonical()
+{
+  return RenderDocument(*ParseDocument(kText).mDocument);
+}
+
+} // namespace
+
+TEST_GROUP(CtlOptions){};
+
+TEST(CtlOptions, FaultyCommandLinesAreRefused)
+{
+  const std::vector<std::vector<std::string>> kRows = {
+    {},
+    { "tune" },
+    { "check" },
+    { "check", "a", "b" },
+    { "submit", "a" },
+    { "show" },
+    { "show", "more", "--platform", "127.0.0.1:1" },
+    { "show", "--platform", "localhost:1" },
+    { "show", "--platform" },
+    { "show", "--platform", "127.0.0.1:1", "--fast" },
+    { "status", "--platform", "127.0.0.1:1" },
+    { "lookup", "--caller", "127.0.0.1:1", "--service", "a" },
+    { "lookup",
+      "--caller",
+      "127.0.0.1:1",
+      "--service",
+      "a&client=b",
+      "--client",
+      "10.0.0.1" },
+    { "lookup",
+      "--caller",
+      "127.0.0.1:1",
+      "--service",
+      "a",
+      "--client",
+      "host" },
+    { "submit", "a", "--platform", "127.0.0.1:1", "--base", "1x" },
+    { "submit", "a", "--platform", "127.0.0.1:1", "--submitter", "a b" },
+  };
+  for (const std::vector<std::string>& row : kRows) {
+    options_result result = Parse(row);
+    CHECK(!result.mOptions.has_value());
+    CHECK(!result.mReason.empty());
+  }
+}
+
+TEST(CtlOptions, ReadsEveryOption)
+{
+  options_result result = Parse({ "submit",
+                                  "--json",
+                                  "file.ini",
+                                  "--platform=127.0.0.1:7000",
+                                  "--submitter",
+                                  "niamh",
+                                  "--change-id",
+                                  "c1",
+                                  "--base",
+                                  "7" });
+  CHECK(result.mOptions.has_value());
+  CHECK(command_kind::Submit == result.mOptions->mCommand);
+  CHECK_EQUAL(std::string("file.ini"), result.mOptions->mFile);
+  CHECK_EQUAL(std::string("127.0.0.1:7000"),
+              result.mOptions->mPlatform->Text());
+  CHECK_EQUAL(std::string("niamh"), result.mOptions->mSubmitter);
+  CHECK_EQUAL(std::string("c1"), result.mOptions->mChangeId);
+  CHECK_EQUAL(7u, *result.mOptions->mBase);
+  CHECK(result.mOptions->mJson);
+}
+
+TEST_GROUP(CtlCommands)
+{
+  mock_http mHttp;
+  virtual_clock mClock;
+  std::ostringstream mOut;
+  std::ostringstream mErrors;
+  std::string mFile = "ctl_test.tmp.ini";
+
+  void setup() override
+  {
+    mock().ignoreOtherCalls();
+  }
+
+  void teardown() override
+  {
+    std::remove(mFile.c_str());
+    mock().clear();
+  }
+
+  void Write(std::string_view aText)
+  {
+    std::ofstream(mFile) << aText;
+  }
+
+  exit_status Run(std::vector<std::string> aWords)
+  {
+    mOut.str("");
+    mErrors.str("");
+    ctl_options options = *Parse(std::move(aWords)).mOptions;
+    options.mChangeId = "c1";
+    options.mSubmitter = "niamh";
+    commands<mock_http, virtual_clock> run(
+      options, mHttp, mClock, mOut, mErrors);
+    return run.Run();
+  }
+
+  exit_status Submit()
+  {
+    return Run({ "submit", mFile, "--platform", "127.0.0.1:1" });
+  }
+
+  bool Printed(std::string_view aText)
+  {
+    return mOut.str().find(aText) != std::string::npos;
+  }
+};
+
+TEST(CtlCommands, CheckNamesEachFault)
+{
+  Write(kText);
+  CHECK(exit_status::Ok == Run({ "check", mFile }));
+  CHECK(Printed("outcome:  valid"));
+  Write(std::string(kText) + "colour = red\nsize = 1\n");
+  CHECK(exit_status::Refused == Run({ "check", mFile }));
+  CHECK(Printed(mFile + ":13: upstream booking-1.colour: expected a known"));
+  CHECK(Printed(mFile + ":14: upstream booking-1.size"));
+  CHECK(exit_status::Refused == Run({ "check", mFile, "--json" }));
+  CHECK(Printed("\"line\":13"));
+  CHECK(exit_status::Usage == Run({ "check", "no-such-file" }));
+  CHECK(exit_status::Usage == Run({ "check", "." }));
+  CHECK_EQUAL(std::string("laburnumctl: .: can't be read\n"), mErrors.str());
+}
+
+TEST(CtlCommands, SubmitWritesTheObjectThenTheRow)
+{
+  Write(kText);
+  std::string hash = ContentHash(Canonical());
+  mock()
+    .expectOneCall("Exchange")
+    .withParameter("target", "/v1/tables/config/rows/current");
+  std::string object = "/v1/objects/" + hash;
+  mock().expectOneCall("Exchange").withParameter("target", object.c_str());
+  mock()
+    .expectOneCall("Exchange")
+    .withParameter("target", "/v1/tables/config/rows/current");
+  mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
+                     client_answer{ 200, "{\"revision\":1}" } };
+  CHECK(exit_status::Ok == Submit());
+  mock().checkExpectations();
+  CHECK(Printed("accepted: version 1"));
+  CHECK_EQUAL(Canonical(), mHttp.mRequests.at(1).mBody);
+  CHECK_EQUAL(std::string("0"), mHttp.mRequests.at(2).mIfMatch);
+  config_row row = *DecodeConfigRow(mHttp.mRequests.at(2).mBody);
+  CHECK_EQUAL(hash, row.mContentHash);
+  CHECK_EQUAL(std::string("niamh"), row.mSubmitter);
+}
+
+TEST(CtlCommands, SubmitResolvesALostAnswerByReading)
+{
+  Write(kText);
+  config_row row = config_row().Next(ContentHash(Canonical()), "c1", "niamh");
+  mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
+                     std::nullopt,
+                     client_answer{ 503, "" },
+                     client_answer{ 200, RowJson(1, row) } };
+  CHECK(exit_status::Ok == Submit());
+  CHECK(Printed("accepted: version 1"));
+}
+
+TEST(CtlCommands, SubmitReportsAConflictWithTheDifference)
+{
+  Write(kText);
+  document winner = *ParseDocument(kText).mDocument;
+  winner.mRanks[0].mQueue = 9;
+  std::string text = RenderDocument(winner);
+  config_row row = config_row().Next(ContentHash(text), "theirs", "otto");
+  mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
+                     client_answer{ 412, RowJson(1, row) },
+                     client_answer{ 200, RowJson(1, row) },
+                     client_answer{ 200, text } };
+  CHECK(exit_status::Refused == Submit());
+  CHECK(Printed("conflict: version 1"));
+  CHECK(Printed("rank urgent: queue: 9 -> 64"));
+}
+
+TEST(CtlCommands, SubmitTellsNothingWrittenFromUnknown)
+{
+  Write(kText);
+  CHECK(exit_status::Unavailable == Submit());
+  CHECK(Printed("unavailable"));
+  mHttp.mAnswers = { client_answer{ 404, "{}" }, client_answer{ 200, "{}" } };
+  CHECK(exit_status::Unavailable == Submit());
+  CHECK(Printed("unknown"));
+}
+
+TEST(CtlCommands, ShowChecksTheObjectAgainstItsHash)
+{
+  std::string hash = ContentHash(Canonical());
+  std::string row = RowJson(1, config_row().Next(hash, "c1", "niamh"));
+  const std::vector<std::string> kShow = { "show",
+                                           "--platform",
+                                           "127.0.0.1:1" };
+  mHttp.mAnswers = { client_answer{ 200, row },
+                     client_answer{ 200, Canonical() } };
+  CHECK(exit_status::Ok == Run(kShow));
+  CHECK_EQUAL("; version 1 by niamh, hash " + hash + "\n" + Canonical(),
+              mOut.str());
+  mHttp.mAnswers = { client_answer{ 200, row },
+                     client_answer{ 200, Canonical() + " " } };
+  CHECK(exit_status::Unavailable == Run(kShow));
+  CHECK(mOut.str().empty());
+}
+
+TEST(CtlCommands, HistoryListsTheVersions)
+{
+  std::string hash = ContentHash(Canonical());
+  config_row row =
+    config_row().Next(hash, "c1", "niamh").Next(hash, "c2", "otto");
+  mHttp.mAnswers = { client_answer{ 200, RowJson(2, row) } };
+  CHECK(exit_status::Ok == Run({ "history", "--platform", "127.0.0.1:1" }));
+  CHECK(Printed("c2         otto\n"));
+  CHECK(Printed("c1         niamh\n"));
+}
+
+TEST(CtlCommands, BadAnswersEndInUnavailable)
+{
+  const std::vector<std::string> kBodies = {
+    "",
+    "null",
+    "[]",
+    "{}",
+    "{\"revision\":1}",
+    "{\"revision\":-1,\"value\":\"\"}",
+    "{\"revision\":1,\"value\":7}",
+    "{\"revision\":1,\"value\":\"version=1\"}"
+  };
+  for (const std::string& body : kBodies) {
+    mHttp.mAnswers = { client_answer{ 200, body } };
+    CHECK(exit_status::Unavailable ==
+          Run({ "history", "--platform", "127.0.0.1:1" }));
+    CHECK(!mErrors.str().empty());
+  }
+}
+
+TEST(CtlCommands, StatusAndLookupPrintWhatTheyGet)
+{
+  mHttp.mAnswers = { client_answer{
+    200,
+    "{\"instance\":\"a-1\",\"version\":7,\"peers\":[{\"instance\":\"b-1\","
+    "\"version\":7},{\"instance\":\"b-22\",\"leaving\":true}]}" } };
+  CHECK(exit_status::Ok == Run({ "status", "--operator", "127.0.0.1:1" }));
+  CHECK_EQUAL(std::string("instance:  a-1\n"
+                          "version:   7\n"
+                          "\n"
+                          "peers:\n"
+                          "instance  version  leaving\n"
+                          "b-1       7        -\n"
+                          "b-22      -        true\n"),
+              mOut.str());
+  const std::vector<std::string> kLookup = { "lookup",      "--caller",
+                                             "127.0.0.1:1", "--service",
+                                             "job-sheet",   "--client",
+                                             "10.0.0.1" };
+  mHttp.mAnswers = { client_answer{ 404, "{\"error\":\"no\\u001b[2J\"}" },
+                     client_answer{ 503, "{}" },
+                     client_answer{ 200, "<html>" } };
+  CHECK(exit_status::Refused == Run(kLookup));
+  CHECK(Printed("error:  no[2J\n"));
+  CHECK(exit_status::Unavailable == Run(kLookup));
+  CHECK(exit_status::Unavailable == Run(kLookup));
+  CHECK_EQUAL(std::string("/v1/lookup?service=job-sheet&client=10.0.0.1"),
+              mHttp.mRequests.back().mTarget);
+}
--- a/laburnumdyke/testing/submission_test.cc
+++ b/laburnumdyke/testing/submission_test.cc
@@ -161,11 +161,11 @@
         [[fallthrough]];
       case fault::None:
         return mSubmission.OnWritten(mStore.Write(aAction)
-                                       ? write_result::Written
-                                       : write_result::Mismatch,
+                                       ? write_answer::Written
+                                       : write_answer::Mismatch,
                                      mNow);
     }
-    return mSubmission.OnWritten(write_result::NoAnswer, mNow);
+    return mSubmission.OnWritten(write_answer::NoAnswer, mNow);
   }
 
   submission_action operator()(const wait_action& aAction)
