Move only what differs: documents as content-defined chunks

Ruled out: differences between texts (each instance may be at another version, and the store would need a difference for each pair); chunks of fixed size (an inserted line moves every later boundary). The rendered lines of blocks now end by content too, since greedy packing moved every later line of the failure domain.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -78,7 +78,7 @@
     }
     boost::json::object summary;
     summary["outcome"] = "valid";
-    summary["hash"] = ContentHash(RenderDocument(*result.mDocument));
+    summary["hash"] = DocumentHash(RenderDocument(*result.mDocument));
     ReportJson(mOut, mOptions, summary);
     return exit_status::Ok;
   }
@@ -108,7 +108,7 @@
     if (!row) {
       return exit_status::Unavailable;
     }
-    std::optional<std::string> text = platform.GetObject(row->mContentHash);
+    std::optional<std::string> text = platform.GetDocument(row->mContentHash);
     if (!text) {
       mErrors << "laburnumctl: the document of version " << row->mVersion
               << " can't be read\n";
--- a/ctl/platform_client.h
+++ b/ctl/platform_client.h
@@ -7,6 +7,7 @@
 // http_exchanger is what a client for HTTP must have; tests give a mock.
 #pragma once
 
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/decision/submission.h"
 #include "laburnumdyke/plugin/http_client.h"
 
@@ -14,6 +15,7 @@
 
 #include <concepts>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -49,7 +51,9 @@
     if (!answer || answer->mStatus != 200) {
       return std::nullopt;
     }
-    return ParseReading(answer->mBody);
+    std::optional<row_reading> row = ParseReading(answer->mBody);
+    mLastRow = row ? DecodeConfigRow(row->mValue) : std::nullopt;
+    return row;
   }
 
   write_answer WriteRow(const write_row_action& aWrite)
@@ -65,30 +69,76 @@
                                             : write_answer::NoAnswer;
   }
 
-  bool PutObject(const put_object_action& aPut)
+  // Stores a document: the chunks that the version in force does not have,
+  // and its manifest last. False where one of them could not be stored.
+  bool PutDocument(const put_object_action& aPut)
   {
-    client_request request =
-      Request(http::verb::put, kObjectsTarget + aPut.mHash);
-    request.mBody = aPut.mText;
+    document_objects objects = SplitDocument(aPut.mText);
+    std::set<std::string> known = KnownChunks();
+    for (const object_map::value_type& entry : objects.mObjects) {
+      bool isManifest = entry.first == objects.mHash;
+      bool stored = isManifest || known.count(entry.first) > 0 ||
+                    PutObject(entry.first, *entry.second);
+      if (!stored) {
+        return false;
+      }
+    }
+    return PutObject(objects.mHash, *objects.mObjects.at(objects.mHash));
+  }
+
+  // Nothing where an object can't be read or is not the one named.
+  std::optional<std::string> GetDocument(const std::string& aHash)
+  {
+    document_assembly assembly(aHash);
+    std::optional<std::string> manifest = GetObject(aHash);
+    if (!manifest || !assembly.TakeManifest(std::move(*manifest))) {
+      return std::nullopt;
+    }
+    for (const std::string& hash : assembly.Missing()) {
+      std::optional<std::string> chunk = GetObject(hash);
+      if (!chunk || !assembly.TakeChunk(hash, std::move(*chunk))) {
+        return std::nullopt;
+      }
+    }
+    return assembly.Text();
+  }
+
+private:
+  bool PutObject(const std::string& aHash, const std::string& aText)
+  {
+    client_request request = Request(http::verb::put, kObjectsTarget + aHash);
+    request.mBody = aText;
     request.mTimeout = kObjectTimeout;
     std::optional<client_answer> answer = mHttp.Exchange(std::move(request));
     return answer && answer->mStatus == 200;
   }
 
-  // Nothing where the object can't be read or is not the one named.
   std::optional<std::string> GetObject(const std::string& aHash)
   {
     client_request request = Request(http::verb::get, kObjectsTarget + aHash);
     request.mTimeout = kObjectTimeout;
     std::optional<client_answer> answer = mHttp.Exchange(std::move(request));
-    if (!answer || answer->mStatus != 200 ||
-        ContentHash(answer->mBody) != aHash) {
+    if (!answer || answer->mStatus != 200) {
       return std::nullopt;
     }
     return std::move(answer->mBody);
   }
 
-private:
+  // The chunks of the version that was read last.
+  std::set<std::string> KnownChunks()
+  {
+    if (!mLastRow) {
+      return {};
+    }
+    document_assembly assembly(mLastRow->mContentHash);
+    std::optional<std::string> manifest = GetObject(mLastRow->mContentHash);
+    if (!manifest || !assembly.TakeManifest(std::move(*manifest))) {
+      return {};
+    }
+    std::vector<std::string> chunks = assembly.Missing();
+    return { chunks.begin(), chunks.end() };
+  }
+
   inline static const std::string kRowTarget = "/v1/tables/config/rows/current";
   inline static const std::string kObjectsTarget = "/v1/objects/";
   static constexpr std::chrono::milliseconds kObjectTimeout{ 20000 };
@@ -129,6 +179,7 @@
 
   Http& mHttp;
   endpoint mAddress;
+  std::optional<config_row> mLastRow;
 };
 
 } // namespace laburnumdyke
--- a/ctl/submit_driver.h
+++ b/ctl/submit_driver.h
@@ -46,13 +46,13 @@
 
   submission_action operator()(const put_object_action& aAction)
   {
-    bool stored = mPlatform.PutObject(aAction);
+    bool stored = mPlatform.PutDocument(aAction);
     return mSubmission.OnObjectStored(stored, mClock.Now());
   }
 
   submission_action operator()(const get_object_action& aAction)
   {
-    std::optional<std::string> text = mPlatform.GetObject(aAction.mHash);
+    std::optional<std::string> text = mPlatform.GetDocument(aAction.mHash);
     return mSubmission.OnObject(text, mClock.Now());
   }
 
--- a/laburnumdyke/decision/document.cc
+++ b/laburnumdyke/decision/document.cc
@@ -4,6 +4,7 @@
 #include "laburnumdyke/decision/document_schema.h"
 
 #include <openssl/evp.h>
+#include <xxhash.h>
 
 #include <array>
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kLongestBlockLine = 190; // bytes
+constexpr std::uint64_t kLineEndMask = 15;     // one block in 16 ends a line
 
 template<class Spec>
 void
@@ -43,17 +45,21 @@
                const std::vector<client_prefix>& aBlocks)
 {
   std::size_t lineStart = aOut.size();
+  bool full = true;
   for (const client_prefix& block : aBlocks) {
     std::string text = block.Text();
-    std::size_t length = aOut.size() - lineStart;
-    if (length > 0 && length + 2 + text.size() <= kLongestBlockLine) {
+    std::size_t length = aOut.size() - lineStart + 2 + text.size();
+    if (!full && length <= kLongestBlockLine) {
       aOut.append(", ");
     } else {
-      aOut.append(length > 0 ? "\n" : "");
+      aOut.append(aOut.size() > lineStart ? "\n" : "");
       lineStart = aOut.size();
       aOut.append(aDomain).append(" = ");
     }
     aOut.append(text);
+    // Some lines end by content, so that an inserted block moves the blocks
+    // of a few lines and not of all that follow.
+    full = (XXH3_64bits(text.data(), text.size()) & kLineEndMask) == 0;
   }
   aOut.append("\n");
 }
--- a/laburnumdyke/decision/document.h
+++ b/laburnumdyke/decision/document.h
@@ -2,8 +2,7 @@
 //
 // A document is read from INI text, validated as a whole and either accepted
 // whole or refused with every fault by line and field. It has one canonical
-// text, whose SHA-256 is its content hash; two texts that declare the same
-// have the same canonical text.
+// text; two texts that declare the same have the same canonical text.
 //
 //   [region leinster]
 //   cap = 400                   ; requests in flight in the whole region
@@ -173,7 +172,8 @@
 std::vector<text_fault>
 ValidateLimits(const document& aDocument);
 
-// SHA-256 of a text, in lower-case hexadecimal.
+// SHA-256 of a text, in lower-case hexadecimal. A document's own content hash
+// is that of its manifest: see document_chunks.h.
 std::string
 ContentHash(std::string_view aText);
 
--- a/laburnumdyke/decision/document_state.h
+++ b/laburnumdyke/decision/document_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
 #include <cstdint>
@@ -21,7 +22,7 @@
   // newer than the one in force.
   bool Accept(std::uint64_t aVersion,
               std::string aContentHash,
-              std::shared_ptr<const std::string> aText,
+              object_map aObjects,
               std::shared_ptr<const document> aDocument)
   {
     if (aVersion <= mVersion) {
@@ -29,7 +30,7 @@
     }
     mVersion = aVersion;
     mContentHash = std::move(aContentHash);
-    mText = std::move(aText);
+    mObjects = std::move(aObjects);
     mDocument = std::move(aDocument);
     return true;
   }
@@ -37,9 +38,9 @@
   std::uint64_t Version() const { return mVersion; }
   const std::string& ContentHash() const { return mContentHash; }
 
-  // The canonical text, for peers that have lost the platform. Null until the
-  // first version is in force.
-  std::shared_ptr<const std::string> Text() const { return mText; }
+  // The objects of the version in force: for the next version, which shares
+  // most of them, and for peers that have lost the platform.
+  const object_map& Objects() const { return mObjects; }
 
   // Null until the first version is in force.
   std::shared_ptr<const document> Document() const { return mDocument; }
@@ -47,7 +48,7 @@
 private:
   std::uint64_t mVersion = 0;
   std::string mContentHash;
-  std::shared_ptr<const std::string> mText;
+  object_map mObjects;
   std::shared_ptr<const document> mDocument;
 };
 
--- a/laburnumdyke/decision/submission.cc
+++ b/laburnumdyke/decision/submission.cc
@@ -4,6 +4,7 @@
 // revision is unchanged) or lost (it is not, and the change isn't there).
 #include "laburnumdyke/decision/submission.h"
 
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/kernel/invariant.h"
 
 #include <algorithm>
@@ -54,7 +55,7 @@
   }
   mDocument = std::move(parsed.mDocument);
   mCanonical = RenderDocument(*mDocument);
-  mHash = ContentHash(mCanonical);
+  mHash = DocumentHash(mCanonical);
   mRequest.mText.clear();
   mGiveUpAt = aNow + mRequest.mPatience;
   return read_row_action{};
--- a/laburnumdyke/decision/submission.h
+++ b/laburnumdyke/decision/submission.h
@@ -67,12 +67,14 @@
 struct read_row_action
 {};
 
+// Store a document's objects (document_chunks.h), the manifest last.
 struct put_object_action
 {
-  std::string mHash;
-  std::string mText;
+  std::string mHash; // of the document
+  std::string mText; // canonical
 };
 
+// Read a document's objects and join them.
 struct get_object_action
 {
   std::string mHash;
--- a/laburnumdyke/plugin/caller_http.cc
+++ b/laburnumdyke/plugin/caller_http.cc
@@ -5,7 +5,8 @@
 //   GET  /v1/lookup?service=S&client=IP   which entry instances to use
 //   GET  /v1/identity                      an identity for one request
 //   *    /v1/request/S/...                 a request to service S
-//   GET  /v1/document                      the text in force (peers alone)
+//   GET  /v1/objects/HASH                  an object of the document in force
+//                                          (peers alone)
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/http_server.h"
 #include "laburnumdyke/plugin/lookup.h"
@@ -92,8 +93,10 @@
                            AnswerLookup(mKernel, mTables, target, Now()));
     } else if (!aFromPeer && target == "/v1/identity") {
       co_await WriteAnswer(aExchange, AnswerIdentity(mTables, Now()));
-    } else if (aFromPeer && target == "/v1/document") {
-      co_await WriteAnswer(aExchange, AnswerDocument());
+    } else if (aFromPeer &&
+               target.substr(0, kObjectPath.size()) == kObjectPath) {
+      co_await WriteAnswer(aExchange,
+                           AnswerObject(target.substr(kObjectPath.size())));
     } else {
       mKernel.Counters().Add("refused_total", "malformed_request");
       string_answer answer(http::status::not_found, 11);
@@ -105,16 +108,21 @@
   }
 
 private:
+  static constexpr std::string_view kObjectPath = "/v1/objects/";
+
   // For the news of leaving to reach every peer that answers look-ups.
   static constexpr std::chrono::milliseconds kSpread{ 1500 };
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
-  // The text in force, for a peer that has lost the platform.
-  string_answer AnswerDocument()
+  // A part of the document in force, for a peer that has lost the platform.
+  string_answer AnswerObject(std::string_view aHash)
   {
-    std::shared_ptr<const std::string> text = mTables.DocumentState().With(
-      [](document_state& aState) { return aState.Text(); });
+    std::shared_ptr<const std::string> text =
+      mTables.DocumentState().With([&](document_state& aState) {
+        auto found = aState.Objects().find(std::string(aHash));
+        return found == aState.Objects().end() ? nullptr : found->second;
+      });
     string_answer answer(text ? http::status::ok : http::status::not_found, 11);
     if (text) {
       answer.body() = *text;
--- a/laburnumdyke/plugin/config_watch.cc
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -2,11 +2,11 @@
 // platform.
 //
 // Every period, with jitter, the row in the platform's table is read; when it
-// names a newer version, its object is fetched, checked against its hash,
-// parsed and put in force. When a live peer's heartbeat names a version newer
-// still, the text is fetched from that peer: an instance that has lost the
-// platform learns from those that have not. Fetched text counts only where its
-// hash is the one that was named.
+// names a newer version, the objects that differ from the version in force are
+// fetched, the text is joined and parsed, and the version is put in force. When
+// a live peer's heartbeat names a version newer still, the objects are fetched
+// from that peer: an instance that has lost the platform learns from those that
+// have not. An object counts only where its hash is the one that was named.
 #include "laburnumdyke/decision/config_row.h"
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/http_client.h"
@@ -27,13 +27,12 @@
 constexpr std::chrono::milliseconds kPeriod{ 1000 };
 constexpr std::chrono::milliseconds kAnnounceEvery{ 5000 };
 
-// A version and where its text can be had.
+// A version and where its objects can be had.
 struct version_offer
 {
   std::uint64_t mVersion = 0;
   std::string mContentHash;
   endpoint mFrom;
-  std::string mTarget;
 };
 
 class config_watch
@@ -109,8 +108,7 @@
     }
     co_return version_offer{ row->mVersion,
                              row->mContentHash,
-                             mKernel.Settings().mPlatform,
-                             "/v1/objects/" + row->mContentHash };
+                             mKernel.Settings().mPlatform };
   }
 
   static std::optional<config_row> ReadRow(const client_answer& aAnswer)
@@ -137,48 +135,80 @@
         newest = one.mLast.mVersion;
         best = version_offer{ one.mLast.mVersion,
                               one.mLast.mContentHash,
-                              one.mLast.mSender.mRelay,
-                              "/v1/document" };
+                              one.mLast.mSender.mRelay };
       }
     }
     return best;
   }
 
+  asio::awaitable<std::optional<std::string>> FetchObject(
+    const endpoint& aFrom,
+    const std::string& aHash)
+  {
+    client_request request;
+    request.mTo = aFrom;
+    request.mTarget = "/v1/objects/" + aHash;
+    request.mTimeout = std::chrono::milliseconds(5000);
+    std::optional<client_answer> answer = co_await Exchange(request);
+    if (!answer || answer->mStatus != 200) {
+      co_return std::nullopt;
+    }
+    mKernel.Counters().Add("document_bytes_total", {}, answer->mBody.size());
+    co_return std::move(answer->mBody);
+  }
+
+  // False where an object could not be had.
+  asio::awaitable<bool> Fetch(const version_offer& aOffer,
+                              document_assembly& aAssembly)
+  {
+    std::optional<std::string> manifest =
+      co_await FetchObject(aOffer.mFrom, aOffer.mContentHash);
+    if (!manifest || !aAssembly.TakeManifest(std::move(*manifest))) {
+      co_return false;
+    }
+    mTables.DocumentState().With(
+      [&](document_state& aState) { aAssembly.Reuse(aState.Objects()); });
+    std::vector<std::string> missing = aAssembly.Missing();
+    for (const std::string& hash : missing) {
+      std::optional<std::string> chunk =
+        co_await FetchObject(aOffer.mFrom, hash);
+      if (!chunk || !aAssembly.TakeChunk(hash, std::move(*chunk))) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
   asio::awaitable<void> Take(version_offer aOffer)
   {
     if (aOffer.mVersion <= mTables.Version()) {
       co_return;
     }
-    client_request request;
-    request.mTo = aOffer.mFrom;
-    request.mTarget = aOffer.mTarget;
-    request.mTimeout = std::chrono::milliseconds(5000);
-    std::optional<client_answer> answer = co_await Exchange(request);
-    bool good = answer && answer->mStatus == 200 &&
-                ContentHash(answer->mBody) == aOffer.mContentHash;
-    if (!good) {
+    document_assembly assembly(aOffer.mContentHash);
+    bool fetched = co_await Fetch(aOffer, assembly);
+    if (!fetched) {
       mKernel.Counters().Add("document_fetch_failed_total");
       co_return;
     }
-    document_result parsed = ParseDocument(answer->mBody);
+    document_result parsed = ParseDocument(assembly.Text());
     if (!parsed.mDocument) {
       mKernel.Counters().Add("document_refused_total");
       mKernel.Log().Warn("document_refused",
                          { { "version", std::to_string(aOffer.mVersion) } });
       co_return;
     }
-    PutInForce(aOffer, std::move(answer->mBody), std::move(*parsed.mDocument));
+    PutInForce(aOffer, assembly.Objects(), std::move(*parsed.mDocument));
   }
 
   void PutInForce(const version_offer& aOffer,
-                  std::string aText,
+                  const object_map& aObjects,
                   document aDocument)
   {
     bool accepted = mTables.DocumentState().With([&](document_state& aState) {
       return aState.Accept(
         aOffer.mVersion,
         aOffer.mContentHash,
-        std::make_shared<const std::string>(std::move(aText)),
+        aObjects,
         std::make_shared<const document>(std::move(aDocument)));
     });
     if (accepted) {
--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -1,5 +1,6 @@
 // The command-line tool: options, and each command against a mock of HTTP.
 #include "ctl/commands.h"
+#include "laburnumdyke/decision/document_chunks.h"
 
 #include <cstdio>
 #include <deque>
@@ -73,6 +74,14 @@
   return boost::json::serialize(json);
 }
 
+// The manifest of a text.
+std::string
+Manifest(const std::string& aText)
+{
+  document_objects objects = SplitDocument(aText);
+  return *objects.mObjects.at(objects.mHash);
+}
+
 std::string
 Canonical()
 {
@@ -208,27 +217,30 @@
   CHECK_EQUAL(std::string("laburnumctl: .: can't be read\n"), mErrors.str());
 }
 
-TEST(CtlCommands, SubmitWritesTheObjectThenTheRow)
+TEST(CtlCommands, SubmitWritesTheObjectsThenTheRow)
 {
   Write(kText);
-  std::string hash = ContentHash(Canonical());
+  std::string hash = DocumentHash(Canonical());
   mock()
     .expectOneCall("Exchange")
     .withParameter("target", "/v1/tables/config/rows/current");
-  std::string object = "/v1/objects/" + hash;
-  mock().expectOneCall("Exchange").withParameter("target", object.c_str());
+  std::string chunk = "/v1/objects/" + ContentHash(Canonical());
+  mock().expectOneCall("Exchange").withParameter("target", chunk.c_str());
+  std::string manifest = "/v1/objects/" + hash;
+  mock().expectOneCall("Exchange").withParameter("target", manifest.c_str());
   mock()
     .expectOneCall("Exchange")
     .withParameter("target", "/v1/tables/config/rows/current");
   mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
                      client_answer{ 200, "{}" },
                      client_answer{ 200, "{\"revision\":1}" } };
   CHECK(exit_status::Ok == Submit());
   mock().checkExpectations();
   CHECK(Printed("accepted: version 1"));
   CHECK_EQUAL(Canonical(), mHttp.mRequests.at(1).mBody);
-  CHECK_EQUAL(std::string("0"), mHttp.mRequests.at(2).mIfMatch);
-  config_row row = *DecodeConfigRow(mHttp.mRequests.at(2).mBody);
+  CHECK_EQUAL(std::string("0"), mHttp.mRequests.at(3).mIfMatch);
+  config_row row = *DecodeConfigRow(mHttp.mRequests.at(3).mBody);
   CHECK_EQUAL(hash, row.mContentHash);
   CHECK_EQUAL(std::string("niamh"), row.mSubmitter);
 }
@@ -236,12 +248,12 @@
 TEST(CtlCommands, SubmitResolvesALostAnswerByReading)
 {
   Write(kText);
-  config_row row = config_row().Next(ContentHash(Canonical()), "c1", "niamh");
-  mHttp.mAnswers = { client_answer{ 404, "{}" },
-                     client_answer{ 200, "{}" },
-                     std::nullopt,
-                     client_answer{ 503, "" },
-                     client_answer{ 200, RowJson(1, row) } };
+  config_row row = config_row().Next(DocumentHash(Canonical()), "c1", "niamh");
+  mHttp.mAnswers = {
+    client_answer{ 404, "{}" }, client_answer{ 200, "{}" },
+    client_answer{ 200, "{}" }, std::nullopt,
+    client_answer{ 503, "" },   client_answer{ 200, RowJson(1, row) }
+  };
   CHECK(exit_status::Ok == Submit());
   CHECK(Printed("accepted: version 1"));
 }
@@ -252,11 +264,13 @@
   document winner = *ParseDocument(kText).mDocument;
   winner.mRanks[0].mQueue = 9;
   std::string text = RenderDocument(winner);
-  config_row row = config_row().Next(ContentHash(text), "theirs", "otto");
+  config_row row = config_row().Next(DocumentHash(text), "theirs", "otto");
   mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
                      client_answer{ 200, "{}" },
                      client_answer{ 412, RowJson(1, row) },
                      client_answer{ 200, RowJson(1, row) },
+                     client_answer{ 200, Manifest(text) },
                      client_answer{ 200, text } };
   CHECK(exit_status::Refused == Submit());
   CHECK(Printed("conflict: version 1"));
@@ -268,24 +282,28 @@
   Write(kText);
   CHECK(exit_status::Unavailable == Submit());
   CHECK(Printed("unavailable"));
-  mHttp.mAnswers = { client_answer{ 404, "{}" }, client_answer{ 200, "{}" } };
+  mHttp.mAnswers = { client_answer{ 404, "{}" },
+                     client_answer{ 200, "{}" },
+                     client_answer{ 200, "{}" } };
   CHECK(exit_status::Unavailable == Submit());
   CHECK(Printed("unknown"));
 }
 
 TEST(CtlCommands, ShowChecksTheObjectAgainstItsHash)
 {
-  std::string hash = ContentHash(Canonical());
+  std::string hash = DocumentHash(Canonical());
   std::string row = RowJson(1, config_row().Next(hash, "c1", "niamh"));
   const std::vector<std::string> kShow = { "show",
                                            "--platform",
                                            "127.0.0.1:1" };
   mHttp.mAnswers = { client_answer{ 200, row },
+                     client_answer{ 200, Manifest(Canonical()) },
                      client_answer{ 200, Canonical() } };
   CHECK(exit_status::Ok == Run(kShow));
   CHECK_EQUAL("; version 1 by niamh, hash " + hash + "\n" + Canonical(),
               mOut.str());
   mHttp.mAnswers = { client_answer{ 200, row },
+                     client_answer{ 200, Manifest(Canonical()) },
                      client_answer{ 200, Canonical() + " " } };
   CHECK(exit_status::Unavailable == Run(kShow));
   CHECK(mOut.str().empty());
@@ -293,7 +311,7 @@
 
 TEST(CtlCommands, HistoryListsTheVersions)
 {
-  std::string hash = ContentHash(Canonical());
+  std::string hash = DocumentHash(Canonical());
   config_row row =
     config_row().Next(hash, "c1", "niamh").Next(hash, "c2", "otto");
   mHttp.mAnswers = { client_answer{ 200, RowJson(2, row) } };
--- a/laburnumdyke/testing/harness/deployment.cc
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -4,6 +4,7 @@
 
 #include "laburnumdyke/decision/config_row.h"
 #include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/testing/harness/http_call.h"
 
 #include <boost/json.hpp>
@@ -175,21 +176,27 @@
   std::string canonical = RenderDocument(*parsed.mDocument);
   config_row row;
   row.mVersion = aVersion;
-  row.mContentHash = ContentHash(canonical);
+  document_objects objects = SplitDocument(canonical);
+  row.mContentHash = objects.mHash;
   row.mChangeId = "change-" + std::to_string(aVersion);
   row.mSubmitter = "test";
-  call_request object;
-  object.mTo = mPlatform;
-  object.mMethod = http::verb::put;
-  object.mTarget = "/v1/objects/" + row.mContentHash;
-  object.mBody = canonical;
+  for (const object_map::value_type& entry : objects.mObjects) {
+    call_request object;
+    object.mTo = mPlatform;
+    object.mMethod = http::verb::put;
+    object.mTarget = "/v1/objects/" + entry.first;
+    object.mBody = *entry.second;
+    if (CallNow(object).mStatus != 200) {
+      return false;
+    }
+  }
   call_request write;
   write.mTo = mPlatform;
   write.mMethod = http::verb::put;
   write.mTarget = "/v1/tables/config/rows/current";
   write.mHeaders = { { "If-Match", std::to_string(aVersion - 1) } };
   write.mBody = EncodeConfigRow(row);
-  return CallNow(object).mStatus == 200 && CallNow(write).mStatus == 200;
+  return CallNow(write).mStatus == 200;
 }
 
 void
--- a/laburnumdyke/testing/harness/one_kernel.cc
+++ b/laburnumdyke/testing/harness/one_kernel.cc
@@ -41,11 +41,12 @@
                  parsed.mFaults.empty()
                    ? std::string()
                    : parsed.mFaults.front().Describe("document"));
+  document_objects objects = SplitDocument(aText);
   entry_tables tables(aKernel);
   tables.DocumentState().With([&](document_state& aState) {
     aState.Accept(aVersion,
-                  ContentHash(aText),
-                  std::make_shared<const std::string>(aText),
+                  objects.mHash,
+                  objects.mObjects,
                   std::make_shared<const document>(*parsed.mDocument));
   });
   tables.RefreshHomes(std::chrono::steady_clock::now());
--- a/laburnumdyke/testing/submission_test.cc
+++ b/laburnumdyke/testing/submission_test.cc
@@ -1,5 +1,6 @@
 // Submission: the row's text, a table of faults, and random runs of several
 // submitters against a model of the platform.
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/decision/submission.h"
 
 #include <deque>
@@ -31,7 +32,7 @@
 std::string
 HashOf(std::uint32_t aQueue)
 {
-  return ContentHash(RenderDocument(*ParseDocument(Text(aQueue)).mDocument));
+  return DocumentHash(RenderDocument(*ParseDocument(Text(aQueue)).mDocument));
 }
 
 submission_request
