Add the home lease of upstreams and its randomised test

Two instances could both count as the home of an upstream while their views differed, and a process that woke from a pause dispatched at once. A home now holds its upstreams on a lease that its domain peers acknowledge; a successor counts what an earlier home may still have in flight as held.

A majority was ruled out: a domain of two has to go on when one dies. Requiring acknowledgements from a dead peer until its takeover time was ruled out: each death would have interrupted every home of the domain.

--- /dev/null
+++ b/laburnumdyke/decision/dispatch_ledger.cc
@@ -0,0 +1,62 @@
+// The deadlines of each upstream are kept ordered, so that the latest is at
+// hand for each heartbeat; both steps cost the logarithm of what is in flight.
+#include "laburnumdyke/decision/dispatch_ledger.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+namespace laburnumdyke {
+
+void
+dispatch_ledger::Begin(std::uint64_t aNumber,
+                       const upstream_id& aUpstream,
+                       instant aDeadline)
+{
+  bool isNew = mEntries.emplace(aNumber, entry{ aUpstream, aDeadline }).second;
+  CheckInvariant(
+    isNew, "dispatched_twice", "number=" + std::to_string(aNumber));
+  mDeadlines[aUpstream].insert(aDeadline);
+}
+
+void
+dispatch_ledger::End(std::uint64_t aNumber)
+{
+  auto found = mEntries.find(aNumber);
+  if (found == mEntries.end()) {
+    return;
+  }
+  auto deadlines = mDeadlines.find(found->second.mUpstream);
+  deadlines->second.erase(deadlines->second.find(found->second.mDeadline));
+  if (deadlines->second.empty()) {
+    mDeadlines.erase(deadlines);
+  }
+  mEntries.erase(found);
+}
+
+std::uint32_t
+dispatch_ledger::InFlight(const upstream_id& aUpstream) const
+{
+  auto found = mDeadlines.find(aUpstream);
+  return found == mDeadlines.end()
+           ? 0
+           : static_cast<std::uint32_t>(found->second.size());
+}
+
+instant
+dispatch_ledger::LatestDeadline(const upstream_id& aUpstream) const
+{
+  auto found = mDeadlines.find(aUpstream);
+  return found == mDeadlines.end() ? instant{} : *found->second.rbegin();
+}
+
+std::set<upstream_id>
+dispatch_ledger::Busy() const
+{
+  std::set<upstream_id> busy;
+  for (const std::pair<const upstream_id, std::multiset<instant>>& one :
+       mDeadlines) {
+    busy.insert(one.first);
+  }
+  return busy;
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/membership.cc
+++ b/laburnumdyke/decision/membership.cc
@@ -1,10 +1,9 @@
-// Full mesh at today's size: 25 instances at 2 Hz. Liveness is judged by the
-// receiver's clock alone.
+// Liveness is judged by the receiver's steady clock alone; incarnations only
+// order the processes that have had one name.
 #include "laburnumdyke/decision/membership.h"
 
-#include <xxhash.h>
-
 #include <set>
+#include <utility>
 
 namespace laburnumdyke {
 
@@ -12,46 +11,106 @@
 
 constexpr std::chrono::seconds kHintLife{ 60 };
 
-} // namespace
+// Dead peers are remembered for so long, so that late heartbeats of an older
+// incarnation stay ignored.
+constexpr std::chrono::seconds kMemory{ 60 };
 
-std::uint64_t
-RendezvousWeight(std::string_view aCandidate, std::string_view aKey)
-{
-  std::uint64_t seed = XXH3_64bits(aCandidate.data(), aCandidate.size());
-  return XXH3_64bits_withSeed(aKey.data(), aKey.size(), seed);
-}
+} // namespace
 
 void
 membership::Open(member aSelf, std::vector<endpoint> aSeeds)
 {
   mSelf = std::move(aSelf);
   mSeeds = std::move(aSeeds);
+  mLease.Open(mSelf.mInstance, mSelf.mIncarnation);
+}
+
+void
+membership::BeginLeaving(instant aNow)
+{
+  mSelf.mLeaving = true;
+  mLease.Leave(aNow);
 }
 
 bool
 membership::Hear(const heartbeat& aHeartbeat, instant aNow)
 {
   const member& sender = aHeartbeat.mSender;
-  if (sender.mInstance == mSelf.mInstance) {
+  if (IsStale(aHeartbeat, aNow)) {
     return false;
   }
-  auto found = mPeers.find(sender.mInstance);
-  if (found != mPeers.end()) {
-    const heartbeat& last = found->second.mLast;
-    bool older = sender.mIncarnation < last.mSender.mIncarnation ||
-                 (sender.mIncarnation == last.mSender.mIncarnation &&
-                  aHeartbeat.mSequence <= last.mSequence);
-    if (older) {
-      return false;
-    }
-  }
   mPeers[sender.mInstance] = { aHeartbeat, aNow };
   for (const endpoint& hint : aHeartbeat.mKnownPeers) {
     mHints[hint] = aNow;
   }
+  if (sender.mDomain == mSelf.mDomain) {
+    lease_sender from{ sender.mInstance,
+                       sender.mIncarnation,
+                       aHeartbeat.mSequence,
+                       sender.mLeaving };
+    mAnswerNow |= mLease.Hear(from, aHeartbeat.mLease, aNow);
+  }
   return true;
 }
 
+bool
+membership::IsStale(const heartbeat& aHeartbeat, instant aNow) const
+{
+  const member& sender = aHeartbeat.mSender;
+  if (sender.mInstance == mSelf.mInstance) {
+    return true;
+  }
+  auto found = mPeers.find(sender.mInstance);
+  if (found == mPeers.end()) {
+    return false;
+  }
+  const heartbeat& last = found->second.mLast;
+  if (sender.mIncarnation == last.mSender.mIncarnation) {
+    return aHeartbeat.mSequence <= last.mSequence;
+  }
+  bool isDead = aNow - found->second.mHeard >= kSilence;
+  return sender.mIncarnation < last.mSender.mIncarnation && !isDead;
+}
+
+bool
+membership::TakeAnswerNow()
+{
+  return std::exchange(mAnswerNow, false);
+}
+
+heartbeat
+membership::Compose(instant aNow)
+{
+  ForgetDead(aNow);
+  heartbeat message;
+  message.mSender = mSelf;
+  message.mSequence = ++mSequence;
+  message.mLease = mLease.Compose(message.mSequence, aNow);
+  for (const peer& one : Live(aNow)) {
+    message.mKnownPeers.push_back(one.mLast.mSender.mPeer);
+  }
+  return message;
+}
+
+void
+membership::Hint(const std::vector<endpoint>& aListed, instant aNow)
+{
+  for (const endpoint& listed : aListed) {
+    mHints[listed] = aNow;
+  }
+}
+
+void
+membership::ForgetDead(instant aNow)
+{
+  std::erase_if(mPeers, [&](const std::pair<const instance_id, peer>& aEntry) {
+    return aNow - aEntry.second.mHeard >= kMemory;
+  });
+  std::erase_if(mHints, [&](const std::pair<const endpoint, instant>& aEntry) {
+    return aNow - aEntry.second >= kHintLife;
+  });
+}
+
 std::vector<peer>
 membership::Live(instant aNow) const
 {
@@ -90,27 +149,4 @@
   return { targets.begin(), targets.end() };
 }
 
-std::optional<instance_id>
-membership::HomeOf(const upstream_id& aUpstream, instant aNow) const
-{
-  std::optional<instance_id> home;
-  std::uint64_t best = 0;
-  auto consider = [&](const member& aCandidate) {
-    if (aCandidate.mLeaving || aCandidate.mDomain != mSelf.mDomain) {
-      return;
-    }
-    std::uint64_t weight =
-      RendezvousWeight(aCandidate.mInstance.mValue, aUpstream.mValue);
-    if (!home || weight > best) {
-      home = aCandidate.mInstance;
-      best = weight;
-    }
-  };
-  consider(mSelf);
-  for (const peer& one : Live(aNow)) {
-    consider(one.mLast.mSender);
-  }
-  return home;
-}
-
 } // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/rendezvous.cc
@@ -0,0 +1,27 @@
+// Two passes of XXH3: the candidate's hash seeds the key's.
+#include "laburnumdyke/decision/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace laburnumdyke {
+
+std::uint64_t
+RendezvousWeight(std::string_view aCandidate, std::string_view aKey)
+{
+  std::uint64_t seed = XXH3_64bits(aCandidate.data(), aCandidate.size());
+  return XXH3_64bits_withSeed(aKey.data(), aKey.size(), seed);
+}
+
+bool
+Outranks(const instance_id& aFirst,
+         const instance_id& aSecond,
+         std::string_view aKey)
+{
+  std::uint64_t first = RendezvousWeight(aFirst.mValue, aKey);
+  std::uint64_t second = RendezvousWeight(aSecond.mValue, aKey);
+  return first != second ? first > second : aFirst < aSecond;
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -20,6 +20,17 @@
   return self;
 }
 
+upstream_terms
+TermsOf(const document& aDocument, const upstream_spec& aUpstream)
+{
+  auto service = aDocument.mServices.find(aUpstream.mService);
+  std::chrono::milliseconds longest(0);
+  if (service != aDocument.mServices.end()) {
+    longest = service->second.mDeadline;
+  }
+  return { aUpstream.mSlots, longest };
+}
+
 } // namespace
 
 entry_tables::entry_tables(kernel& aKernel)
@@ -129,8 +140,32 @@
 entry_tables::MayDispatch(const upstream_id& aUpstream, instant aNow)
 {
   return mMembership.With([&](membership& aMembership) {
-    return aMembership.HomeOf(aUpstream, aNow) == aMembership.Self().mInstance;
+    return aMembership.Lease().MayDispatch(aUpstream, aNow);
+  });
+}
+
+bool
+entry_tables::BeginDispatch(const grant& aGrant,
+                            instant aDeadline,
+                            instant aNow)
+{
+  lease_refusal reason = mMembership.With([&](membership& aMembership) {
+    home_lease& lease = aMembership.Lease();
+    bool begun =
+      lease.BeginDispatch(aGrant.mUpstream, aGrant.mNumber, aDeadline, aNow);
+    return begun ? lease_refusal::None : lease.LastReason();
   });
+  if (reason != lease_refusal::None) {
+    mKernel.Counters().Add("dispatch_refused_total", ToString(reason));
+  }
+  return reason == lease_refusal::None;
+}
+
+void
+entry_tables::EndDispatch(request_number aNumber)
+{
+  mMembership.With(
+    [&](membership& aMembership) { aMembership.Lease().EndDispatch(aNumber); });
 }
 
 std::chrono::milliseconds
@@ -153,18 +188,24 @@
   if (!document) {
     return;
   }
+  domain_id own = Self().mDomain;
+  std::map<upstream_id, upstream_terms> terms;
+  for (const std::pair<const upstream_id, upstream_spec>& entry :
+       document->mUpstreams) {
+    if (entry.second.mDomain == own) {
+      terms[entry.first] = TermsOf(*document, entry.second);
+    }
+  }
+  std::vector<home_claim> claims =
+    mMembership.With([&](membership& aMembership) {
+      return aMembership.Lease().Claims(terms, aNow);
+    });
   std::set<upstream_id> homes;
-  mMembership.With([&](membership& aMembership) {
-    for (const std::pair<const upstream_id, upstream_spec>& entry :
-         document->mUpstreams) {
-      bool mine =
-        entry.second.mDomain == aMembership.Self().mDomain &&
-        aMembership.HomeOf(entry.first, aNow) == aMembership.Self().mInstance;
-      if (mine) {
-        homes.insert(entry.first);
-      }
+  for (const home_claim& claim : claims) {
+    if (claim.mHeldElsewhere == 0) {
+      homes.insert(claim.mUpstream);
     }
-  });
+  }
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
     return aAdmission.Configure(*document, homes, aNow);
   });
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -62,6 +62,12 @@
   // The right to dispatch to an upstream, checked immediately before it.
   bool MayDispatch(const upstream_id& aUpstream, instant aNow);
 
+  // The same, and counts the request in flight until EndDispatch: what is in
+  // flight is told to the domain peers, who may become the next home. The
+  // deadline must be no later than the service's own from now.
+  bool BeginDispatch(const grant& aGrant, instant aDeadline, instant aNow);
+  void EndDispatch(request_number aNumber);
+
   // Time since this kernel's tables were opened; the stamp of adverts.
   std::chrono::milliseconds Stamp(instant aNow) const;
   bool IsFresh(std::chrono::milliseconds aStamp, instant aNow) const;
--- a/laburnumdyke/plugin/peer_link.cc
+++ b/laburnumdyke/plugin/peer_link.cc
@@ -19,6 +19,7 @@
 #include <zmq.hpp>
 
 #include <map>
+#include <set>
 
 namespace laburnumdyke {
 
@@ -26,6 +27,8 @@
 
 constexpr int kSendQueue = 4;       // heartbeats to one target
 constexpr int kReceiveQueue = 1000; // heartbeats
+constexpr int kLeavingHeartbeats = 3;
+constexpr std::chrono::milliseconds kLeavingGap{ 50 };
 
 class peer_link
 {
@@ -60,11 +63,11 @@
     return std::nullopt;
   }
 
-  void Leave(instant)
+  void Leave(instant aNow)
   {
     mTables.Membership().With(
-      [](membership& aMembership) { aMembership.BeginLeaving(); });
-    asio::post(mStrand, [this]() { SendHeartbeats(Now()); });
+      [&](membership& aMembership) { aMembership.BeginLeaving(aNow); });
+    asio::co_spawn(mStrand, AnnounceLeaving(), asio::detached);
   }
 
   std::string Waiting(instant) { return {}; }
@@ -110,6 +113,28 @@
       mKernel.Counters().Add(taken ? "heartbeats_total"
                                    : "heartbeats_ignored_total");
     }
+    bool answerNow = mTables.Membership().With(
+      [](membership& aMembership) { return aMembership.TakeAnswerNow(); });
+    if (answerNow) {
+      instant now = Now();
+      SendHeartbeats(now);
+      mTables.RefreshHomes(now);
+    }
+  }
+
+  // Several at once, so that one lost heartbeat doesn't delay a successor.
+  asio::awaitable<void> AnnounceLeaving()
+  {
+    asio::steady_timer timer(mStrand);
+    for (int i = 0; i < kLeavingHeartbeats; ++i) {
+      instant now = Now();
+      SendHeartbeats(now);
+      mTables.RefreshHomes(now);
+      timer.expires_after(kLeavingGap);
+      error_code ignored;
+      co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
   }
 
   asio::awaitable<void> Beat()
@@ -129,9 +154,8 @@
 
   heartbeat Compose(instant aNow)
   {
-    heartbeat message;
-    message.mSender = mTables.Self();
-    message.mSequence = ++mSequence;
+    heartbeat message = mTables.Membership().With(
+      [&](membership& aMembership) { return aMembership.Compose(aNow); });
     mTables.DocumentState().With([&](document_state& aState) {
       message.mVersion = aState.Version();
       message.mContentHash = aState.ContentHash();
@@ -139,15 +163,18 @@
     message.mStamp = mTables.Stamp(aNow);
     message.mCredits = mTables.Admission().With(
       [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
-    for (const peer& one : mTables.LivePeers(aNow)) {
-      message.mKnownPeers.push_back(one.mLast.mSender.mPeer);
-    }
     return message;
   }
 
+  // The lease part goes to the own failure domain, and to addresses whose
+  // domain isn't known yet.
   void SendHeartbeats(instant aNow)
   {
-    std::string bytes = EncodeHeartbeat(Compose(aNow));
+    heartbeat message = Compose(aNow);
+    std::string toDomain = EncodeHeartbeat(message);
+    message.mLease = {};
+    std::string toOthers = EncodeHeartbeat(message);
+    std::set<endpoint> others = OtherDomains(aNow);
     std::vector<endpoint> targets = mTables.Membership().With(
       [&](membership& aMembership) { return aMembership.Targets(aNow); });
     std::map<endpoint, zmq::socket_t> kept;
@@ -155,16 +182,33 @@
       auto found = mTargets.find(target);
       zmq::socket_t socket =
         found == mTargets.end() ? Open(target) : std::move(found->second);
-      zmq::message_t message(bytes.data(), bytes.size());
-      bool sent = socket.send(message, zmq::send_flags::dontwait).has_value();
-      if (!sent) {
-        mKernel.Counters().Add("heartbeats_dropped_total");
-      }
+      Send(socket, others.count(target) == 0 ? toDomain : toOthers);
       kept.emplace(target, std::move(socket));
     }
     mTargets = std::move(kept);
   }
 
+  void Send(zmq::socket_t& aSocket, const std::string& aBytes)
+  {
+    zmq::message_t message(aBytes.data(), aBytes.size());
+    bool sent = aSocket.send(message, zmq::send_flags::dontwait).has_value();
+    if (!sent) {
+      mKernel.Counters().Add("heartbeats_dropped_total");
+    }
+  }
+
+  std::set<endpoint> OtherDomains(instant aNow)
+  {
+    domain_id own = mTables.Self().mDomain;
+    std::set<endpoint> others;
+    for (const peer& one : mTables.LivePeers(aNow)) {
+      if (one.mLast.mSender.mDomain != own) {
+        others.insert(one.mLast.mSender.mPeer);
+      }
+    }
+    return others;
+  }
+
   zmq::socket_t Open(const endpoint& aTarget)
   {
     zmq::socket_t socket(mZmq, zmq::socket_type::push);
@@ -181,7 +225,6 @@
   zmq::socket_t mReceiver;
   asio::posix::stream_descriptor mReadable;
   std::map<endpoint, zmq::socket_t> mTargets;
-  std::uint64_t mSequence = 0;
 };
 
 const registered<peer_link> kRegistered;
--- /dev/null
+++ b/laburnumdyke/testing/standin/lease_cluster.cc
@@ -0,0 +1,350 @@
+// A queue of events ordered by virtual time; equal times keep their order, so
+// that a seed gives one run.
+#include "laburnumdyke/testing/standin/lease_cluster.h"
+
+namespace laburnumdyke {
+
+using std::chrono::milliseconds;
+
+lease_cluster::lease_cluster(std::size_t aInstances, std::uint32_t aSeed)
+  : mRandom(aSeed)
+  , mNodes(aInstances)
+  , mOccupied(kUpstreams, 0)
+{
+  for (std::size_t i = 0; i < aInstances; ++i) {
+    Start(i);
+  }
+  After(milliseconds(1), [this]() { Request(); });
+  After(milliseconds(5000), [this]() { Fault(); });
+}
+
+bool
+lease_cluster::Run(std::uint64_t aEvents)
+{
+  std::uint64_t end = mEvents + aEvents;
+  while (mEvents < end && Step()) {
+  }
+  return mObjection.empty();
+}
+
+bool
+lease_cluster::Advance(duration aTime)
+{
+  instant end = mNow + aTime;
+  while (mQueue.top().mAt <= end && Step()) {
+  }
+  mNow = end;
+  return mObjection.empty();
+}
+
+bool
+lease_cluster::Recover()
+{
+  mFaults = false;
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    if (mNodes[i].mFrozen) {
+      Thaw(i, mNodes[i].mIncarnation);
+    }
+    if (!mNodes[i].mRunning) {
+      Start(i);
+    }
+  }
+  // Those that are leaving take as long as their last request.
+  Advance(milliseconds(10000));
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    if (!mNodes[i].mRunning) {
+      Start(i);
+    }
+  }
+  Advance(kRecovery);
+  for (std::size_t i = 0; i < kUpstreams && mObjection.empty(); ++i) {
+    if (Holders(i) != 1) {
+      mObjection = "upstream=" + std::to_string(i) +
+                   " holders=" + std::to_string(Holders(i)) + " after recovery";
+    }
+  }
+  mFaults = true;
+  return mObjection.empty();
+}
+
+std::size_t
+lease_cluster::Holders(std::size_t aUpstream)
+{
+  std::size_t holders = 0;
+  for (node& one : mNodes) {
+    if (one.mRunning && !one.mFrozen &&
+        one.mMembership.Lease().MayDispatch(Upstream(aUpstream), mNow)) {
+      ++holders;
+    }
+  }
+  return holders;
+}
+
+void
+lease_cluster::Start(std::size_t aNode)
+{
+  node& one = mNodes[aNode];
+  one.mMembership = membership();
+  one.mRunning = true;
+  one.mFrozen = false;
+  one.mWaiting.clear();
+  // Now and then the clock that incarnations come from was set back; low
+  // digits keep them apart.
+  one.mIncarnation = ++mIncarnations + (Below(10) == 0 ? 0 : 1000000);
+  member self;
+  self.mInstance.mValue = "node-" + std::to_string(aNode);
+  self.mIncarnation = one.mIncarnation;
+  self.mDomain.mValue = "domain";
+  self.mPeer = { "127.0.0.1", static_cast<std::uint16_t>(7000 + aNode) };
+  one.mMembership.Open(self, {});
+  Beat(aNode);
+}
+
+void
+lease_cluster::Kill(std::size_t aNode)
+{
+  mNodes[aNode].mRunning = false;
+}
+
+void
+lease_cluster::Freeze(std::size_t aNode, duration aTime)
+{
+  mNodes[aNode].mFrozen = true;
+  std::uint64_t incarnation = mNodes[aNode].mIncarnation;
+  After(aTime, [=, this]() { Thaw(aNode, incarnation); });
+}
+
+void
+lease_cluster::Thaw(std::size_t aNode, std::uint64_t aIncarnation)
+{
+  node& one = mNodes[aNode];
+  if (!one.mFrozen || one.mIncarnation != aIncarnation || !one.mRunning) {
+    return;
+  }
+  one.mFrozen = false;
+  // The first thing that a thawed process does is to go on with a dispatch.
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    Check(i);
+    Dispatch(aNode, i);
+  }
+  std::vector<action> waiting = std::move(one.mWaiting);
+  one.mWaiting.clear();
+  for (const action& late : waiting) {
+    late();
+  }
+}
+
+void
+lease_cluster::Leave(std::size_t aNode)
+{
+  node& one = mNodes[aNode];
+  one.mMembership.BeginLeaving(mNow);
+  std::uint64_t incarnation = one.mIncarnation;
+  for (int i = 0; i < 3; ++i) {
+    After(milliseconds(50 * i), [=, this]() {
+      InProcess(aNode, incarnation, [=, this]() { SendAll(aNode); });
+    });
+  }
+  After(milliseconds(6000), [=, this]() { Stop(aNode, incarnation); });
+}
+
+void
+lease_cluster::Stop(std::size_t aNode, std::uint64_t aIncarnation)
+{
+  if (mNodes[aNode].mIncarnation == aIncarnation) {
+    mNodes[aNode].mRunning = false;
+  }
+}
+
+bool
+lease_cluster::Step()
+{
+  event next = mQueue.top();
+  mQueue.pop();
+  mNow = next.mAt;
+  next.mAction();
+  ++mEvents;
+  Check(Below(kUpstreams));
+  return mObjection.empty();
+}
+
+void
+lease_cluster::After(duration aTime, action aAction)
+{
+  mQueue.push({ mNow + aTime, ++mOrder, std::move(aAction) });
+}
+
+void
+lease_cluster::InProcess(std::size_t aNode,
+                         std::uint64_t aIncarnation,
+                         action aAction)
+{
+  node& one = mNodes[aNode];
+  if (!one.mRunning || one.mIncarnation != aIncarnation) {
+    return;
+  }
+  if (one.mFrozen) {
+    one.mWaiting.push_back(std::move(aAction));
+    return;
+  }
+  aAction();
+}
+
+void
+lease_cluster::Beat(std::size_t aNode)
+{
+  SendAll(aNode);
+  std::uint64_t incarnation = mNodes[aNode].mIncarnation;
+  duration wait = home_lease::kPeriod + milliseconds(Below(20));
+  After(wait, [=, this]() {
+    InProcess(aNode, incarnation, [=, this]() { Beat(aNode); });
+  });
+}
+
+void
+lease_cluster::SendAll(std::size_t aNode)
+{
+  membership& own = mNodes[aNode].mMembership;
+  own.Lease().Claims(Terms(), mNow);
+  heartbeat message = own.Compose(mNow);
+  for (std::size_t to = 0; to < mNodes.size(); ++to) {
+    if (to == aNode) {
+      continue;
+    }
+    int& lostInRow = mLostInRow[{ aNode, to }];
+    if (mFaults && lostInRow < 2 && Below(5) == 0) {
+      ++lostInRow;
+      continue;
+    }
+    lostInRow = 0;
+    After(Delay(), [=, this]() {
+      InProcess(
+        to, mNodes[to].mIncarnation, [=, this]() { Deliver(to, message); });
+    });
+  }
+}
+
+void
+lease_cluster::Deliver(std::size_t aNode, const heartbeat& aMessage)
+{
+  membership& own = mNodes[aNode].mMembership;
+  own.Hear(aMessage, mNow);
+  if (own.TakeAnswerNow()) {
+    SendAll(aNode);
+  }
+}
+
+void
+lease_cluster::Fault()
+{
+  After(milliseconds(500 + Below(6000)), [this]() { Fault(); });
+  std::size_t victim = Below(mNodes.size());
+  node& one = mNodes[victim];
+  if (!mFaults || one.mFrozen) {
+    return;
+  }
+  if (!one.mRunning) {
+    Start(victim);
+    return;
+  }
+  switch (Below(5)) {
+    case 0:
+      Kill(victim);
+      if (Below(2) == 0) {
+        Start(victim);
+      }
+      break;
+    case 1:
+      Leave(victim);
+      break;
+    case 2:
+      Freeze(victim, milliseconds(Below(1500)));
+      break;
+    default:
+      Freeze(victim, milliseconds(1000 + Below(5000)));
+      break;
+  }
+}
+
+void
+lease_cluster::Request()
+{
+  After(milliseconds(1 + Below(60)), [this]() { Request(); });
+  std::size_t upstream = Below(kUpstreams);
+  std::size_t first = Below(mNodes.size());
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    std::size_t to = (first + i) % mNodes.size();
+    if (mNodes[to].mRunning && !mNodes[to].mFrozen) {
+      Dispatch(to, upstream);
+    }
+  }
+}
+
+void
+lease_cluster::Dispatch(std::size_t aNode, std::size_t aUpstream)
+{
+  std::uint64_t number = ++mNumber;
+  duration allowed = milliseconds(Below(Longest(aUpstream).count() + 1));
+  home_lease& lease = mNodes[aNode].mMembership.Lease();
+  if (!lease.BeginDispatch(Upstream(aUpstream), number, mNow + allowed, mNow)) {
+    mRefused += lease.LastReason() == lease_refusal::SlotsHeld ? 1 : 0;
+    return;
+  }
+  ++mDispatched;
+  ++mOccupied[aUpstream];
+  if (mOccupied[aUpstream] > kSlots) {
+    mObjection = "upstream=" + std::to_string(aUpstream) +
+                 " in_flight=" + std::to_string(mOccupied[aUpstream]);
+  }
+  duration work = Below(2) == 0 ? allowed : allowed / 10;
+  std::uint64_t incarnation = mNodes[aNode].mIncarnation;
+  After(work, [=, this]() {
+    --mOccupied[aUpstream];
+    InProcess(aNode, incarnation, [=, this]() {
+      mNodes[aNode].mMembership.Lease().EndDispatch(number);
+    });
+  });
+}
+
+void
+lease_cluster::Check(std::size_t aUpstream)
+{
+  std::size_t holders = Holders(aUpstream);
+  ++mChecks;
+  mHeld += holders != 0 ? 1 : 0;
+  if (holders > 1) {
+    mObjection = "upstream=" + std::to_string(aUpstream) +
+                 " holders=" + std::to_string(holders);
+  }
+}
+
+duration
+lease_cluster::Delay()
+{
+  bool slow = Below(20) == 0;
+  return std::chrono::microseconds(200 + Below(slow ? 299800 : 5000));
+}
+
+upstream_id
+lease_cluster::Upstream(std::size_t aIndex)
+{
+  return { "upstream-" + std::to_string(aIndex) };
+}
+
+std::map<upstream_id, upstream_terms>
+lease_cluster::Terms()
+{
+  std::map<upstream_id, upstream_terms> terms;
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    terms[Upstream(i)] = { kSlots, Longest(i) };
+  }
+  return terms;
+}
+
+milliseconds
+lease_cluster::Longest(std::size_t aUpstream)
+{
+  return aUpstream % 2 == 0 ? milliseconds(2000) : milliseconds(5000);
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/standin/lease_cluster.h
@@ -0,0 +1,116 @@
+// Several instances of membership in one process and in virtual time, over
+// links that delay, reorder and lose heartbeats, with freezes, kills, restarts
+// and planned stops.
+//
+// The oracle knows what no instance can: which of them may dispatch at an
+// instant, and how many requests each upstream really has. Limits of the
+// links: at most two heartbeats in a row are lost on a link, and none takes
+// longer than 300 ms.
+#pragma once
+
+#include "laburnumdyke/decision/membership.h"
+
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace laburnumdyke {
+
+class lease_cluster
+{
+public:
+  static constexpr std::uint32_t kSlots = 3;
+  static constexpr std::size_t kUpstreams = 12;
+  // After faults cease: a restart, listening, joining and two periods.
+  static constexpr std::chrono::milliseconds kRecovery{ 9000 };
+
+  lease_cluster(std::size_t aInstances, std::uint32_t aSeed);
+
+  // Runs until so many events have passed; false where the oracle objects.
+  bool Run(std::uint64_t aEvents);
+
+  // Ends all faults; false unless each upstream has one home again after
+  // kRecovery.
+  bool Recover();
+
+  void SetFaults(bool aFaults) { mFaults = aFaults; }
+  bool Advance(duration aTime);
+  // How many instances may dispatch to the upstream now.
+  std::size_t Holders(std::size_t aUpstream);
+  void Start(std::size_t aNode);
+  void Kill(std::size_t aNode);
+  void Freeze(std::size_t aNode, duration aTime);
+  void Leave(std::size_t aNode);
+
+  const std::string& Objection() const { return mObjection; }
+  std::uint64_t Events() const { return mEvents; }
+  std::uint64_t Dispatched() const { return mDispatched; }
+  std::uint64_t Refused() const { return mRefused; }
+  // Of the checks made, those at which the upstream had a holder.
+  double Held() const
+  {
+    return static_cast<double>(mHeld) / static_cast<double>(mChecks);
+  }
+
+private:
+  struct node
+  {
+    membership mMembership;
+    bool mRunning = false;
+    bool mFrozen = false;
+    std::uint64_t mIncarnation = 0;
+    std::vector<std::function<void()>> mWaiting; // arrived while frozen
+  };
+
+  using action = std::function<void()>;
+  struct event
+  {
+    instant mAt;
+    std::uint64_t mOrder;
+    action mAction;
+    bool operator<(const event& aOther) const
+    {
+      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  bool Step();
+  void After(duration aTime, action aAction);
+  // Does it now, or at the end of the freeze; not if the process has ended.
+  void InProcess(std::size_t aNode, std::uint64_t aIncarnation, action aAction);
+  void Beat(std::size_t aNode);
+  void SendAll(std::size_t aNode);
+  void Deliver(std::size_t aNode, const heartbeat& aMessage);
+  void Thaw(std::size_t aNode, std::uint64_t aIncarnation);
+  void Stop(std::size_t aNode, std::uint64_t aIncarnation);
+  void Fault();
+  void Request();
+  void Dispatch(std::size_t aNode, std::size_t aUpstream);
+  void Check(std::size_t aUpstream);
+  duration Delay();
+  std::uint64_t Below(std::uint64_t aLimit) { return mRandom() % aLimit; }
+  static upstream_id Upstream(std::size_t aIndex);
+  static std::map<upstream_id, upstream_terms> Terms();
+  static std::chrono::milliseconds Longest(std::size_t aUpstream);
+
+  std::mt19937_64 mRandom;
+  std::vector<node> mNodes;
+  std::priority_queue<event> mQueue;
+  std::map<std::pair<std::size_t, std::size_t>, int> mLostInRow;
+  std::vector<std::uint32_t> mOccupied;
+  instant mNow = instant{} + std::chrono::hours(1);
+  std::uint64_t mOrder = 0;
+  std::uint64_t mEvents = 0;
+  std::uint64_t mNumber = 0;
+  std::uint64_t mDispatched = 0;
+  std::uint64_t mRefused = 0;
+  std::uint64_t mHeld = 0;
+  std::uint64_t mChecks = 0;
+  std::uint64_t mIncarnations = 100;
+  bool mFaults = true;
+  std::string mObjection;
+};
+
+} // namespace laburnumdyke
