Split admission by job: health, rank share, instance limit, queue order, hold time

Cause: admission took slots by least in flight alone, with a queue that only rank and count bounded; upstreams that were new, draining or failing fast drew traffic, and a retry budget kept what it earned before an outage.

Each part has its own file: upstream_health judges by outcomes and ramps, rank_share keeps floors over slot time, instance_limit bounds an entry instance, request_queue orders by a queue_order, hold_time estimates waits. Claims of a home replace the set of names; slots that an earlier home may hold count as in use.

Ruled out: a partition of slots in whole numbers (pools of three slots strand one or starve a rank); a count of failures in a row (an upstream that fails every other request never reaches it); a token bucket for retries (spends in one burst what was earned before the outage).

--- a/laburnumdyke/decision/admission.h
+++ b/laburnumdyke/decision/admission.h
@@ -3,35 +3,44 @@
 // Usage:
 //   admission_answer answer = admission.Ask(request, now);
 //   ... Granted: dispatch to answer.mGrant, then Release(number, ...)
-//   ... Queued: wait for a grant from Release, Configure or Tick
+//   ... Queued: wait for a grant from Ask, Release, Configure or Tick
 //   ... Refused: answer.mReason, answer.mRetryAfter
+//   ... in each case: deliver answer.mOthers
 //
-// Invariant: requests in flight at an upstream, with those that an earlier
-// home may still have there, never exceed its slots.
+// Options: admission_options by Open, which is optional; the limits of ranks
+// and upstreams come from the document.
+//
+// Errors are refusal reasons:
+//   DeadlinePassed    on arrival or in the queue
+//   DeadlineTooClose  the estimated wait and service end after the deadline
+//   QueueFull         the rank's line for the service is full
+//   NoUpstream        no upstream of the service has its home here, or each
+//                     says that it leaves
+//
+// Invariants: requests in flight at an upstream, with those that an earlier
+// home may still have there, never exceed its slots; no request is granted to
+// an upstream that is leaving.
 #pragma once
 
 #include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/decision/hold_time.h"
+#include "laburnumdyke/decision/home_claim.h"
+#include "laburnumdyke/decision/instance_limit.h"
+#include "laburnumdyke/decision/rank_share.h"
+#include "laburnumdyke/decision/request_queue.h"
 #include "laburnumdyke/decision/types.h"
+#include "laburnumdyke/decision/upstream_health.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
+#include <random>
 #include <vector>
 
 namespace laburnumdyke {
 
-using request_number = std::uint64_t;
-
-struct admission_request
-{
-  request_number mNumber = 0; // unique within the instance
-  service_id mService;
-  work_rank mRank = work_rank::Standard;
-  instant mDeadline{};
-};
-
 struct grant
 {
   request_number mNumber = 0;
@@ -46,6 +55,13 @@
   refusal_reason mReason = refusal_reason::None;
 };
 
+// What became free or was given up by an event.
+struct admission_changes
+{
+  std::vector<grant> mGrants;
+  std::vector<queue_refusal> mRefusals;
+};
+
 enum class admission_step
 {
   Granted,
@@ -59,21 +75,7 @@
   grant mGrant;                                  // Granted
   refusal_reason mReason = refusal_reason::None; // Refused
   std::chrono::milliseconds mRetryAfter{ 0 };    // Refused
-};
-
-// What became free or was given up by an event.
-struct admission_changes
-{
-  std::vector<grant> mGrants;
-  std::vector<queue_refusal> mRefusals;
-};
-
-// How an attempt at an upstream ended, as its health is judged by.
-enum class attempt_result
-{
-  Answered,
-  Refused,
-  Failed,
+  admission_changes mOthers; // other requests that the event decided on
 };
 
 // Slots that a relay may still use here, for one service.
@@ -84,15 +86,21 @@
   std::uint32_t mFree = 0;
 };
 
-class admission
+template<queue_order Order>
+class basic_admission
 {
 public:
   static constexpr lock_rank kLockRank = lock_rank::Admission;
 
+  basic_admission() { Open({}); }
+
+  // Sets the options; they must be sound by CheckOptions.
+  void Open(const admission_options& aOptions);
+
   // Sets the upstreams whose home this instance is. Requests in flight at
   // others go on and are counted until released.
   admission_changes Configure(const document& aDocument,
-                              const std::set<upstream_id>& aHomes,
+                              const std::vector<home_claim>& aHomes,
                               instant aNow);
 
   admission_answer Ask(const admission_request& aRequest, instant aNow);
@@ -105,9 +113,16 @@
   // Gives up a request that is still queued.
   void Withdraw(request_number aNumber);
 
-  // Refuses queued requests whose deadline has passed.
+  // Takes a load report of an upstream in.
+  void Report(const upstream_id& aUpstream, std::uint32_t aBusy, instant aNow);
+
+  // Refuses queued requests whose deadline has passed, and grants what time
+  // has made free.
   admission_changes Tick(instant aNow);
 
+  // Bounds all requests of the instance, relayed ones too.
+  instance_limit& Limit() { return mLimit; }
+
   std::vector<service_credit> Credits(instant aNow) const;
   std::size_t InFlight() const { return mInFlight.size(); }
   std::size_t Queued() const { return mQueued.size(); }
@@ -116,36 +131,87 @@
   struct upstream_use
   {
     upstream_spec mSpec;
+    home_claim mClaim;
     bool mHome = false;
     std::uint32_t mInFlight = 0;
-    instant mRestUntil{};        // no new work before, after failures
-    std::uint32_t mFailures = 0; // in a row
+    instant mPicked{}; // when it last took a request
+    std::chrono::milliseconds mWarmUp{ 0 };
+    upstream_health mHealth;
+
+    // In flight, with what an earlier home may still have there.
+    std::uint32_t Used(instant aNow) const;
+    bool Serves() const;
+    // Slots open to new requests, ill or not.
+    std::uint32_t Free(instant aNow) const;
   };
 
-  // Orders the queue of a service: by rank, then by deadline.
-  struct queue_key
+  struct dispatched
   {
-    work_rank mRank;
-    instant mDeadline;
-    request_number mNumber;
-    auto operator<=>(const queue_key&) const = default;
+    upstream_id mUpstream;
+    service_id mService;
+    work_rank mRank = work_rank::Standard;
+    instant mSince{};
   };
 
-  using service_queue = std::map<queue_key, admission_request>;
+  // The upstreams of one service, its queue and its share by rank.
+  struct pool
+  {
+    request_queue<Order> mQueue;
+    rank_share mShare;
+    hold_time mHold;
+    std::vector<upstream_id> mMembers;
+  };
 
-  bool MayTake(const upstream_use& aUse, instant aNow) const;
-  upstream_use* PickUpstream(const service_id& aService, instant aNow);
-  grant Occupy(upstream_use& aUse, request_number aNumber);
-  void ServeQueue(const service_id& aService,
-                  instant aNow,
-                  admission_changes& aChanges);
-  std::uint32_t QueueLimit(work_rank aRank) const;
+  struct pool_state
+  {
+    std::uint32_t mSlots = 0; // allowed, of upstreams that may be picked
+    std::uint32_t mFree = 0;
+    bool mAnyServes = false; // serving and not draining
+    bool mDistrust = false;  // everything looks ill
+  };
+
+  using upstream_entry = std::pair<const upstream_id, upstream_use>;
+
+  void ForgetGone(const document& aDocument);
+  void Declare(const document& aDocument, instant aNow);
+  void GroupByService();
+  pool_state Survey(const pool& aPool, instant aNow) const;
+  upstream_entry* PickUpstream(const pool& aPool,
+                               const pool_state& aState,
+                               instant aNow);
+  grant Occupy(upstream_entry& aEntry,
+               pool& aPool,
+               const admission_request& aRequest,
+               instant aNow);
+  bool ServeOne(pool& aPool, instant aNow, admission_changes& aChanges);
+  void ServeQueue(pool& aPool, instant aNow, admission_changes& aChanges);
+  void RefuseLate(pool& aPool, instant aNow, admission_changes& aChanges);
+  void Drop(pool& aPool,
+            request_number aNumber,
+            refusal_reason aReason,
+            admission_changes& aChanges);
+  refusal_reason CheckAsk(const pool& aPool,
+                          const admission_request& aRequest,
+                          instant aNow) const;
+  void TakeOwn(request_number aNumber, admission_answer& aAnswer);
+  admission_answer Refuse(refusal_reason aReason, duration aWait);
 
   std::array<rank_spec, kRankCount> mRanks{};
+  instance_limit mLimit;
+  std::mt19937_64 mRandom;
+  bool mConfigured = false;
+  upstream_map mDeclared; // by the document before
   std::map<upstream_id, upstream_use> mUpstreams;
-  std::map<request_number, upstream_id> mInFlight;
-  std::map<service_id, service_queue> mQueues;
-  std::map<request_number, std::pair<service_id, queue_key>> mQueued;
+  std::map<request_number, dispatched> mInFlight;
+  std::map<service_id, pool> mPools;
+  std::map<request_number, service_id> mQueued;
 };
 
+// The order that the bench decided for; docs/DESIGN.md has the figures.
+using admission = basic_admission<earliest_deadline_first>;
+
+extern template class basic_admission<earliest_deadline_first>;
+extern template class basic_admission<first_in_first_out>;
+extern template class basic_admission<last_in_first_out>;
+
 } // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/instance_limit.cc
@@ -0,0 +1,139 @@
+// Floors are a partition here, not an average over time: the limit is large
+// against one request, and a refusal at the door needs an answer at once.
+#include "laburnumdyke/decision/instance_limit.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::uint64_t kWhole = 100; // percent
+constexpr std::uint64_t kLeastRequests = kRankCount;
+constexpr std::uint64_t kLeastBytes = 1048576;
+
+} // namespace
+
+std::vector<std::string>
+CheckOptions(const admission_options& aOptions)
+{
+  std::vector<std::string> faults;
+  if (aOptions.mMaxRequests < kLeastRequests) {
+    faults.push_back("max_requests: expected at least " +
+                     std::to_string(kLeastRequests) + ", got " +
+                     std::to_string(aOptions.mMaxRequests));
+  }
+  if (aOptions.mMaxBytes < kLeastBytes) {
+    faults.push_back("max_bytes: expected at least " +
+                     std::to_string(kLeastBytes) + ", got " +
+                     std::to_string(aOptions.mMaxBytes));
+  }
+  return faults;
+}
+
+std::uint64_t
+instance_limit::resource::Total() const
+{
+  return std::accumulate(mUsed.begin(), mUsed.end(), std::uint64_t(0));
+}
+
+void
+instance_limit::SetLimits(const admission_options& aOptions)
+{
+  CheckInvariant(CheckOptions(aOptions).empty(),
+                 "admission_options_unsound",
+                 "max_requests=" + std::to_string(aOptions.mMaxRequests) +
+                   " max_bytes=" + std::to_string(aOptions.mMaxBytes));
+  mRequests.mLimit = aOptions.mMaxRequests;
+  mBytes.mLimit = aOptions.mMaxBytes;
+}
+
+void
+instance_limit::SetFloors(const std::array<rank_spec, kRankCount>& aRanks)
+{
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    mFloors[i] = aRanks[i].mFloorPercent;
+  }
+}
+
+std::uint64_t
+instance_limit::KeptPercent(std::size_t aRank, instant aNow) const
+{
+  bool inUse = mEverDemanded.at(aRank) && aNow - mDemanded.at(aRank) < kInUse;
+  std::uint64_t floor = mFloors.at(aRank);
+  if (inUse) {
+    return floor;
+  }
+  bool urgent = aRank == static_cast<std::size_t>(work_rank::Urgent);
+  return urgent ? std::min(floor, kUrgentReservePercent) : 0;
+}
+
+refusal_reason
+instance_limit::Check(const resource& aResource,
+                      std::size_t aRank,
+                      std::uint64_t aAmount,
+                      instant aNow) const
+{
+  std::uint64_t total = aResource.Total();
+  if (total + aAmount > aResource.mLimit) {
+    return refusal_reason::QueueFull;
+  }
+  std::uint64_t ownFloor = aResource.mLimit * mFloors.at(aRank) / kWhole;
+  if (aResource.mUsed.at(aRank) + aAmount <= ownFloor) {
+    return refusal_reason::None;
+  }
+  std::uint64_t kept = 0;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    std::uint64_t floor = aResource.mLimit * KeptPercent(i, aNow) / kWhole;
+    if (i != aRank && floor > aResource.mUsed[i]) {
+      kept += floor - aResource.mUsed[i];
+    }
+  }
+  return total + aAmount + kept > aResource.mLimit
+           ? refusal_reason::RankOverFloor
+           : refusal_reason::None;
+}
+
+refusal_reason
+instance_limit::Enter(work_rank aRank, std::uint64_t aBytes, instant aNow)
+{
+  std::size_t rank = static_cast<std::size_t>(aRank);
+  mDemanded.at(rank) = aNow;
+  mEverDemanded.at(rank) = true;
+  refusal_reason reason = Check(mRequests, rank, 1, aNow);
+  if (reason == refusal_reason::None) {
+    reason = Check(mBytes, rank, aBytes, aNow);
+  }
+  if (reason != refusal_reason::None) {
+    return reason;
+  }
+  ++mRequests.mUsed.at(rank);
+  mBytes.mUsed.at(rank) += aBytes;
+  CheckInvariant(mRequests.Total() <= mRequests.mLimit,
+                 "instance_over_limit",
+                 "requests=" + std::to_string(mRequests.Total()));
+  return refusal_reason::None;
+}
+
+void
+instance_limit::Leave(work_rank aRank, std::uint64_t aBytes)
+{
+  std::size_t rank = static_cast<std::size_t>(aRank);
+  CheckInvariant(mRequests.mUsed.at(rank) > 0 &&
+                   mBytes.mUsed.at(rank) >= aBytes,
+                 "instance_left_twice",
+                 "rank=" + std::string(ToString(aRank)));
+  --mRequests.mUsed.at(rank);
+  mBytes.mUsed.at(rank) -= aBytes;
+}
+
+std::uint64_t
+instance_limit::Requests() const
+{
+  return mRequests.Total();
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -153,7 +153,7 @@
   if (!document) {
     return;
   }
-  std::set<upstream_id> homes;
+  std::vector<home_claim> homes;
   mMembership.With([&](membership& aMembership) {
     for (const std::pair<const upstream_id, upstream_spec>& entry :
          document->mUpstreams) {
@@ -161,7 +161,7 @@
         entry.second.mDomain == aMembership.Self().mDomain &&
         aMembership.HomeOf(entry.first, aNow) == aMembership.Self().mInstance;
       if (mine) {
-        homes.insert(entry.first);
+        homes.push_back({ entry.first, 0, {} });
       }
     }
   });
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -64,9 +64,11 @@
 attempt_result
 JudgeAttempt(const forward_result& aResult)
 {
-  if (aResult.mOutcome == outcome_kind::Answered ||
-      aResult.mReason == refusal_reason::CallerGone ||
+  if (aResult.mReason == refusal_reason::CallerGone ||
       aResult.mReason == refusal_reason::LeaseLapsed) {
+    return attempt_result::Abandoned;
+  }
+  if (aResult.mOutcome == outcome_kind::Answered) {
     return attempt_result::Answered;
   }
   return aResult.mOutcome == outcome_kind::NotRun ? attempt_result::Refused
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -233,6 +233,7 @@
                                aState.mDeadline };
     admission_answer answer = mTables.Admission().With(
       [&](admission& aAdmission) { return aAdmission.Ask(request, Now()); });
+    mTables.Waiters().Deliver(answer.mOthers);
     if (answer.mStep == admission_step::Refused) {
       co_return NotRun(answer.mReason);
     }
--- /dev/null
+++ b/laburnumdyke/testing/admission_test.cc
@@ -0,0 +1,474 @@
+// Admission: slots, health, ranks, queue; then random events against a count
+// kept by the test.
+#include "laburnumdyke/decision/admission.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant kStart = instant() + 1h;
+const service_id kService{ "job-sheet" };
+
+std::string
+UpstreamName(int aIndex)
+{
+  return "u" + std::to_string(aIndex);
+}
+
+document
+MakeDocument(int aUpstreams, std::uint32_t aSlots)
+{
+  document made;
+  made.mServices[kService] = { work_rank::Urgent, true, 20s, 2s, 10s };
+  for (int i = 0; i < aUpstreams; ++i) {
+    upstream_spec spec;
+    spec.mService = kService;
+    spec.mSlots = aSlots;
+    made.mUpstreams[{ UpstreamName(i) }] = spec;
+  }
+  made.mRanks = { rank_spec{ 50, 64 }, { 30, 64 }, { 10, 16 } };
+  return made;
+}
+
+std::vector<home_claim>
+ClaimAll(const document& aDocument)
+{
+  std::vector<home_claim> claims;
+  for (const std::pair<const upstream_id, upstream_spec>& entry :
+       aDocument.mUpstreams) {
+    claims.push_back({ entry.first, 0, {} });
+  }
+  return claims;
+}
+
+// One admission with the numbers and the time kept by the test.
+struct fixture
+{
+  explicit fixture(document aDocument)
+    : mDocument(std::move(aDocument))
+  {
+    Configure();
+  }
+
+  admission_changes Configure()
+  {
+    return mAdmission.Configure(mDocument, ClaimAll(mDocument), mNow);
+  }
+
+  admission_answer Ask(work_rank aRank = work_rank::Standard,
+                       duration aAllowed = 2s)
+  {
+    admission_request request{ ++mNumber, kService, aRank, mNow + aAllowed };
+    return mAdmission.Ask(request, mNow);
+  }
+
+  // Asks, holds the slot for aHeld and releases it.
+  upstream_id Run(attempt_result aResult, duration aHeld = 10ms)
+  {
+    admission_answer answer = Ask();
+    CHECK(answer.mStep == admission_step::Granted);
+    mNow += aHeld;
+    mAdmission.Release(answer.mGrant.mNumber, aResult, mNow);
+    return answer.mGrant.mUpstream;
+  }
+
+  int Fill(work_rank aRank)
+  {
+    int granted = 0;
+    while (Ask(aRank).mStep == admission_step::Granted) {
+      ++granted;
+    }
+    mAdmission.Withdraw(mNumber);
+    return granted;
+  }
+
+  document mDocument;
+  admission mAdmission;
+  instant mNow = kStart;
+  request_number mNumber = 0;
+};
+
+void
+CheckReason(refusal_reason aExpected, const admission_answer& aAnswer)
+{
+  CHECK(aAnswer.mStep == admission_step::Refused);
+  STRCMP_EQUAL(std::string(ToString(aExpected)).c_str(),
+               std::string(ToString(aAnswer.mReason)).c_str());
+  CHECK(aAnswer.mRetryAfter > 0ms);
+}
+
+} // namespace
+
+TEST_GROUP(Admission){};
+
+TEST(Admission, SlotsHeldByAnEarlierHomeCountUntilTheyEnd)
+{
+  document made = MakeDocument(1, 3);
+  fixture one(made);
+  one.mAdmission.Configure(
+    made, { { { UpstreamName(0) }, 2, kStart + 5s } }, kStart);
+  LONGS_EQUAL(1, one.Fill(work_rank::Urgent));
+  one.mNow += 5s;
+  LONGS_EQUAL(2, one.Fill(work_rank::Urgent));
+  LONGS_EQUAL(0U, one.mAdmission.Credits(one.mNow).at(0).mFree);
+}
+
+TEST(Admission, LeavingUpstreamGetsNoNewWorkAndKeepsWhatItHas)
+{
+  fixture one(MakeDocument(2, 1));
+  LONGS_EQUAL(2, one.Fill(work_rank::Urgent));
+  one.mDocument.mUpstreams[{ UpstreamName(0) }].mState =
+    upstream_state::Leaving;
+  one.Configure();
+  for (request_number number : { 1, 2 }) {
+    one.mAdmission.Release(number, attempt_result::Answered, one.mNow);
+  }
+  for (int i = 0; i < 20; ++i) {
+    CHECK(one.Run(attempt_result::Answered).mValue == UpstreamName(1));
+  }
+}
+
+TEST(Admission, DrainingAnswerStopsNewWorkUntilTheRestEnds)
+{
+  fixture one(MakeDocument(2, 2));
+  upstream_id drains = one.Run(attempt_result::Draining);
+  instant end = one.mNow + upstream_health::kDrainRest;
+  int others = 0;
+  while (one.mNow + 10ms < end) {
+    CHECK(one.Run(attempt_result::Answered) != drains);
+    ++others;
+  }
+  CHECK(others > 900);
+  one.mNow = end;
+  CHECK(one.Run(attempt_result::Draining) == drains ||
+        one.Run(attempt_result::Draining) == drains);
+}
+
+TEST(Admission, NoServiceWhereEveryUpstreamSaysThatItDrains)
+{
+  fixture one(MakeDocument(1, 1));
+  one.Run(attempt_result::Draining);
+  CheckReason(refusal_reason::NoUpstream, one.Ask());
+  CHECK(one.mAdmission.Credits(one.mNow).empty());
+}
+
+TEST(Admission, NewUpstreamRampsUp)
+{
+  fixture one(MakeDocument(1, 4));
+  LONGS_EQUAL(4, one.Fill(work_rank::Urgent)); // the first document: no ramp
+  upstream_spec added = one.mDocument.mUpstreams.begin()->second;
+  one.mDocument.mUpstreams[{ "new" }] = added;
+  one.Configure();
+  struct row
+  {
+    std::chrono::seconds mAfter;
+    std::uint32_t mOpen;
+  };
+  for (const row& expected :
+       { row{ 0s, 1 }, { 3s, 1 }, { 4s, 2 }, { 7s, 3 }, { 10s, 4 } }) {
+    LONGS_EQUAL(expected.mOpen,
+                one.mAdmission.Credits(kStart + expected.mAfter).at(0).mFree);
+  }
+}
+
+// The other upstream is idle, or full; either way the liar gets little.
+TEST(Admission, FastErrorsDoNotDrawTheTraffic)
+{
+  for (bool otherIsFull : { false, true }) {
+    fixture one(MakeDocument(2, 3));
+    upstream_id liar{ UpstreamName(0) };
+    if (otherIsFull) {
+      LONGS_EQUAL(6, one.Fill(work_rank::Urgent));
+      for (request_number number = 1; number <= 6; number += 2) {
+        one.mAdmission.Release(number, attempt_result::Errored, one.mNow);
+      }
+    }
+    int errors = 0;
+    for (int i = 0; i < 2000; ++i) {
+      admission_answer answer = one.Ask();
+      one.mNow += 10ms;
+      if (answer.mStep != admission_step::Granted) {
+        one.mAdmission.Withdraw(one.mNumber);
+        continue;
+      }
+      bool lies = answer.mGrant.mUpstream == liar;
+      errors += lies ? 1 : 0;
+      one.mAdmission.Release(one.mNumber,
+                             lies ? attempt_result::Errored
+                                  : attempt_result::Answered,
+                             one.mNow);
+    }
+    CHECK(errors >= 1);
+    CHECK(errors < 20);
+  }
+}
+
+TEST(Admission, ReturnsWithOneSlotAfterRepeatedFailures)
+{
+  upstream_health health;
+  instant now = kStart;
+  for (std::chrono::milliseconds rest :
+       { 100ms, 200ms, 400ms, 800ms, 1600ms, 3200ms, 3200ms }) {
+    health.Judge(attempt_result::Failed, 10s, now);
+    CHECK(health.State(now + rest - 1ms) == health_state::Ill);
+    now += rest;
+    CHECK(health.State(now) == health_state::Usable);
+  }
+  LONGS_EQUAL(1, health.Allowed(3, now));
+  health.Judge(attempt_result::Answered, 10s, now);
+  LONGS_EQUAL(1, health.Allowed(3, now));
+  LONGS_EQUAL(2, health.Allowed(3, now + 5s));
+  LONGS_EQUAL(3, health.Allowed(3, now + 10s));
+}
+
+TEST(Admission, EverythingIllIsDistrustedAndSpreadEvenly)
+{
+  fixture one(MakeDocument(4, 3));
+  std::map<upstream_id, int> taken;
+  for (int i = 0; i < 400; ++i) {
+    ++taken[one.Run(attempt_result::Failed, 1ms)];
+  }
+  LONGS_EQUAL(4U, taken.size());
+  for (const std::pair<const upstream_id, int>& entry : taken) {
+    CHECK(entry.second > 70);
+  }
+  LONGS_EQUAL(0U, one.mAdmission.Credits(one.mNow).at(0).mFree);
+}
+
+TEST(Admission, StaleIdleReportDrawsNoTraffic)
+{
+  fixture one(MakeDocument(2, 3));
+  for (int i = 0; i < 5; ++i) {
+    one.Ask();
+  }
+  one.mAdmission.Report({ UpstreamName(0) }, 0, one.mNow);
+  one.mAdmission.Report({ UpstreamName(1) }, 0, one.mNow);
+  LONGS_EQUAL(1, one.Fill(work_rank::Urgent));
+}
+
+TEST(Admission, ReportMovesThePickByOneSlotAtMost)
+{
+  upstream_health busy;
+  busy.Report(100, kStart);
+  DOUBLES_EQUAL(0.5, busy.Load(1, 4, kStart), 1e-9);
+  busy.Report(0, kStart);
+  DOUBLES_EQUAL(0.25, busy.Load(1, 4, kStart), 1e-9);
+  busy.Report(100, kStart);
+  DOUBLES_EQUAL(
+    0.25, busy.Load(1, 4, kStart + upstream_health::kReportLife), 1e-9);
+}
+
+TEST(Admission, UrgentIsServedFirstThenTheEarlierDeadline)
+{
+  fixture one(MakeDocument(1, 1));
+  CHECK(one.Ask().mStep == admission_step::Granted); // 1
+  one.Ask(work_rank::Standard, 9s);                  // 2
+  one.Ask(work_rank::Standard, 5s);                  // 3
+  one.Ask(work_rank::Urgent, 9s);                    // 4
+  std::vector<request_number> order;
+  request_number running = 1;
+  for (int i = 0; i < 3; ++i) {
+    admission_changes changes =
+      one.mAdmission.Release(running, attempt_result::Answered, one.mNow);
+    LONGS_EQUAL(1U, changes.mGrants.size());
+    running = changes.mGrants.at(0).mNumber;
+    order.push_back(running);
+  }
+  CHECK((order == std::vector<request_number>{ 4, 3, 2 }));
+}
+
+TEST(Admission, QueueIsBoundedByCountAndByDeadline)
+{
+  fixture one(MakeDocument(1, 1));
+  one.Run(attempt_result::Answered, 400ms); // the estimate: 400 ms
+  one.Ask();
+  CheckReason(refusal_reason::DeadlineTooClose,
+              one.Ask(work_rank::Standard, 700ms));
+  CHECK(one.Ask(work_rank::Standard, 900ms).mStep == admission_step::Queued);
+  CheckReason(refusal_reason::DeadlineTooClose,
+              one.Ask(work_rank::Standard, 1000ms));
+  CheckReason(refusal_reason::DeadlinePassed, one.Ask(work_rank::Urgent, 0s));
+  for (int i = 0; i < 16; ++i) {
+    CHECK(one.Ask(work_rank::Bulk, 1min).mStep == admission_step::Queued);
+  }
+  CheckReason(refusal_reason::QueueFull, one.Ask(work_rank::Bulk, 1min));
+}
+
+TEST(Admission, SlowEstimateNeverStopsAnIdleService)
+{
+  fixture one(MakeDocument(1, 1));
+  one.Run(attempt_result::Answered, 10s);
+  CHECK(one.Ask(work_rank::Standard, 100ms).mStep == admission_step::Granted);
+}
+
+TEST(Admission, QueuedRequestIsRefusedWhenItsDeadlinePasses)
+{
+  fixture one(MakeDocument(1, 1));
+  one.Ask();
+  one.Ask(work_rank::Urgent, 1s);
+  one.mNow += 1s;
+  admission_changes changes = one.mAdmission.Tick(one.mNow);
+  LONGS_EQUAL(1U, changes.mRefusals.size());
+  CHECK(changes.mRefusals.at(0).mReason == refusal_reason::DeadlinePassed);
+  LONGS_EQUAL(0U, one.mAdmission.Queued());
+}
+
+TEST(Admission, RetryAfterFollowsTheSeed)
+{
+  std::vector<std::chrono::milliseconds> seen;
+  for (std::uint64_t seed : { 7, 7, 8 }) {
+    fixture one(MakeDocument(1, 1));
+    one.mAdmission.Open({ 512, 1 << 26, seed });
+    one.Run(attempt_result::Answered, 1s);
+    one.Ask();
+    seen.push_back(one.Ask(work_rank::Urgent, 1ms).mRetryAfter);
+  }
+  CHECK(seen.at(0) == seen.at(1));
+  CHECK(seen.at(0) != seen.at(2));
+}
+
+TEST(Admission, FloodOfOneRankLeavesTheOthersTheirFloor)
+{
+  struct row
+  {
+    work_rank mFlood;
+    work_rank mOther;
+    double mLeast; // share of grants
+  };
+  for (const row& each : { row{ work_rank::Urgent, work_rank::Standard, 0.28 },
+                           row{ work_rank::Urgent, work_rank::Bulk, 0.09 },
+                           row{ work_rank::Standard, work_rank::Urgent, 0.50 },
+                           row{ work_rank::Bulk, work_rank::Urgent, 0.85 } }) {
+    fixture one(MakeDocument(1, 1));
+    std::map<work_rank, int> granted;
+    std::map<request_number, work_rank> ranks;
+    request_number running = 0;
+    for (int i = 0; i < 3000; ++i) {
+      for (work_rank rank : { each.mFlood, each.mOther }) {
+        admission_answer answer = one.Ask(rank, 10s);
+        ranks[one.mNumber] = rank;
+        if (answer.mStep == admission_step::Granted) {
+          running = one.mNumber;
+          ++granted[rank];
+        }
+      }
+      one.mNow += 10ms;
+      admission_changes changes =
+        one.mAdmission.Release(running, attempt_result::Answered, one.mNow);
+      for (const grant& next : changes.mGrants) {
+        running = next.mNumber;
+        ++granted[ranks.at(running)];
+      }
+    }
+    double share =
+      granted[each.mOther] /
+      static_cast<double>(granted[each.mOther] + granted[each.mFlood]);
+    CHECK_TRUE_TEXT(share >= each.mLeast,
+                    std::string(ToString(each.mOther)).c_str());
+  }
+}
+
+TEST(Admission, BulkLeavesASlotToMoreUrgentRanksInUse)
+{
+  fixture one(MakeDocument(2, 3));
+  one.Run(attempt_result::Answered);
+  LONGS_EQUAL(5, one.Fill(work_rank::Bulk));
+  CHECK(one.Ask(work_rank::Urgent).mStep == admission_step::Granted);
+}
+
+TEST(Admission, InstanceLimitKeepsFloorsOfRanksInUse)
+{
+  instance_limit limit;
+  limit.SetLimits({ 100, 1 << 26, 1 });
+  limit.SetFloors(MakeDocument(1, 1).mRanks);
+  CHECK(limit.Enter(work_rank::Standard, 0, kStart) == refusal_reason::None);
+  limit.Leave(work_rank::Standard, 0);
+  int bulk = 0;
+  refusal_reason reason = limit.Enter(work_rank::Bulk, 0, kStart);
+  for (; reason == refusal_reason::None; ++bulk) {
+    reason = limit.Enter(work_rank::Bulk, 0, kStart);
+  }
+  LONGS_EQUAL(60, bulk); // 30 for standard, 10 for urgent that has not asked
+  CHECK(reason == refusal_reason::RankOverFloor);
+  for (int i = 0; i < 30; ++i) {
+    CHECK(limit.Enter(work_rank::Standard, 0, kStart) == refusal_reason::None);
+  }
+  CHECK(limit.Enter(work_rank::Urgent, 0, kStart) == refusal_reason::None);
+  CHECK(limit.Enter(work_rank::Urgent, 1ULL << 30, kStart) ==
+        refusal_reason::QueueFull);
+  LONGS_EQUAL(91U, limit.Requests());
+}
+
+TEST(Admission, OptionsAreChecked)
+{
+  CHECK(CheckOptions({}).empty());
+  LONGS_EQUAL(2U, CheckOptions({ 0, 0, 1 }).size());
+}
+
+// Random events; the test keeps its own list of what runs where and which
+// request waits, and every request must come to exactly one end.
+TEST(Admission, RandomEventsKeepEveryCount)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    fixture one(MakeDocument(3, 3));
+    std::map<request_number, upstream_id> running;
+    std::set<request_number> waiting;
+    auto pick = [&](int aCount) {
+      return std::uniform_int_distribution<int>(0, aCount - 1)(random);
+    };
+    auto take = [&](const admission_changes& aChanges) {
+      for (const grant& next : aChanges.mGrants) {
+        LONGS_EQUAL(1U, waiting.erase(next.mNumber));
+        running[next.mNumber] = next.mUpstream;
+      }
+      for (const queue_refusal& refused : aChanges.mRefusals) {
+        LONGS_EQUAL(1U, waiting.erase(refused.mNumber));
+      }
+    };
+    for (int step = 0; step < 3000; ++step) {
+      one.mNow += std::chrono::milliseconds(pick(20));
+      int event = pick(20);
+      if (event < 10) {
+        admission_answer answer =
+          one.Ask(static_cast<work_rank>(pick(3)),
+                  std::chrono::milliseconds(pick(1000)));
+        take(answer.mOthers);
+        if (answer.mStep == admission_step::Granted) {
+          running[one.mNumber] = answer.mGrant.mUpstream;
+        } else if (answer.mStep == admission_step::Queued) {
+          waiting.insert(one.mNumber);
+        }
+      } else if (event < 17 && !running.empty()) {
+        auto ended =
+          std::next(running.begin(), pick(static_cast<int>(running.size())));
+        attempt_result result =
+          static_cast<attempt_result>(std::max(0, pick(20) - 13));
+        request_number number = ended->first;
+        running.erase(ended);
+        take(one.mAdmission.Release(number, result, one.mNow));
+      } else if (event == 17) {
+        upstream_spec& spec =
+          one.mDocument.mUpstreams[{ UpstreamName(pick(3)) }];
+        spec.mState = static_cast<upstream_state>(pick(2));
+        spec.mSlots = 1 + pick(4);
+        take(one.Configure());
+      } else if (event == 18 && !waiting.empty()) {
+        one.mAdmission.Withdraw(*waiting.begin());
+        waiting.erase(waiting.begin());
+      } else {
+        take(one.mAdmission.Tick(one.mNow));
+      }
+      LONGS_EQUAL(running.size(), one.mAdmission.InFlight());
+      LONGS_EQUAL(waiting.size(), one.mAdmission.Queued());
+    }
+  }
+}
