--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -200,14 +200,8 @@
     mMembership.With([&](membership& aMembership) {
       return aMembership.Lease().Claims(terms, aNow);
     });
-  std::set<upstream_id> homes;
-  for (const home_claim& claim : claims) {
-    if (claim.mHeldElsewhere == 0) {
-      homes.insert(claim.mUpstream);
-    }
-  }
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
-    return aAdmission.Configure(*document, homes, aNow);
+    return aAdmission.Configure(*document, claims, aNow);
   });
   mWaiters->Deliver(changes);
 }
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -234,6 +234,7 @@
                                aState.mDeadline };
     admission_answer answer = mTables.Admission().With(
       [&](admission& aAdmission) { return aAdmission.Ask(request, Now()); });
+    mTables.Waiters().Deliver(answer.mOthers);
     if (answer.mStep == admission_step::Refused) {
       // Another attempt goes elsewhere; after a failed upstream it may come
       // here again, where admission now prefers another upstream.
--- a/laburnumdyke/testing/harness/one_kernel.cc
+++ b/laburnumdyke/testing/harness/one_kernel.cc
@@ -52,6 +52,21 @@
   tables.RefreshHomes(std::chrono::steady_clock::now());
 }
 
+void
+WaitForHomes(kernel& aKernel)
+{
+  entry_tables tables(aKernel);
+  bool home = WaitUntil(
+    [&]() {
+      return tables.Admission().With([](admission& aAdmission) {
+        return !aAdmission.Credits(std::chrono::steady_clock::now()).empty();
+      });
+    },
+    std::chrono::seconds(60));
+  CheckInvariant(
+    home, "test_homes", "instance=" + tables.Self().mInstance.mValue);
+}
+
 std::string
 SmallDocument(const endpoint& aUpstream)
 {
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -103,6 +103,7 @@
     mServer->Listen(mAddress);
     ForceDocument(*mKernel, 1, SmallDocument({ "127.0.0.1", 1 }));
     mKernel->Start(std::chrono::steady_clock::now());
+    WaitForHomes(*mKernel);
   }
 
   void teardown() override
