Hold the slot of an abandoned request until its upstream can have noticed

Cause: a slot was released the moment the entry closed a connection whose caller was gone or that had failed; the upstream still counted the request until it noticed, and the next request arrived on top of it. Ruled out: the order of release and reuse (a reused connection is sequenced by HTTP itself), and the change of home (the upstream's home was not killed). A slot whose outcome is unknown is released 250 ms later. The lease is now also checked once the connection stands, immediately before the first byte.

--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -358,6 +358,9 @@
   if (failure) {
     co_return Fail(outcome_kind::NotRun, refusal_reason::UpstreamConnect);
   }
+  if (aRequest.mMayBegin && !aRequest.mMayBegin()) {
+    co_return Fail(outcome_kind::NotRun, refusal_reason::LeaseLapsed);
+  }
   // From here on bytes may have reached the far side.
   far.mParser = std::make_unique<answer_parser>();
   far.mParser->header_limit(kHeaderLimit);
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -10,6 +10,7 @@
 #include "laburnumdyke/plugin/connection_pool.h"
 #include "laburnumdyke/plugin/http_server.h"
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,6 +39,9 @@
   instant mDeadline{};  // for the whole answer
   bool mReuse = true;   // may use an idle connection
   bool mCancel = true;  // drop the attempt when the caller is gone
+  // Asked once a connection is there, immediately before the first byte is
+  // written; false ends the attempt as LeaseLapsed. Empty: always true.
+  std::function<bool()> mMayBegin;
 };
 
 struct forward_result
--- a/laburnumdyke/plugin/request_facts.cc
+++ b/laburnumdyke/plugin/request_facts.cc
@@ -85,7 +85,7 @@
   if (!deadline.empty() && !ParseMillis(deadline, facts.mAllowed)) {
     return Malformed("expected Laburnumdyke-Deadline-Ms in milliseconds");
   }
-  facts.mAllowed = std::min(facts.mAllowed, kLongestDeadline);
+  facts.mAllowed = std::min(facts.mAllowed, service->second.mDeadline);
   std::string_view identity = FromBeast(aHead[ToBeast(kIdentityHeader)]);
   if (!identity.empty()) {
     facts.mIdentity = ParseIdentity(identity);
--- a/laburnumdyke/plugin/request_facts.h
+++ b/laburnumdyke/plugin/request_facts.h
@@ -38,7 +38,6 @@
 };
 
 inline constexpr std::string_view kRequestPath = "/v1/request/";
-inline constexpr std::chrono::milliseconds kLongestDeadline{ 600000 };
 
 // aFromPeer: the request came to the relay address, where relay headers count.
 facts_result
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -75,6 +75,12 @@
                                                   : attempt_result::Failed;
 }
 
+bool
+LeavesWorkBehind(const forward_result& aResult)
+{
+  return aResult.mOutcome == outcome_kind::Unknown;
+}
+
 std::optional<retry_reason>
 RetryReason(const forward_result& aResult, bool aRelayed, bool aIdempotent)
 {
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -68,6 +68,10 @@
 attempt_result
 JudgeAttempt(const forward_result& aResult);
 
+// Whether an upstream may still be at work on a request that has ended here.
+bool
+LeavesWorkBehind(const forward_result& aResult);
+
 std::optional<retry_reason>
 RetryReason(const forward_result& aResult, bool aRelayed, bool aIdempotent);
 
@@ -106,6 +110,9 @@
 
 private:
   static constexpr std::size_t kMostAttempts = 4; // for one request
+  // For an upstream to notice that a connection was closed on it; until then
+  // the request still has its slot there.
+  static constexpr std::chrono::milliseconds kCancelSettle{ 250 };
 
   // Keeps what the stages of one request share.
   struct attempt_state
@@ -270,7 +277,8 @@
                                            const grant& aGrant)
   {
     forward_result result = NotRun(refusal_reason::LeaseLapsed);
-    if (mTables.MayDispatch(aGrant.mUpstream, Now())) {
+    bool begun = mTables.BeginDispatch(aGrant, aState.mDeadline, Now());
+    if (begun) {
       forward_request request;
       request.mTo = aGrant.mAddress;
       request.mTarget = aState.mFacts.mTarget;
@@ -282,16 +290,39 @@
       // An idle connection may be closing: what is written to it may or may
       // not run. Non-idempotent requests pay for a new one instead.
       request.mReuse = aState.mFacts.mIdempotent;
+      request.mMayBegin = [this, aGrant]() {
+        return mTables.MayDispatch(aGrant.mUpstream, Now());
+      };
       result =
         co_await mTransport.Send(aState.mExchange, aState.mPrefix, request);
     }
-    attempt_result judged = JudgeAttempt(result);
+    if (LeavesWorkBehind(result)) {
+      asio::co_spawn(aState.mExchange.mStream.get_executor(),
+                     ReleaseLater(aGrant, JudgeAttempt(result)),
+                     asio::detached);
+    } else {
+      ReleaseSlot(aGrant, JudgeAttempt(result));
+    }
+    co_return result;
+  }
+
+  void ReleaseSlot(const grant& aGrant, attempt_result aResult)
+  {
+    mTables.EndDispatch(aGrant.mNumber);
     admission_changes changes =
       mTables.Admission().With([&](admission& aAdmission) {
-        return aAdmission.Release(aGrant.mNumber, judged, Now());
+        return aAdmission.Release(aGrant.mNumber, aResult, Now());
       });
     mTables.Waiters().Deliver(changes);
-    co_return result;
+  }
+
+  asio::awaitable<void> ReleaseLater(grant aGrant, attempt_result aResult)
+  {
+    asio::steady_timer timer(co_await asio::this_coro::executor, kCancelSettle);
+    error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+    ReleaseSlot(aGrant, aResult);
   }
 
   asio::awaitable<forward_result> SendRelay(attempt_state& aState,
--- a/laburnumdyke/testing/demo_main.cc
+++ b/laburnumdyke/testing/demo_main.cc
@@ -189,7 +189,13 @@
   for (const upstream_plan& plan : aDeployment.Upstreams()) {
     boost::json::object control = ReadControl(aDeployment, plan.mName);
     count.mRuns += Number(control, "runs");
-    count.mOvershot += Number(control, "overshot");
+    std::uint64_t overshot = Number(control, "overshot");
+    if (overshot > 0) {
+      std::printf("overshot: %s %llu\n",
+                  plan.mName.c_str(),
+                  static_cast<unsigned long long>(overshot));
+    }
+    count.mOvershot += overshot;
     const boost::json::value* runs = control.if_contains("runs_by_id");
     if (runs == nullptr || !runs->is_object()) {
       continue;
@@ -264,7 +270,8 @@
   deployment deployed;
   Plan(deployed);
   deployed.Start(std::string(kHead));
-  if (!deployed.WaitForVersion(1, kStartLimit)) {
+  if (!deployed.WaitForVersion(1, kStartLimit) ||
+      !deployed.WaitForHomes(kStartLimit)) {
     std::printf("the daemons did not come up\n");
     return 2;
   }
--- a/laburnumdyke/testing/harness/deployment.cc
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -270,4 +270,31 @@
     aLimit);
 }
 
+bool
+deployment::WaitForHomes(std::chrono::milliseconds aLimit)
+{
+  std::uint64_t wanted = 0;
+  for (const upstream_plan& plan : mPlans) {
+    wanted += plan.mSlots;
+  }
+  return WaitUntil(
+    [&]() {
+      std::uint64_t free = 0;
+      for (std::pair<const std::string, process>& one : mDaemons) {
+        boost::json::value status = one.second.Status()
+                                      ? boost::json::value()
+                                      : ParseJson(Status(one.first));
+        if (!status.is_object()) {
+          continue;
+        }
+        for (const boost::json::value& credit :
+             status.get_object().at("credits").as_array()) {
+          free += credit.as_object().at("free").to_number<std::uint64_t>();
+        }
+      }
+      return free >= wanted;
+    },
+    aLimit);
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/harness/deployment.h
+++ b/laburnumdyke/testing/harness/deployment.h
@@ -80,6 +80,9 @@
   // others.
   bool WaitForVersion(std::uint64_t aVersion, std::chrono::milliseconds aLimit);
 
+  // True once every slot has a home among the running daemons.
+  bool WaitForHomes(std::chrono::milliseconds aLimit);
+
   process& Daemon(const std::string& aName) { return mDaemons.at(aName); }
   const daemon_addresses& Addresses(const std::string& aName) const
   {
