Add the table from client blocks to failure domains

Placement compared every block of the document with each client address, which is linear in the blocks.

The table keeps prefixes sorted in chunks that successive tables share, each prefix naming the one that contains it. Ruled out by trial: a hash table for each prefix length in 64 shards.

The hash's look-up probes each length that is present. Sorted chunks stay; the trial was not kept.

--- /dev/null
+++ b/laburnumdyke/decision/block_table.cc
@@ -0,0 +1,588 @@
+// Prefixes stand in sorted chunks, as parallel arrays of bits, length, site
+// and parent. The last prefix at or before an address either contains it or
+// has an ancestor that does, because prefixes nest; each prefix names its
+// parent within the chunk, and each chunk names the innermost prefix of an
+// earlier chunk that contains its first one. So a look-up is a binary search
+// in the directory, one in the chunk and a walk up the nesting.
+//
+// Chosen over a hash table for each length: docs/DESIGN.md has the figures.
+#include "laburnumdyke/decision/block_table.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <tuple>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::size_t kChunkEntries = 1024; // after a build or a split
+constexpr std::size_t kSplitEntries = 2 * kChunkEntries;
+constexpr std::uint16_t kNoParent = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint32_t kNoChunk = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint8_t kMappedBits = 96;
+constexpr std::uint8_t kHalfBits = 64;
+
+bool
+IsMapped(const address_bytes& aAddress)
+{
+  static constexpr address_bytes kMapped = { 0, 0, 0, 0, 0,    0,
+                                             0, 0, 0, 0, 0xff, 0xff };
+  return std::equal(
+    kMapped.begin(), kMapped.begin() + kMappedBits / 8, aAddress.begin());
+}
+
+template<prefix_bits Bits>
+Bits
+ReadBits(const address_bytes& aAddress, std::size_t aFirstByte)
+{
+  Bits bits = 0;
+  for (std::size_t i = 0; i < sizeof(Bits); ++i) {
+    bits = (bits << 8) | aAddress.at(aFirstByte + i);
+  }
+  return bits;
+}
+
+template<class Entry>
+bool
+IsBefore(const Entry& aLeft, const Entry& aRight)
+{
+  return std::tie(aLeft.mBits, aLeft.mLength) <
+         std::tie(aRight.mBits, aRight.mLength);
+}
+
+template<class Entry>
+bool
+IsSamePrefix(const Entry& aLeft, const Entry& aRight)
+{
+  return aLeft.mBits == aRight.mBits && aLeft.mLength == aRight.mLength;
+}
+
+} // namespace
+
+template<prefix_bits Bits>
+struct prefix_chunks<Bits>::chunk
+{
+  std::vector<Bits> mBits;
+  std::vector<site_index> mSites;
+  std::vector<std::uint16_t> mParents;
+  std::vector<std::uint8_t> mLengths;
+
+  std::size_t Size() const { return mBits.size(); }
+
+  entry At(std::size_t aIndex) const
+  {
+    return { mBits[aIndex], mSites[aIndex], mLengths[aIndex] };
+  }
+};
+
+template<prefix_bits Bits>
+struct prefix_chunks<Bits>::directory
+{
+  // The innermost prefix of an earlier chunk that contains a chunk's first.
+  struct cover
+  {
+    std::uint32_t mChunk = kNoChunk;
+    std::uint16_t mIndex = 0;
+  };
+
+  std::vector<Bits> mFirst;
+  std::vector<std::shared_ptr<const chunk>> mChunks;
+  std::vector<cover> mCovers;
+};
+
+template<prefix_bits Bits>
+bool
+prefix_chunks<Bits>::Contains(Bits aBits, std::uint8_t aLength, Bits aAddress)
+{
+  constexpr std::size_t kWidth = sizeof(Bits) * 8;
+  return aLength == 0 || ((aBits ^ aAddress) >> (kWidth - aLength)) == 0;
+}
+
+template<prefix_bits Bits>
+std::shared_ptr<const typename prefix_chunks<Bits>::chunk>
+prefix_chunks<Bits>::MakeChunk(std::span<const entry> aSorted)
+{
+  std::shared_ptr<chunk> made = std::make_shared<chunk>();
+  made->mBits.reserve(aSorted.size());
+  made->mSites.reserve(aSorted.size());
+  made->mParents.reserve(aSorted.size());
+  made->mLengths.reserve(aSorted.size());
+  for (const entry& one : aSorted) {
+    std::uint16_t parent = made->mBits.empty()
+                             ? kNoParent
+                             : static_cast<std::uint16_t>(made->Size() - 1);
+    while (parent != kNoParent &&
+           !Contains(made->mBits[parent], made->mLengths[parent], one.mBits)) {
+      parent = made->mParents[parent];
+    }
+    made->mBits.push_back(one.mBits);
+    made->mSites.push_back(one.mSite);
+    made->mParents.push_back(parent);
+    made->mLengths.push_back(one.mLength);
+  }
+  return made;
+}
+
+// Prefixes of equal bits stay in one chunk, so that the directory's search by
+// bits finds the longest of them.
+template<prefix_bits Bits>
+void
+prefix_chunks<Bits>::AppendChunks(std::span<const entry> aSorted,
+                                  directory& aTo)
+{
+  std::size_t limit =
+    aSorted.size() <= kSplitEntries ? kSplitEntries : kChunkEntries;
+  while (!aSorted.empty()) {
+    std::size_t count = std::min(limit, aSorted.size());
+    while (count < aSorted.size() &&
+           aSorted[count].mBits == aSorted[count - 1].mBits) {
+      ++count;
+    }
+    aTo.mFirst.push_back(aSorted.front().mBits);
+    aTo.mChunks.push_back(MakeChunk(aSorted.first(count)));
+    aSorted = aSorted.subspan(count);
+  }
+}
+
+// A prefix that reaches beyond its chunk contains the chunk's last one, so the
+// walk up from there meets every candidate. O(chunks * nesting).
+template<prefix_bits Bits>
+void
+prefix_chunks<Bits>::LinkCovers(directory& aTo)
+{
+  aTo.mCovers.assign(aTo.mChunks.size(), {});
+  for (std::size_t i = 1; i < aTo.mChunks.size(); ++i) {
+    typename directory::cover at{ static_cast<std::uint32_t>(i - 1),
+                                  static_cast<std::uint16_t>(
+                                    aTo.mChunks[i - 1]->Size() - 1) };
+    while (at.mChunk != kNoChunk) {
+      const chunk& held = *aTo.mChunks[at.mChunk];
+      if (Contains(
+            held.mBits[at.mIndex], held.mLengths[at.mIndex], aTo.mFirst[i])) {
+        break;
+      }
+      std::uint16_t parent = held.mParents[at.mIndex];
+      if (parent == kNoParent) {
+        at = aTo.mCovers[at.mChunk];
+      } else {
+        at.mIndex = parent;
+      }
+    }
+    aTo.mCovers[i] = at;
+  }
+}
+
+template<prefix_bits Bits>
+prefix_chunks<Bits>
+prefix_chunks<Bits>::Build(std::span<const entry> aSorted)
+{
+  std::shared_ptr<directory> made = std::make_shared<directory>();
+  while (!aSorted.empty()) {
+    std::size_t count = std::min(kChunkEntries, aSorted.size());
+    while (count < aSorted.size() &&
+           aSorted[count].mBits == aSorted[count - 1].mBits) {
+      ++count;
+    }
+    AppendChunks(aSorted.first(count), *made);
+    aSorted = aSorted.subspan(count);
+  }
+  LinkCovers(*made);
+  prefix_chunks built;
+  built.mDirectory = std::move(made);
+  return built;
+}
+
+template<prefix_bits Bits>
+std::optional<typename prefix_chunks<Bits>::match>
+prefix_chunks<Bits>::Find(Bits aAddress) const
+{
+  if (!mDirectory) {
+    return std::nullopt;
+  }
+  const directory& all = *mDirectory;
+  auto after = std::upper_bound(all.mFirst.begin(), all.mFirst.end(), aAddress);
+  if (after == all.mFirst.begin()) {
+    return std::nullopt;
+  }
+  typename directory::cover at{
+    static_cast<std::uint32_t>(after - all.mFirst.begin() - 1), 0
+  };
+  const std::vector<Bits>& bits = all.mChunks[at.mChunk]->mBits;
+  auto next = std::upper_bound(bits.begin(), bits.end(), aAddress);
+  at.mIndex = static_cast<std::uint16_t>(next - bits.begin() - 1);
+  while (at.mChunk != kNoChunk) {
+    const chunk& held = *all.mChunks[at.mChunk];
+    std::uint8_t length = held.mLengths[at.mIndex];
+    if (Contains(held.mBits[at.mIndex], length, aAddress)) {
+      return match{ held.mSites[at.mIndex], length };
+    }
+    std::uint16_t parent = held.mParents[at.mIndex];
+    if (parent == kNoParent) {
+      at = all.mCovers[at.mChunk];
+    } else {
+      at.mIndex = parent;
+    }
+  }
+  return std::nullopt;
+}
+
+template<prefix_bits Bits>
+std::vector<typename prefix_chunks<Bits>::entry>
+prefix_chunks<Bits>::Merge(const chunk& aChunk, std::span<const entry> aChanges)
+{
+  std::vector<entry> merged;
+  merged.reserve(aChunk.Size() + aChanges.size());
+  std::size_t next = 0;
+  for (std::size_t i = 0; i < aChanges.size(); ++i) {
+    const entry& change = aChanges[i];
+    while (next < aChunk.Size() && IsBefore(aChunk.At(next), change)) {
+      merged.push_back(aChunk.At(next++));
+    }
+    if (next < aChunk.Size() && IsSamePrefix(aChunk.At(next), change)) {
+      ++next;
+    }
+    bool repeated =
+      i + 1 < aChanges.size() && IsSamePrefix(change, aChanges[i + 1]);
+    if (change.mSite != kNoSite && !repeated) {
+      merged.push_back(change);
+    }
+  }
+  while (next < aChunk.Size()) {
+    merged.push_back(aChunk.At(next++));
+  }
+  return merged;
+}
+
+template<prefix_bits Bits>
+prefix_chunks<Bits>
+prefix_chunks<Bits>::With(std::span<const entry> aSorted) const
+{
+  if (aSorted.empty()) {
+    return *this;
+  }
+  std::shared_ptr<directory> made = std::make_shared<directory>();
+  std::size_t chunks = mDirectory ? mDirectory->mChunks.size() : 0;
+  made->mFirst.reserve(chunks + 1);
+  made->mChunks.reserve(chunks + 1);
+  for (std::size_t i = 0; i < chunks; ++i) {
+    auto end = aSorted.end();
+    if (i + 1 < chunks) {
+      Bits limit = mDirectory->mFirst[i + 1];
+      end = std::lower_bound(
+        aSorted.begin(),
+        aSorted.end(),
+        limit,
+        [](const entry& aEntry, Bits aLimit) { return aEntry.mBits < aLimit; });
+    }
+    std::size_t count = static_cast<std::size_t>(end - aSorted.begin());
+    if (count == 0) {
+      made->mFirst.push_back(mDirectory->mFirst[i]);
+      made->mChunks.push_back(mDirectory->mChunks[i]);
+      continue;
+    }
+    AppendChunks(Merge(*mDirectory->mChunks[i], aSorted.first(count)), *made);
+    aSorted = aSorted.subspan(count);
+  }
+  if (chunks == 0) {
+    AppendChunks(Merge(chunk{}, aSorted), *made);
+  }
+  LinkCovers(*made);
+  prefix_chunks next;
+  next.mDirectory = std::move(made);
+  return next;
+}
+
+template<prefix_bits Bits>
+std::size_t
+prefix_chunks<Bits>::Size() const
+{
+  std::size_t size = 0;
+  if (mDirectory) {
+    for (const std::shared_ptr<const chunk>& one : mDirectory->mChunks) {
+      size += one->Size();
+    }
+  }
+  return size;
+}
+
+template<prefix_bits Bits>
+std::size_t
+prefix_chunks<Bits>::Bytes() const
+{
+  if (!mDirectory) {
+    return 0;
+  }
+  std::size_t bytes =
+    sizeof(directory) + mDirectory->mFirst.capacity() * sizeof(Bits) +
+    mDirectory->mChunks.capacity() * sizeof(std::shared_ptr<const chunk>) +
+    mDirectory->mCovers.capacity() * sizeof(typename directory::cover);
+  for (const std::shared_ptr<const chunk>& one : mDirectory->mChunks) {
+    bytes += sizeof(chunk) + one->mBits.capacity() * sizeof(Bits) +
+             one->mSites.capacity() * sizeof(site_index) +
+             one->mParents.capacity() * sizeof(std::uint16_t) +
+             one->mLengths.capacity();
+  }
+  return bytes;
+}
+
+template class prefix_chunks<std::uint32_t>;
+template class prefix_chunks<std::uint64_t>;
+template class prefix_chunks<unsigned __int128>;
+
+namespace {
+
+using v4_entry = prefix_chunks<std::uint32_t>::entry;
+using v6_entry = prefix_chunks<std::uint64_t>::entry;
+using v6_long_entry = prefix_chunks<unsigned __int128>::entry;
+
+enum class prefix_kind
+{
+  V4,
+  V6,
+  V6Long,
+};
+
+prefix_kind
+KindOf(const client_prefix& aPrefix)
+{
+  if (aPrefix.mLength >= kMappedBits && IsMapped(aPrefix.mAddress)) {
+    return prefix_kind::V4;
+  }
+  return aPrefix.mLength <= kHalfBits ? prefix_kind::V6 : prefix_kind::V6Long;
+}
+
+template<prefix_bits Bits>
+typename prefix_chunks<Bits>::entry
+EntryOf(const client_prefix& aPrefix, site_index aSite)
+{
+  using table_entry = typename prefix_chunks<Bits>::entry;
+  bool isV4 = sizeof(Bits) == sizeof(std::uint32_t);
+  std::size_t first = isV4 ? kMappedBits / 8 : 0;
+  std::uint8_t length =
+    isV4 ? static_cast<std::uint8_t>(aPrefix.mLength - kMappedBits)
+         : aPrefix.mLength;
+  return table_entry{ ReadBits<Bits>(aPrefix.mAddress, first), aSite, length };
+}
+
+template<class Entry>
+void
+SortEntries(std::vector<Entry>& aEntries)
+{
+  std::stable_sort(aEntries.begin(), aEntries.end(), IsBefore<Entry>);
+}
+
+// One kind at a time, so that a build needs little beside the table itself.
+template<prefix_bits Bits>
+prefix_chunks<Bits>
+BuildKind(const block_map& aBlocks, prefix_kind aKind)
+{
+  using table_entry = typename prefix_chunks<Bits>::entry;
+  std::size_t count = 0;
+  for (const block_map::value_type& domain : aBlocks) {
+    count += static_cast<std::size_t>(
+      std::count_if(domain.second.begin(),
+                    domain.second.end(),
+                    [aKind](const client_prefix& aPrefix) {
+                      return KindOf(aPrefix) == aKind;
+                    }));
+  }
+  std::vector<table_entry> entries;
+  entries.reserve(count);
+  site_index site = 0;
+  for (const block_map::value_type& domain : aBlocks) {
+    for (const client_prefix& prefix : domain.second) {
+      if (KindOf(prefix) == aKind) {
+        entries.push_back(EntryOf<Bits>(prefix, site));
+      }
+    }
+    ++site;
+  }
+  std::sort(entries.begin(), entries.end(), IsBefore<table_entry>);
+  entries.erase(
+    std::unique(entries.begin(), entries.end(), IsSamePrefix<table_entry>),
+    entries.end());
+  return prefix_chunks<Bits>::Build(entries);
+}
+
+client_prefix
+Truncate(const address_bytes& aAddress, std::uint8_t aLength)
+{
+  client_prefix prefix{ {}, aLength };
+  for (std::size_t i = 0; i < aAddress.size(); ++i) {
+    std::size_t bits = i * 8 >= aLength ? 0 : aLength - i * 8;
+    std::uint8_t mask =
+      bits >= 8 ? 0xff : static_cast<std::uint8_t>(0xff00u >> bits);
+    prefix.mAddress.at(i) = aAddress.at(i) & mask;
+  }
+  return prefix;
+}
+
+} // namespace
+
+block_table::block_table()
+  : mSites(std::make_shared<std::vector<domain_id>>())
+{
+}
+
+block_table
+block_table::Build(const block_map& aBlocks)
+{
+  CheckInvariant(aBlocks.size() <= kMostSites,
+                 "block_table_sites",
+                 "sites=" + std::to_string(aBlocks.size()));
+  block_table built;
+  std::vector<domain_id> sites;
+  for (const block_map::value_type& domain : aBlocks) {
+    sites.push_back(domain.first);
+  }
+  built.mSites = std::make_shared<std::vector<domain_id>>(std::move(sites));
+  built.mV4 = BuildKind<std::uint32_t>(aBlocks, prefix_kind::V4);
+  built.mV6 = BuildKind<std::uint64_t>(aBlocks, prefix_kind::V6);
+  built.mV6Long = BuildKind<unsigned __int128>(aBlocks, prefix_kind::V6Long);
+  return built;
+}
+
+// The kinds are tried from the longest prefixes to the shortest: a mapped
+// address may lie in an IPv6 block that covers all of IPv4.
+block_table::site_match
+block_table::Match(const address_bytes& aAddress) const
+{
+  if (IsMapped(aAddress)) {
+    std::optional<prefix_chunks<std::uint32_t>::match> match =
+      mV4.Find(ReadBits<std::uint32_t>(aAddress, kMappedBits / 8));
+    if (match) {
+      return { match->mSite,
+               static_cast<std::uint8_t>(match->mLength + kMappedBits) };
+    }
+  }
+  std::optional<prefix_chunks<unsigned __int128>::match> longer =
+    mV6Long.Find(ReadBits<unsigned __int128>(aAddress, 0));
+  if (longer) {
+    return { longer->mSite, longer->mLength };
+  }
+  std::optional<prefix_chunks<std::uint64_t>::match> match =
+    mV6.Find(ReadBits<std::uint64_t>(aAddress, 0));
+  if (match) {
+    return { match->mSite, match->mLength };
+  }
+  return {};
+}
+
+site_index
+block_table::FindSite(const address_bytes& aAddress) const
+{
+  return Match(aAddress).mSite;
+}
+
+std::optional<block_match>
+block_table::Find(const address_bytes& aAddress) const
+{
+  site_match match = Match(aAddress);
+  if (match.mSite == kNoSite) {
+    return std::nullopt;
+  }
+  return block_match{ mSites->at(match.mSite),
+                      Truncate(aAddress, match.mLength) };
+}
+
+block_table
+block_table::With(std::span<const block_change> aChanges) const
+{
+  std::vector<domain_id> sites = *mSites;
+  std::map<domain_id, site_index> indexes;
+  for (const domain_id& site : sites) {
+    indexes.emplace(site, static_cast<site_index>(indexes.size()));
+  }
+  std::vector<v4_entry> v4;
+  std::vector<v6_entry> v6;
+  std::vector<v6_long_entry> v6Long;
+  for (const block_change& change : aChanges) {
+    site_index site = kNoSite;
+    if (change.mDomain) {
+      auto found =
+        indexes.emplace(*change.mDomain, static_cast<site_index>(sites.size()));
+      if (found.second) {
+        sites.push_back(*change.mDomain);
+      }
+      site = found.first->second;
+    }
+    switch (KindOf(change.mPrefix)) {
+      case prefix_kind::V4:
+        v4.push_back(EntryOf<std::uint32_t>(change.mPrefix, site));
+        break;
+      case prefix_kind::V6:
+        v6.push_back(EntryOf<std::uint64_t>(change.mPrefix, site));
+        break;
+      case prefix_kind::V6Long:
+        v6Long.push_back(EntryOf<unsigned __int128>(change.mPrefix, site));
+        break;
+    }
+  }
+  CheckInvariant(sites.size() <= kMostSites,
+                 "block_table_sites",
+                 "sites=" + std::to_string(sites.size()));
+  SortEntries(v4);
+  SortEntries(v6);
+  SortEntries(v6Long);
+  block_table next;
+  next.mV4 = mV4.With(v4);
+  next.mV6 = mV6.With(v6);
+  next.mV6Long = mV6Long.With(v6Long);
+  next.mSites = std::make_shared<std::vector<domain_id>>(std::move(sites));
+  return next;
+}
+
+std::size_t
+block_table::Size() const
+{
+  return mV4.Size() + mV6.Size() + mV6Long.Size();
+}
+
+std::size_t
+block_table::Bytes() const
+{
+  return mV4.Bytes() + mV6.Bytes() + mV6Long.Bytes();
+}
+
+// Removals come first: a block that moves between domains is one of each.
+std::vector<block_change>
+DiffBlocks(const block_map& aFrom, const block_map& aTo)
+{
+  static const std::vector<client_prefix> kNone;
+  std::vector<block_change> changes;
+  for (const block_map::value_type& domain : aFrom) {
+    auto other = aTo.find(domain.first);
+    const std::vector<client_prefix>& kept =
+      other == aTo.end() ? kNone : other->second;
+    std::vector<client_prefix> gone;
+    std::set_difference(domain.second.begin(),
+                        domain.second.end(),
+                        kept.begin(),
+                        kept.end(),
+                        std::back_inserter(gone));
+    for (const client_prefix& prefix : gone) {
+      changes.push_back({ prefix, std::nullopt });
+    }
+  }
+  for (const block_map::value_type& domain : aTo) {
+    auto other = aFrom.find(domain.first);
+    const std::vector<client_prefix>& had =
+      other == aFrom.end() ? kNone : other->second;
+    std::vector<client_prefix> fresh;
+    std::set_difference(domain.second.begin(),
+                        domain.second.end(),
+                        had.begin(),
+                        had.end(),
+                        std::back_inserter(fresh));
+    for (const client_prefix& prefix : fresh) {
+      changes.push_back({ prefix, domain.first });
+    }
+  }
+  return changes;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/block_table.h
@@ -0,0 +1,138 @@
+// Longest-prefix match from client addresses to failure domains.
+//
+// Usage:
+//   block_table table = block_table::Build(document.mBlocks);
+//   std::optional<block_match> match = table.Find(address);
+//   block_table next = table.With(DiffBlocks(oldBlocks, newBlocks));
+//
+// A table is immutable: With() returns another that shares every chunk which
+// the changes leave alone, so a reader that holds the earlier table is never
+// stalled. Copying a table copies a few shared pointers.
+//
+// Costs: 9 bytes an IPv4 prefix, 13 bytes an IPv6 prefix of up to 64 bits and
+// 21 bytes a longer one. A look-up is two binary searches for each of the
+// address's widths; an update copies one chunk and the directory of chunks.
+//
+// Errors: a change that removes a prefix which isn't there has no effect. More
+// than kMostSites failure domains break an invariant.
+#pragma once
+
+#include "laburnumdyke/decision/document.h"
+#include "laburnumdyke/decision/prefix.h"
+#include "laburnumdyke/decision/types.h"
+
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace laburnumdyke {
+
+// A prefix's leading bits, as many as the widest prefix of its kind has.
+template<class T>
+concept prefix_bits = std::same_as<T, std::uint32_t> ||
+  std::same_as<T, std::uint64_t> || std::same_as<T, unsigned __int128>;
+
+// Index of a failure domain among those of one table.
+using site_index = std::uint16_t;
+inline constexpr std::size_t kMostSites =
+  std::numeric_limits<site_index>::max() - 1;
+inline constexpr site_index kNoSite = std::numeric_limits<site_index>::max();
+
+// Prefixes of one width, in chunks ordered by (bits, length).
+template<prefix_bits Bits>
+class prefix_chunks
+{
+public:
+  struct entry
+  {
+    Bits mBits = 0;
+    site_index mSite = kNoSite; // kNoSite in a change: remove
+    std::uint8_t mLength = 0;
+  };
+
+  struct match
+  {
+    site_index mSite = kNoSite;
+    std::uint8_t mLength = 0;
+  };
+
+  // aSorted: by bits, then length, without repeats.
+  static prefix_chunks Build(std::span<const entry> aSorted);
+
+  std::optional<match> Find(Bits aAddress) const;
+
+  // aSorted: by bits, then length; the last of equal prefixes counts.
+  prefix_chunks With(std::span<const entry> aSorted) const;
+
+  std::size_t Size() const;
+
+  // Bytes held by the chunks and the directory.
+  std::size_t Bytes() const;
+
+private:
+  struct chunk;
+  struct directory;
+
+  static bool Contains(Bits aBits, std::uint8_t aLength, Bits aAddress);
+  static std::shared_ptr<const chunk> MakeChunk(std::span<const entry> aSorted);
+  static void AppendChunks(std::span<const entry> aSorted, directory& aTo);
+  static void LinkCovers(directory& aTo);
+  static std::vector<entry> Merge(const chunk& aChunk,
+                                  std::span<const entry> aChanges);
+
+  std::shared_ptr<const directory> mDirectory;
+};
+
+struct block_change
+{
+  client_prefix mPrefix;
+  std::optional<domain_id> mDomain; // nothing: the block is removed
+};
+
+struct block_match
+{
+  domain_id mDomain;
+  client_prefix mPrefix; // the matching block
+};
+
+class block_table
+{
+public:
+  block_table();
+
+  static block_table Build(const block_map& aBlocks);
+
+  std::optional<block_match> Find(const address_bytes& aAddress) const;
+
+  // The site alone, without the name's copy; kNoSite where nothing matches.
+  site_index FindSite(const address_bytes& aAddress) const;
+
+  block_table With(std::span<const block_change> aChanges) const;
+
+  std::size_t Size() const;
+  std::size_t Bytes() const;
+
+private:
+  struct site_match
+  {
+    site_index mSite = kNoSite;
+    std::uint8_t mLength = 0; // of the IPv6 form
+  };
+
+  site_match Match(const address_bytes& aAddress) const;
+
+  prefix_chunks<std::uint32_t> mV4;         // ::ffff:0:0/96 and longer
+  prefix_chunks<std::uint64_t> mV6;         // up to 64 bits
+  prefix_chunks<unsigned __int128> mV6Long; // 65 bits and longer
+  std::shared_ptr<const std::vector<domain_id>> mSites;
+};
+
+// What turns one block map into the other.
+std::vector<block_change>
+DiffBlocks(const block_map& aFrom, const block_map& aTo);
+
+} // namespace laburnumdyke
