Place clients by domain, room and shifts

Look-ups named entry instances of other regions behind those of the client's own, so callers could move between regions on their own, past any cap. Now a client stays in its region unless a shift moves it; a declared move follows the document's share, cap and start, and the failover of a dead region ramps in the same way and is refused as region_over_cap beyond it. Answers that callers may still use are counted, and a move that would take more than the share is refused.

Ruled out: moving by the hash of the client's group alone, which bounds the number of groups and not their traffic (the randomised test has one group that asks as often as 500 others).

Lists within the region put the client's domain first while it has room or its reports are stale; answers live at most 5 s while a move ramps.

--- a/laburnumdyke/decision/placement.cc
+++ b/laburnumdyke/decision/placement.cc
@@ -1,96 +1,126 @@
-// The longest matching block gives the client's failure domain; instances are
-// ordered by distance from it, then by rendezvous weight of the client, so
-// that callers spread and a change moves only what it must.
+// Rendezvous hashing over the instances of a step, rather than Maglev's table:
+// at 3 to 8 instances a domain a look-up weighs each one, and no table has to
+// be rebuilt when the set changes.
 #include "laburnumdyke/decision/placement.h"
 
-#include <algorithm>
-#include <tuple>
+#include "laburnumdyke/decision/routing.h"
 
 namespace laburnumdyke {
 
 namespace {
 
-bool
-Contains(const client_prefix& aPrefix, const address_bytes& aAddress)
+// Larger blocks move in groups of this size.
+constexpr std::uint8_t kV4GroupBits = 96 + 24;
+constexpr std::uint8_t kV6GroupBits = 48;
+
+// Above this part of the table a build is cheaper than changes.
+constexpr std::size_t kRebuildDivisor = 8;
+
+template<class Rooms, class Key>
+std::optional<service_room>
+Find(const Rooms& aRooms, const Key& aKey)
 {
-  std::size_t whole = aPrefix.mLength / 8;
-  unsigned rest = aPrefix.mLength % 8;
-  if (!std::equal(aAddress.begin(),
-                  aAddress.begin() + static_cast<std::ptrdiff_t>(whole),
-                  aPrefix.mAddress.begin())) {
-    return false;
+  auto found = aRooms.find(aKey);
+  if (found == aRooms.end()) {
+    return std::nullopt;
   }
-  return rest == 0 ||
-         ((aAddress.at(whole) ^ aPrefix.mAddress.at(whole)) >> (8 - rest)) == 0;
+  return found->second;
 }
 
-domain_id
-DomainOf(const document& aDocument,
-         const address_bytes& aClient,
-         const domain_id& aDefault)
+client_prefix
+SmallestGroup(const address_bytes& aClient)
 {
-  domain_id best = aDefault;
-  int longest = -1;
-  for (const std::pair<const domain_id, std::vector<client_prefix>>& blocks :
-       aDocument.mBlocks) {
-    for (const client_prefix& prefix : blocks.second) {
-      if (prefix.mLength > longest && Contains(prefix, aClient)) {
-        best = blocks.first;
-        longest = prefix.mLength;
-      }
-    }
+  static constexpr address_bytes kMapped = { 0, 0, 0, 0, 0,    0,
+                                             0, 0, 0, 0, 0xff, 0xff };
+  bool isV4 =
+    std::equal(kMapped.begin(), kMapped.begin() + 12, aClient.begin());
+  client_prefix group{ aClient, isV4 ? kV4GroupBits : kV6GroupBits };
+  for (std::size_t i = group.mLength / 8; i < group.mAddress.size(); ++i) {
+    group.mAddress.at(i) = 0;
   }
-  return best;
+  return group;
 }
 
 } // namespace
 
-std::vector<entry_choice>
-PlaceClient(const document& aDocument,
-            const service_id& aService,
-            const address_bytes& aClient,
-            const member& aSelf,
-            const std::vector<peer>& aLivePeers)
+report_rooms::report_rooms(const placement_view& aView,
+                           const std::vector<service_credit>& aOwnCredits,
+                           instant aNow)
 {
-  domain_id domain = DomainOf(aDocument, aClient, aSelf.mDomain);
-  region_id region = aDocument.RegionOf(domain).value_or(aSelf.mRegion);
-  std::string key(aClient.begin(), aClient.end());
-  key += aService.mValue;
-  struct candidate
-  {
-    int mDistance;
-    std::uint64_t mWeight; // greater is better
-    const member* mMember;
-  };
-  std::vector<candidate> candidates;
-  auto consider = [&](const member& aMember) {
-    if (!aMember.mLeaving) {
-      int distance = aMember.mDomain == domain   ? 0
-                     : aMember.mRegion == region ? 1
-                                                 : 2;
-      candidates.push_back({ distance,
-                             RendezvousWeight(aMember.mInstance.mValue, key),
-                             &aMember });
+  Add(aView.mSelf, aOwnCredits);
+  for (const peer& one : aView.mLivePeers) {
+    if (aNow - one.mHeard < kAdvertLife && !one.mLast.mSender.mLeaving) {
+      Add(one.mLast.mSender, one.mLast.mCredits);
     }
-  };
-  consider(aSelf);
-  for (const peer& one : aLivePeers) {
-    consider(one.mLast.mSender);
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
-            [](const candidate& aLeft, const candidate& aRight) {
-              return std::make_tuple(aLeft.mDistance, ~aLeft.mWeight) <
-                     std::make_tuple(aRight.mDistance, ~aRight.mWeight);
-            });
-  std::vector<entry_choice> choices;
-  for (const candidate& one : candidates) {
-    if (choices.size() < kMostChoices) {
-      choices.push_back(
-        { one.mMember->mInstance, one.mMember->mCaller, one.mMember->mDomain });
+}
+
+void
+report_rooms::Add(const member& aMember,
+                  const std::vector<service_credit>& aCredits)
+{
+  for (const service_credit& credit : aCredits) {
+    service_room& inRegion = mByRegion[{ aMember.mRegion, credit.mService }];
+    inRegion.mSlots += credit.mSlots;
+    inRegion.mFree += credit.mFree;
+    service_room& inDomain = mByDomain[{ aMember.mDomain, credit.mService }];
+    inDomain.mSlots += credit.mSlots;
+    inDomain.mFree += credit.mFree;
+  }
+}
+
+std::optional<service_room>
+report_rooms::RoomIn(const region_id& aRegion, const service_id& aService) const
+{
+  return Find(mByRegion, std::make_pair(aRegion, aService));
+}
+
+std::optional<service_room>
+report_rooms::RoomAt(const domain_id& aDomain, const service_id& aService) const
+{
+  return Find(mByDomain, std::make_pair(aDomain, aService));
+}
+
+std::set<region_id>
+LiveRegions(const member& aSelf, const std::vector<peer>& aLivePeers)
+{
+  std::set<region_id> live;
+  if (!aSelf.mLeaving) {
+    live.insert(aSelf.mRegion);
+  }
+  for (const peer& one : aLivePeers) {
+    if (!one.mLast.mSender.mLeaving) {
+      live.insert(one.mLast.mSender.mRegion);
     }
   }
-  return choices;
+  return live;
+}
+
+client_place
+PlaceOf(const placement_view& aView, const address_bytes& aClient)
+{
+  client_prefix group = SmallestGroup(aClient);
+  std::optional<block_match> match = aView.mBlocks.Find(aClient);
+  if (!match) {
+    return { aView.mSelf.mDomain, group };
+  }
+  bool isSmaller = match->mPrefix.mLength > group.mLength;
+  return { match->mDomain, isSmaller ? match->mPrefix : group };
+}
+
+block_table
+UpdateBlocks(const block_table& aTable,
+             const document* aFrom,
+             const document& aTo)
+{
+  if (aFrom == nullptr) {
+    return block_table::Build(aTo.mBlocks);
+  }
+  std::vector<block_change> changes = DiffBlocks(aFrom->mBlocks, aTo.mBlocks);
+  if (changes.size() > aTable.Size() / kRebuildDivisor) {
+    return block_table::Build(aTo.mBlocks);
+  }
+  return aTable.With(changes);
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -29,6 +29,8 @@
   , mLedger(aKernel.Table<identity_ledger>())
   , mAdmission(aKernel.Table<admission>())
   , mRetryBudget(aKernel.Table<retry_budget>())
+  , mPlacement(aKernel.Table<placement_state>())
+  , mShifts(aKernel.Table<traffic_shifts>())
 {
   instant now = std::chrono::steady_clock::now();
   const settings& settings = aKernel.Settings();
@@ -146,6 +148,59 @@
   return age >= std::chrono::milliseconds(0) && age < 2 * kAdvertLife;
 }
 
+placement_answer
+entry_tables::Place(const document& aDocument,
+                    const service_id& aService,
+                    const address_bytes& aClient,
+                    instant aNow,
+                    civil_time aCivilNow)
+{
+  block_table blocks =
+    mPlacement.With([](placement_state& aState) { return aState.Blocks(); });
+  member self = Self();
+  std::vector<peer> peers = LivePeers(aNow);
+  std::vector<service_credit> credits = mAdmission.With(
+    [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+  placement_view view{ aDocument, blocks, self, peers };
+  report_rooms rooms(view, credits, aNow);
+  return mShifts.With([&](traffic_shifts& aShifts) {
+    return PlaceClient(
+      view, aService, aClient, rooms, aShifts, aNow, aCivilNow);
+  });
+}
+
+// The table is made without the lock; where another thread was quicker, its
+// table stays.
+void
+entry_tables::RefreshBlocks(const std::shared_ptr<const document>& aDocument)
+{
+  std::shared_ptr<const document> source;
+  block_table blocks;
+  mPlacement.With([&](placement_state& aState) {
+    source = aState.Source();
+    blocks = aState.Blocks();
+  });
+  if (source == aDocument) {
+    return;
+  }
+  block_table next = UpdateBlocks(blocks, source.get(), *aDocument);
+  mPlacement.With([&](placement_state& aState) {
+    if (aState.Source() == source) {
+      aState.Put(std::move(next), aDocument);
+    }
+  });
+}
+
+void
+entry_tables::RefreshShifts(const document& aDocument, instant aNow)
+{
+  member self = Self();
+  std::vector<peer> peers = LivePeers(aNow);
+  std::set<region_id> live = LiveRegions(self, peers);
+  mShifts.With(
+    [&](traffic_shifts& aShifts) { aShifts.Observe(aDocument, live, aNow); });
+}
+
 void
 entry_tables::RefreshHomes(instant aNow)
 {
@@ -153,6 +208,8 @@
   if (!document) {
     return;
   }
+  RefreshBlocks(document);
+  RefreshShifts(*document, aNow);
   std::set<upstream_id> homes;
   mMembership.With([&](membership& aMembership) {
     for (const std::pair<const upstream_id, upstream_spec>& entry :
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -7,6 +7,7 @@
 #include "laburnumdyke/decision/document_state.h"
 #include "laburnumdyke/decision/identity_ledger.h"
 #include "laburnumdyke/decision/membership.h"
+#include "laburnumdyke/decision/placement.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/kernel/kernel.h"
@@ -66,6 +67,20 @@
   std::chrono::milliseconds Stamp(instant aNow) const;
   bool IsFresh(std::chrono::milliseconds aStamp, instant aNow) const;
 
+  // Answers a look-up for a declared service.
+  placement_answer Place(const document& aDocument,
+                         const service_id& aService,
+                         const address_bytes& aClient,
+                         instant aNow,
+                         civil_time aCivilNow);
+
+  // Brings the block table up to the document. Readers go on with the earlier
+  // table meanwhile.
+  void RefreshBlocks(const std::shared_ptr<const document>& aDocument);
+
+  // Tells the shifts which regions are live.
+  void RefreshShifts(const document& aDocument, instant aNow);
+
   // Sets admission's homes from the document and the live view, and wakes
   // whom that gives a slot.
   void RefreshHomes(instant aNow);
@@ -77,6 +92,8 @@
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
   table<retry_budget>& mRetryBudget;
+  table<placement_state>& mPlacement;
+  table<traffic_shifts>& mShifts;
   std::shared_ptr<grant_waiters> mWaiters;
   std::shared_ptr<std::atomic<request_number>> mNumbers;
   instant mStarted{};
--- a/laburnumdyke/plugin/lookup.cc
+++ b/laburnumdyke/plugin/lookup.cc
@@ -81,11 +81,17 @@
                         refusal_reason::MalformedRequest,
                         "expected client= with an IP address");
   }
-  std::vector<entry_choice> choices = PlaceClient(
-    *document, service, *client, aTables.Self(), aTables.LivePeers(aNow));
+  placement_answer placed = aTables.Place(
+    *document, service, *client, aNow, std::chrono::system_clock::now());
+  if (placed.mChoices.empty()) {
+    return RefuseLookup(aKernel,
+                        http::status::service_unavailable,
+                        placed.mReason,
+                        "no entry instance may take this client now");
+  }
   aKernel.Counters().Add("lookups_total");
   boost::json::array entries;
-  for (const entry_choice& choice : choices) {
+  for (const entry_choice& choice : placed.mChoices) {
     boost::json::object entry;
     entry["instance"] = choice.mInstance.mValue;
     entry["address"] = choice.mCaller.Text();
@@ -95,7 +101,7 @@
   boost::json::object body;
   body["service"] = service.mValue;
   body["version"] = aTables.Version();
-  body["ttl_ms"] = found->second.mAnswerLife.count();
+  body["ttl_ms"] = placed.mLife.count();
   body["entries"] = std::move(entries);
   if (!found->second.mIdempotent) {
     body["identity"] = aTables.Ledger().With(
