Divide the links between regions among the entry instances that send

Nothing bounded the bytes that instances send over a link. A direction's rate is now divided evenly among the sending region's domains by the document; in a domain the holder of a home claim lends it by demand for 2 s at a time, each instance keeps a small reserve, and ranks have their floors within a rate. Ruled out: an even split (25 percent of the rate for one busy instance of four) and shares worked out from the demands that each has heard (overshoots while views differ).

The randomised test runs six instances with lost and late answers, freezes and changes of the lender: ten seeds of 20000 steps, rates never above the link.

--- /dev/null
+++ b/laburnumdyke/decision/link_lender.cc
@@ -0,0 +1,148 @@
+// The division has to hold without agreement: a share that each instance
+// works out from the demands it has heard overshoots whenever two views
+// differ, and an even split among all instances strands what idle ones don't
+// use. Leased rates do neither; docs/DESIGN.md has the figures.
+#include "laburnumdyke/decision/link_lender.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <algorithm>
+
+namespace laburnumdyke {
+
+void
+rate_lender::Open(byte_rate aDomainRate, instant aHeldUntil)
+{
+  mDomainRate = aDomainRate;
+  mLendable = aDomainRate - aDomainRate * kReservePercent / 100;
+  mHeldUntil = aHeldUntil;
+  mBorrowers.clear();
+}
+
+byte_rate
+rate_lender::borrower::Lent(instant aNow) const
+{
+  byte_rate most = 0;
+  for (const grant& one : mGrants) {
+    if (one.mEnd > aNow) {
+      most = std::max(most, one.mRate);
+    }
+  }
+  return most;
+}
+
+byte_rate
+rate_lender::Lent(instant aNow) const
+{
+  byte_rate sum = 0;
+  for (const std::pair<const instance_id, borrower>& each : mBorrowers) {
+    sum += each.second.Lent(aNow);
+  }
+  return sum;
+}
+
+void
+rate_lender::DropEnded(instant aNow)
+{
+  for (std::pair<const instance_id, borrower>& each : mBorrowers) {
+    std::erase_if(each.second.mGrants,
+                  [&](const grant& aGrant) { return aGrant.mEnd <= aNow; });
+  }
+  std::erase_if(mBorrowers,
+                [&](const std::pair<const instance_id, borrower>& aEach) {
+                  return aEach.second.mGrants.empty() &&
+                         aNow - aEach.second.mAsked >= kRateLife;
+                });
+}
+
+// Max-min: demands below the even share are met, the others share the rest.
+byte_rate
+rate_lender::FairShare(byte_rate aDemand) const
+{
+  std::vector<byte_rate> demands;
+  for (const std::pair<const instance_id, borrower>& each : mBorrowers) {
+    demands.push_back(each.second.mDemand);
+  }
+  std::sort(demands.begin(), demands.end());
+  byte_rate left = mLendable;
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    byte_rate even = left / (demands.size() - i);
+    if (demands[i] >= even) {
+      return std::min(aDemand, even);
+    }
+    left -= demands[i];
+  }
+  return aDemand;
+}
+
+rate_grant
+rate_lender::Lend(const instance_id& aInstance, byte_rate aDemand, instant aNow)
+{
+  if (aNow < mHeldUntil) {
+    return {};
+  }
+  DropEnded(aNow);
+  borrower& asking = mBorrowers[aInstance];
+  asking.mDemand = aDemand;
+  asking.mAsked = aNow;
+  byte_rate others = Lent(aNow) - asking.Lent(aNow);
+  byte_rate rate = std::min(FairShare(aDemand), mLendable - others);
+  asking.mGrants.push_back({ rate, aNow + kRateLife });
+  byte_rate lent = Lent(aNow);
+  CheckInvariant(lent <= mLendable,
+                 "link_rate_lent_twice",
+                 "lent=" + std::to_string(lent) +
+                   " lendable=" + std::to_string(mLendable));
+  return { rate, kRateLife - kRateMargin };
+}
+
+upstream_id
+LinkClaimName(const link_direction& aDirection)
+{
+  return { "link/" + aDirection.mFrom.mValue + "/" + aDirection.mTo.mValue };
+}
+
+// A change of the rate opens the lender anew, so that no grant of the earlier
+// rate is in use beside those of the new one.
+void
+link_lenders::SetHomes(const document& aDocument,
+                       const region_id& aRegion,
+                       const std::vector<home_claim>& aClaims,
+                       instant aNow)
+{
+  std::map<link_direction, rate_lender> lenders;
+  for (const region_map::value_type& region : aDocument.mRegions) {
+    link_direction direction{ aRegion, region.first };
+    byte_rate rate = DomainRate(aDocument, direction).value_or(0);
+    upstream_id name = LinkClaimName(direction);
+    bool isClaimed = std::any_of(
+      aClaims.begin(), aClaims.end(), [&](const home_claim& aClaim) {
+        return aClaim.mUpstream == name;
+      });
+    if (rate == 0 || !isClaimed) {
+      continue;
+    }
+    auto had = mLenders.find(direction);
+    if (had != mLenders.end() && had->second.DomainRate() == rate) {
+      lenders[direction] = std::move(had->second);
+    } else {
+      lenders[direction].Open(rate, aNow + kRateLife);
+    }
+  }
+  mLenders = std::move(lenders);
+}
+
+std::optional<rate_grant>
+link_lenders::Lend(const link_direction& aDirection,
+                   const instance_id& aInstance,
+                   byte_rate aDemand,
+                   instant aNow)
+{
+  auto found = mLenders.find(aDirection);
+  if (found == mLenders.end()) {
+    return std::nullopt;
+  }
+  return found->second.Lend(aInstance, aDemand, aNow);
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/link_rate.cc
@@ -0,0 +1,46 @@
+// Counts domains rather than instances: the document declares the former, and
+// no view of the latter is shared.
+#include "laburnumdyke/decision/link_rate.h"
+
+#include <algorithm>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr byte_rate kBytesInMegabit = 1000 * 1000 / 8;
+
+} // namespace
+
+std::optional<byte_rate>
+DomainRate(const document& aDocument, const link_direction& aDirection)
+{
+  if (aDocument.mLinks.empty()) {
+    return std::nullopt;
+  }
+  byte_rate rate = 0;
+  for (const link_map::value_type& entry : aDocument.mLinks) {
+    const link_spec& link = entry.second;
+    bool joins =
+      (link.mFirst == aDirection.mFrom && link.mSecond == aDirection.mTo) ||
+      (link.mFirst == aDirection.mTo && link.mSecond == aDirection.mFrom);
+    if (joins) {
+      rate += link.mMegabits * kBytesInMegabit;
+    }
+  }
+  byte_rate domains = static_cast<byte_rate>(
+    std::count_if(aDocument.mDomains.begin(),
+                  aDocument.mDomains.end(),
+                  [&](const domain_map::value_type& aDomain) {
+                    return aDomain.second.mRegion == aDirection.mFrom;
+                  }));
+  return rate / std::max<byte_rate>(1, domains);
+}
+
+byte_rate
+ReserveRate(byte_rate aDomainRate)
+{
+  return aDomainRate * kReservePercent / 100 / kMostEntries;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/rank_buckets.cc
@@ -0,0 +1,126 @@
+// One bucket for each floor and one for the rest, rather than one queue in
+// order of rank: bytes are asked for in chunks as they come, so there is
+// nothing to queue, and a floor must hold while a flood asks without pause.
+#include "laburnumdyke/decision/rank_buckets.h"
+
+#include "laburnumdyke/kernel/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumdyke {
+
+namespace {
+
+// Too little to be worth a packet; a wait is for at least so much.
+constexpr double kLeastBytes = 1400;
+constexpr std::chrono::milliseconds kLongestWait{ 1000 };
+// Rounding of sums of many small numbers.
+constexpr double kRounding = 1.0;
+
+double
+Seconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+template<token_order Order>
+void
+rank_buckets<Order>::Configure(const std::array<rank_spec, kRankCount>& aRanks,
+                               instant aNow)
+{
+  Fill(aNow);
+  mRest = 100;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    mFloors.at(i) = std::min(aRanks.at(i).mFloorPercent, mRest);
+    mRest -= mFloors.at(i);
+  }
+}
+
+template<token_order Order>
+void
+rank_buckets<Order>::SetRate(byte_rate aRate, instant aNow)
+{
+  Fill(aNow);
+  mRate = aRate;
+}
+
+template<token_order Order>
+double
+rank_buckets<Order>::Depth(std::uint32_t aPercent) const
+{
+  return static_cast<double>(mRate) * aPercent / 100 * Seconds(kDepth);
+}
+
+template<token_order Order>
+void
+rank_buckets<Order>::Fill(instant aNow)
+{
+  if (aNow <= mFilled) {
+    return;
+  }
+  double added = static_cast<double>(mRate) * Seconds(aNow - mFilled);
+  mFilled = aNow;
+  mAllowed += added;
+  mRestTokens += added * mRest / 100;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    double& tokens = mFloorTokens.at(i);
+    tokens += added * mFloors.at(i) / 100;
+    double depth = Depth(mFloors.at(i));
+    if (tokens > depth) {
+      mRestTokens += tokens - depth;
+      tokens = depth;
+    }
+  }
+  mRestTokens = std::min(mRestTokens, Depth(100));
+}
+
+template<token_order Order>
+std::chrono::milliseconds
+rank_buckets<Order>::WaitFor(work_rank aRank, double aBytes) const
+{
+  std::uint32_t percent =
+    std::max(1u, mFloors.at(static_cast<std::size_t>(aRank)));
+  double rate = static_cast<double>(mRate) * percent / 100;
+  double seconds = rate > 0 ? aBytes / rate : Seconds(kLongestWait);
+  std::chrono::milliseconds wait(
+    static_cast<std::int64_t>(std::ceil(seconds * 1000)));
+  return std::clamp(wait, std::chrono::milliseconds(1), kLongestWait);
+}
+
+template<token_order Order>
+link_answer
+rank_buckets<Order>::Take(work_rank aRank, std::uint64_t aBytes, instant aNow)
+{
+  Fill(aNow);
+  double wanted = static_cast<double>(aBytes);
+  double& floor = mFloorTokens.at(static_cast<std::size_t>(aRank));
+  bool mayShare = mOrder.MayShare(aRank, aNow);
+  double has = floor + (mayShare ? mRestTokens : 0);
+  double granted = std::floor(std::min(wanted, has));
+  if (granted < wanted) {
+    mOrder.NoteShort(aRank, aNow);
+    if (granted < std::min(wanted, kLeastBytes)) {
+      granted = 0;
+    }
+  }
+  double fromFloor = std::min(floor, granted);
+  floor -= fromFloor;
+  mRestTokens -= granted - fromFloor;
+  mTaken += granted;
+  CheckInvariant(mTaken <= mAllowed + kRounding,
+                 "link_over_budget",
+                 "taken=" + std::to_string(mTaken) + " allowed=" +
+                   std::to_string(mAllowed) + " rate=" + std::to_string(mRate));
+  link_answer answer{ static_cast<std::uint64_t>(granted), {} };
+  if (granted < wanted) {
+    answer.mAskAgain = WaitFor(aRank, std::min(wanted - granted, kLeastBytes));
+  }
+  return answer;
+}
+
+template class rank_buckets<urgent_first>;
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/region_load.cc
+++ b/laburnumdyke/decision/region_load.cc
@@ -261,6 +261,18 @@
   }
 }
 
+std::uint64_t
+region_load::Newest() const
+{
+  return mVersions.empty() ? 0 : mVersions.rbegin()->first;
+}
+
+std::uint32_t
+region_load::Lent(const upstream_id& aUpstream) const
+{
+  return Count(mLent, aUpstream);
+}
+
 std::uint32_t
 region_load::InFlight() const
 {
--- a/laburnumdyke/decision/region_load.h
+++ b/laburnumdyke/decision/region_load.h
@@ -103,6 +103,13 @@
   // The least quota of the versions that have not settled.
   std::uint32_t Quota(const upstream_id& aUpstream) const;
 
+  // The newest version adopted; 0 before the first.
+  std::uint64_t Newest() const;
+
+  // Units of the upstream that other services use. The home claim's report of
+  // slots in use must add them.
+  std::uint32_t Lent(const upstream_id& aUpstream) const;
+
   std::uint32_t InFlight() const;
   std::size_t Versions() const { return mVersions.size(); }
 
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -20,6 +20,43 @@
   return self;
 }
 
+std::chrono::milliseconds
+LongestDeadline(const document& aDocument)
+{
+  std::chrono::milliseconds longest{ 0 };
+  for (const service_map::value_type& service : aDocument.mServices) {
+    longest = std::max(longest, service.second.mDeadline);
+  }
+  return longest;
+}
+
+std::set<domain_id>
+DomainsOf(const document& aDocument, const region_id& aRegion)
+{
+  std::set<domain_id> domains;
+  for (const domain_map::value_type& domain : aDocument.mDomains) {
+    if (domain.second.mRegion == aRegion) {
+      domains.insert(domain.first);
+    }
+  }
+  return domains;
+}
+
+std::vector<region_home>
+RegionHomes(const document& aDocument, const std::vector<home_claim>& aClaims)
+{
+  std::vector<region_home> homes;
+  for (const home_claim& claim : aClaims) {
+    auto upstream = aDocument.mUpstreams.find(claim.mUpstream);
+    if (upstream != aDocument.mUpstreams.end()) {
+      const service_id& service = upstream->second.mService;
+      const service_spec& spec = aDocument.mServices.at(service);
+      homes.push_back({ claim, service, spec.mRank, spec.mDeadline });
+    }
+  }
+  return homes;
+}
+
 } // namespace
 
 entry_tables::entry_tables(kernel& aKernel)
@@ -31,6 +68,9 @@
   , mRetryBudget(aKernel.Table<retry_budget>())
   , mPlacement(aKernel.Table<placement_state>())
   , mShifts(aKernel.Table<traffic_shifts>())
+  , mRegionLoad(aKernel.Table<region_load>())
+  , mLinks(aKernel.Table<link_budget>())
+  , mLinkLenders(aKernel.Table<link_lenders>())
 {
   instant now = std::chrono::steady_clock::now();
   const settings& settings = aKernel.Settings();
@@ -201,6 +241,84 @@
     [&](traffic_shifts& aShifts) { aShifts.Observe(aDocument, live, aNow); });
 }
 
+void
+entry_tables::RefreshRegionLoad(const std::vector<home_claim>& aClaims,
+                                instant aNow)
+{
+  std::uint64_t version = 0;
+  std::shared_ptr<const document> document;
+  mDocumentState.With([&](document_state& aState) {
+    version = aState.Version();
+    document = aState.Document();
+  });
+  if (!document) {
+    return;
+  }
+  member self = Self();
+  std::vector<version_report> reports{
+    { self.mInstance, self.mDomain, version }
+  };
+  for (const peer& one : LivePeers(aNow)) {
+    const member& sender = one.mLast.mSender;
+    if (sender.mRegion == self.mRegion) {
+      reports.push_back(
+        { sender.mInstance, sender.mDomain, one.mLast.mVersion });
+    }
+  }
+  mRegionLoad.With([&](region_load& aLoad) {
+    if (aLoad.Newest() < version) {
+      aLoad.Adopt(version,
+                  RegionQuotas(*document, self.mRegion),
+                  DomainsOf(*document, self.mRegion),
+                  document->mRanks);
+    }
+    aLoad.SetHomes(RegionHomes(*document, aClaims));
+    aLoad.Settle(reports, LongestDeadline(*document), aNow);
+  });
+}
+
+void
+entry_tables::RefreshLinks(const std::vector<home_claim>& aClaims, instant aNow)
+{
+  std::shared_ptr<const document> document = Document();
+  if (!document) {
+    return;
+  }
+  region_id region = Self().mRegion;
+  mLinks.With(
+    [&](link_budget& aLinks) { aLinks.Configure(*document, region, aNow); });
+  mLinkLenders.With([&](link_lenders& aLenders) {
+    aLenders.SetHomes(*document, region, aClaims, aNow);
+  });
+}
+
+std::optional<region_unit>
+entry_tables::AdmitToRegion(const service_id& aService,
+                            instant aDeadline,
+                            instant aNow)
+{
+  return mRegionLoad.With(
+    [&](region_load& aLoad) { return aLoad.Admit(aService, aDeadline, aNow); });
+}
+
+void
+entry_tables::ReleaseToRegion(const region_unit& aUnit)
+{
+  mRegionLoad.With([&](region_load& aLoad) { aLoad.Release(aUnit); });
+}
+
+link_answer
+entry_tables::TakeLink(const region_id& aTo,
+                       work_rank aRank,
+                       std::uint64_t aBytes,
+                       instant aNow)
+{
+  link_direction direction{ Self().mRegion, aTo };
+  return mLinks.With([&](link_budget& aLinks) {
+    return aLinks.Take(direction, aRank, aBytes, aNow);
+  });
+}
+
 void
 entry_tables::RefreshHomes(instant aNow)
 {
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -6,8 +6,11 @@
 #include "laburnumdyke/decision/admission.h"
 #include "laburnumdyke/decision/document_state.h"
 #include "laburnumdyke/decision/identity_ledger.h"
+#include "laburnumdyke/decision/link_budget.h"
+#include "laburnumdyke/decision/link_lender.h"
 #include "laburnumdyke/decision/membership.h"
 #include "laburnumdyke/decision/placement.h"
+#include "laburnumdyke/decision/region_load.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/kernel/kernel.h"
@@ -81,6 +84,27 @@
   // Tells the shifts which regions are live.
   void RefreshShifts(const document& aDocument, instant aNow);
 
+  // Brings the region's quotas and the links' budgets up to the document in
+  // force and to the home claims that this instance holds.
+  void RefreshRegionLoad(const std::vector<home_claim>& aClaims, instant aNow);
+  void RefreshLinks(const std::vector<home_claim>& aClaims, instant aNow);
+
+  // A unit of the region's cap, to be taken immediately before a dispatch and
+  // released when the request has ended. Nothing: refuse as RegionOverCap.
+  std::optional<region_unit> AdmitToRegion(const service_id& aService,
+                                           instant aDeadline,
+                                           instant aNow);
+  void ReleaseToRegion(const region_unit& aUnit);
+
+  // How much of aBytes may be sent to another region now.
+  link_answer TakeLink(const region_id& aTo,
+                       work_rank aRank,
+                       std::uint64_t aBytes,
+                       instant aNow);
+
+  table<link_budget>& Links() { return mLinks; }
+  table<link_lenders>& LinkLenders() { return mLinkLenders; }
+
   // Sets admission's homes from the document and the live view, and wakes
   // whom that gives a slot.
   void RefreshHomes(instant aNow);
@@ -97,6 +121,9 @@
   table<retry_budget>& mRetryBudget;
   table<placement_state>& mPlacement;
   table<traffic_shifts>& mShifts;
+  table<region_load>& mRegionLoad;
+  table<link_budget>& mLinks;
+  table<link_lenders>& mLinkLenders;
   std::shared_ptr<grant_waiters> mWaiters;
   std::shared_ptr<std::atomic<request_number>> mNumbers;
   instant mStarted{};
--- /dev/null
+++ b/laburnumdyke/testing/link_budget_test.cc
@@ -0,0 +1,337 @@
+// Byte budgets: division among domains, lending, ranks, and a randomised run
+// of several instances that never exceeds the link.
+#include "laburnumdyke/decision/link_budget.h"
+#include "laburnumdyke/decision/link_lender.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const region_id kHere{ "leinster" };
+const region_id kThere{ "munster" };
+const link_direction kDirection{ kHere, kThere };
+constexpr instant kNow{ 1000s };
+constexpr byte_rate kLink = 37500000; // 300 Mbit/s
+constexpr std::uint64_t kChunk = 16384;
+
+document
+Document(std::size_t aDomains)
+{
+  document made;
+  made.mRegions[kHere].mCap = 10;
+  made.mRegions[kThere].mCap = 10;
+  made.mRegions[{ "connacht" }].mCap = 10;
+  for (std::size_t i = 0; i < aDomains; ++i) {
+    made.mDomains[{ "d" + std::to_string(i) }].mRegion = kHere;
+  }
+  made.mDomains[{ "other" }].mRegion = kThere;
+  made.mLinks["one"] = { kHere, kThere, 300 };
+  made.mRanks.at(0).mFloorPercent = 50;
+  made.mRanks.at(1).mFloorPercent = 20;
+  made.mRanks.at(2).mFloorPercent = 10;
+  return made;
+}
+
+using buckets = rank_buckets<>;
+
+buckets
+Buckets(byte_rate aRate)
+{
+  buckets made;
+  made.SetRate(0, kNow);
+  made.SetRate(aRate, kNow);
+  made.Configure(Document(1).mRanks, kNow);
+  return made;
+}
+
+// Bytes that each rank gets in aTime when it asks for aWanted chunks a
+// millisecond.
+std::array<std::uint64_t, kRankCount>
+Run(buckets& aBuckets,
+    const std::array<int, kRankCount>& aWanted,
+    std::chrono::milliseconds aTime)
+{
+  std::array<std::uint64_t, kRankCount> got{};
+  for (std::chrono::milliseconds at = 0ms; at < aTime; at += 1ms) {
+    // The least urgent asks first: order of arrival must not matter.
+    for (std::size_t rank = kRankCount; rank-- > 0;) {
+      for (int i = 0; i < aWanted.at(rank); ++i) {
+        got.at(rank) +=
+          aBuckets.Take(static_cast<work_rank>(rank), kChunk, kNow + at)
+            .mGranted;
+      }
+    }
+  }
+  return got;
+}
+
+} // namespace
+
+TEST_GROUP(LinkBudget){};
+
+TEST(LinkBudget, DomainsDivideTheLink)
+{
+  CHECK_EQUAL(kLink, *DomainRate(Document(1), kDirection));
+  CHECK_EQUAL(kLink / 3, *DomainRate(Document(3), kDirection));
+  CHECK_EQUAL(kLink, *DomainRate(Document(3), { kThere, kHere }));
+  CHECK_EQUAL(0u, *DomainRate(Document(3), { kHere, { "connacht" } }));
+  document unlimited = Document(1);
+  unlimited.mLinks.clear();
+  CHECK_FALSE(DomainRate(unlimited, kDirection).has_value());
+}
+
+TEST(LinkBudget, WithoutLinksEverythingIsGranted)
+{
+  document unlimited = Document(1);
+  unlimited.mLinks.clear();
+  link_budget budget;
+  budget.Configure(unlimited, kHere, kNow);
+  CHECK_EQUAL(
+    kLink * 10,
+    budget.Take(kDirection, work_rank::Bulk, kLink * 10, kNow).mGranted);
+}
+
+TEST(LinkBudget, RegionsWithoutALinkGetNothing)
+{
+  link_budget budget;
+  budget.Configure(Document(1), kHere, kNow);
+  link_answer answer = budget.Take(
+    { kHere, { "connacht" } }, work_rank::Urgent, kChunk, kNow + 1s);
+  CHECK_EQUAL(0u, answer.mGranted);
+  CHECK(answer.mAskAgain > 0ms);
+}
+
+TEST(LinkBudget, RanksShareBySituation)
+{
+  struct row
+  {
+    std::array<int, kRankCount> mWanted; // chunks a millisecond
+    std::array<int, kRankCount> mLeast;  // percent of the rate
+    std::array<int, kRankCount> mMost;
+  };
+  for (const row& one : std::vector<row>{
+         // Alone, a rank gets all.
+         { { 9, 0, 0 }, { 98, 0, 0 }, { 100, 0, 0 } },
+         { { 0, 0, 9 }, { 0, 0, 98 }, { 0, 0, 100 } },
+         // An urgent flood leaves the others their floors.
+         { { 9, 9, 9 }, { 68, 19, 9 }, { 71, 21, 11 } },
+         // What urgent doesn't want goes to the next.
+         { { 0, 9, 9 }, { 0, 88, 9 }, { 0, 91, 11 } },
+       }) {
+    buckets made = Buckets(kLink);
+    std::array<std::uint64_t, kRankCount> got = Run(made, one.mWanted, 2s);
+    for (std::size_t rank = 0; rank < kRankCount; ++rank) {
+      CHECK(got.at(rank) >= kLink * 2 * one.mLeast.at(rank) / 100);
+      CHECK(got.at(rank) <= kLink * 2 * one.mMost.at(rank) / 100);
+    }
+  }
+}
+
+TEST(LinkBudget, AskingAgainWhenToldSucceeds)
+{
+  buckets made = Buckets(kLink / 100);
+  instant now = kNow;
+  link_answer answer = made.Take(work_rank::Bulk, kChunk, now);
+  CHECK_EQUAL(0u, answer.mGranted);
+  now += answer.mAskAgain;
+  CHECK(made.Take(work_rank::Bulk, kChunk, now).mGranted > 0);
+}
+
+TEST(LinkBudget, LenderDividesByDemand)
+{
+  rate_lender lender;
+  lender.Open(1000, kNow);
+  CHECK_EQUAL(800u, lender.Lendable());
+  CHECK_EQUAL(500u, lender.Lend({ "x" }, 500, kNow).mRate);
+  CHECK_EQUAL(300u, lender.Lend({ "y" }, 900, kNow).mRate); // what is left
+  // x gives way to the even share; y gets it once x's earlier grant has ended.
+  CHECK_EQUAL(400u, lender.Lend({ "x" }, 500, kNow + 500ms).mRate);
+  CHECK_EQUAL(300u, lender.Lend({ "y" }, 900, kNow + 600ms).mRate);
+  CHECK_EQUAL(400u, lender.Lend({ "x" }, 500, kNow + 1900ms).mRate);
+  CHECK_EQUAL(400u, lender.Lend({ "y" }, 900, kNow + 2100ms).mRate);
+  CHECK_EQUAL(800u, lender.Lent(kNow + 2100ms));
+  CHECK_EQUAL(0u, lender.Lent(kNow + 5s));
+}
+
+TEST(LinkBudget, ANewLenderWaitsForEarlierGrants)
+{
+  rate_lender lender;
+  lender.Open(1000, kNow + kRateLife);
+  CHECK_EQUAL(0u, lender.Lend({ "x" }, 500, kNow).mRate);
+  CHECK_EQUAL(500u, lender.Lend({ "x" }, 500, kNow + kRateLife).mRate);
+}
+
+TEST(LinkBudget, AGrantEndsOnTheHoldersClock)
+{
+  link_budget budget;
+  budget.Configure(Document(1), kHere, kNow);
+  byte_rate reserve = ReserveRate(kLink);
+  CHECK_EQUAL(reserve, budget.Rate(kDirection, kNow));
+  budget.Granted(kDirection, { 5000000, 1900ms }, kNow, kNow + 1s);
+  CHECK_EQUAL(reserve + 5000000, budget.Rate(kDirection, kNow + 1s));
+  CHECK_EQUAL(reserve, budget.Rate(kDirection, kNow + 1900ms));
+  // A late answer, and one that a newer has overtaken.
+  budget.Granted(kDirection, { 7000000, 1900ms }, kNow + 2s, kNow + 4s);
+  CHECK_EQUAL(reserve, budget.Rate(kDirection, kNow + 4s));
+  budget.Granted(kDirection, { 1000000, 1900ms }, kNow + 5s, kNow + 5s);
+  budget.Granted(kDirection, { 7000000, 1900ms }, kNow + 4500ms, kNow + 5s);
+  CHECK_EQUAL(reserve + 1000000, budget.Rate(kDirection, kNow + 5s));
+}
+
+TEST(LinkBudget, ALapsedGrantLeavesNoTokens)
+{
+  link_budget budget;
+  budget.Configure(Document(1), kHere, kNow);
+  budget.Granted(kDirection, { 30000000, 1900ms }, kNow, kNow);
+  // Nothing was asked for meanwhile, as by a process that was paused.
+  std::uint64_t granted =
+    budget.Take(kDirection, work_rank::Urgent, kLink, kNow + 10s).mGranted;
+  CHECK(granted <= 2 * ReserveRate(kLink) * buckets::kDepth / 1s);
+}
+
+TEST(LinkBudget, OnlyTheClaimsHolderLends)
+{
+  document document = Document(1);
+  link_lenders lenders;
+  home_claim claim;
+  claim.mUpstream = LinkClaimName(kDirection);
+  lenders.SetHomes(document, kHere, {}, kNow);
+  CHECK_FALSE(lenders.Lend(kDirection, { "x" }, 9, kNow).has_value());
+  lenders.SetHomes(document, kHere, { claim }, kNow);
+  CHECK_EQUAL(0u, lenders.Lend(kDirection, { "x" }, 9, kNow)->mRate);
+  instant later = kNow + kRateLife;
+  lenders.SetHomes(document, kHere, { claim }, later);
+  CHECK_EQUAL(9u, lenders.Lend(kDirection, { "x" }, 9, later)->mRate);
+  document.mLinks["one"].mMegabits = 100; // opens anew
+  lenders.SetHomes(document, kHere, { claim }, later);
+  CHECK_EQUAL(0u, lenders.Lend(kDirection, { "x" }, 9, later)->mRate);
+}
+
+// Several instances send over a link while answers of the lender are lost or
+// late, instances freeze, and the lender changes. The oracle adds the rates at
+// each moment and the bytes of each second.
+TEST(LinkBudget, TheSumNeverExceedsTheLink)
+{
+  struct answer
+  {
+    std::size_t mInstance;
+    rate_grant mGrant;
+    instant mAskedAt;
+    instant mArrives;
+  };
+  constexpr std::size_t kInstances = 6;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    std::mt19937_64 random(seed);
+    document document = Document(1);
+    std::vector<link_budget> budgets(kInstances);
+    for (link_budget& budget : budgets) {
+      budget.Configure(document, kHere, kNow);
+    }
+    std::vector<instant> frozenUntil(kInstances, kNow);
+    std::vector<instant> nextAsk(kInstances, kNow);
+    std::vector<int> wanted(kInstances, 1);
+    rate_lender lender;
+    lender.Open(kLink, kNow);
+    std::vector<answer> answers;
+    std::deque<std::pair<instant, std::uint64_t>> sent;
+    std::uint64_t inWindow = 0;
+    std::uint64_t total = 0;
+    instant now = kNow;
+    for (int step = 0; step < 20000; ++step) {
+      now += std::chrono::microseconds(random() % 4000);
+      if (random() % 4000 == 0) { // its successor knows of no grant
+        lender = rate_lender();
+        lender.Open(kLink, now + kRateLife);
+      }
+      std::size_t at = random() % kInstances;
+      if (random() % 500 == 0) {
+        frozenUntil.at(at) = now + std::chrono::milliseconds(random() % 6000);
+      }
+      if (random() % 100 == 0) {
+        wanted.at(at) = static_cast<int>(random() % 30);
+      }
+      for (const answer& one : answers) {
+        if (one.mArrives <= now && frozenUntil.at(one.mInstance) <= now) {
+          budgets.at(one.mInstance)
+            .Granted(kDirection, one.mGrant, one.mAskedAt, now);
+        }
+      }
+      std::erase_if(answers, [&](const answer& aOne) {
+        return aOne.mArrives <= now && frozenUntil.at(aOne.mInstance) <= now;
+      });
+      if (frozenUntil.at(at) > now) {
+        continue;
+      }
+      if (nextAsk.at(at) <= now) {
+        nextAsk.at(at) = now + kAskPeriod;
+        byte_rate demand = budgets.at(at).Ask(kDirection, now).mDemand;
+        // The question may wait before the lender sees it; the answer too.
+        rate_grant grant =
+          lender.Lend({ "i" + std::to_string(at) }, demand, now);
+        bool isLost = random() % 5 == 0;
+        if (!isLost) {
+          answers.push_back(
+            { at,
+              grant,
+              now,
+              now + std::chrono::milliseconds(random() % 800) });
+        }
+      }
+      for (int i = 0; i < wanted.at(at); ++i) {
+        std::uint64_t granted =
+          budgets.at(at)
+            .Take(kDirection, static_cast<work_rank>(random() % 3), kChunk, now)
+            .mGranted;
+        sent.emplace_back(now, granted);
+        inWindow += granted;
+        total += granted;
+      }
+      byte_rate rates = 0;
+      for (const link_budget& budget : budgets) {
+        rates += budget.Rate(kDirection, now);
+      }
+      CHECK(rates <= kLink);
+      while (!sent.empty() && sent.front().first <= now - 1s) {
+        inWindow -= sent.front().second;
+        sent.pop_front();
+      }
+      // The bytes of a second, and what the buckets hold at most: the rest is
+      // as deep as all floors together may be.
+      CHECK(inWindow <= kLink + 2 * kLink * buckets::kDepth / 1s);
+    }
+    CHECK(total > kLink * 5); // the run was not idle
+  }
+}
+
+// One of four instances sends. Each way's use of the domain's rate is printed
+// by the benchmark; here lending must beat the even split by far.
+TEST(LinkBudget, AnInstanceAloneGetsWhatIdleOnesDoNotUse)
+{
+  link_budget busy;
+  busy.Configure(Document(1), kHere, kNow);
+  rate_lender lender;
+  lender.Open(kLink, kNow);
+  std::uint64_t sent = 0;
+  for (std::chrono::milliseconds at = 0ms; at < 20s; at += 1ms) {
+    instant now = kNow + at;
+    if (at % kAskPeriod == 0ms) {
+      byte_rate demand = busy.Ask(kDirection, now).mDemand;
+      busy.Granted(kDirection, lender.Lend({ "busy" }, demand, now), now, now);
+      for (const char* idle : { "x", "y", "z" }) {
+        lender.Lend({ idle }, 0, now);
+      }
+    }
+    for (int i = 0; i < 4; ++i) {
+      sent += busy.Take(kDirection, work_rank::Bulk, kChunk, now).mGranted;
+    }
+  }
+  CHECK(sent > kLink * 20 * 70 / 100);
+}
--- a/laburnumdyke/testing/placement_bench_main.cc
+++ b/laburnumdyke/testing/placement_bench_main.cc
@@ -1,9 +1,10 @@
 // Measures the block table at the users' later size: memory, look-ups a
-// second and the time of one update. Usage: placement_bench [BLOCKS [SEED]]
+// second and the time of one update; and whole placements a second with 24
+// entry instances in six domains. Usage: placement_bench [BLOCKS [SEED]]
 //
 // Memory is counted at operator new, so that growth, slack and the allocator's
 // view of what an update holds are all included.
-#include "laburnumdyke/decision/block_table.h"
+#include "laburnumdyke/decision/placement.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -65,6 +66,9 @@
 constexpr std::size_t kDomains = 54;
 constexpr std::size_t kLookups = 4000000;
 constexpr std::size_t kUpdates = 2000;
+constexpr std::size_t kPlacements = 100000;
+constexpr std::size_t kEntries = 24;
+constexpr std::size_t kEntryDomains = 6;
 constexpr double kMegabyte = 1e6;
 
 // Half IPv4, mostly /24 with /16 to /32 beside; half IPv6 from /29 to /64.
@@ -154,6 +158,58 @@
               kLookups);
 }
 
+member
+Member(std::size_t aNumber)
+{
+  member made;
+  made.mInstance.mValue = "entry-" + std::to_string(aNumber);
+  made.mDomain.mValue = "domain-" + std::to_string(aNumber % kEntryDomains);
+  made.mRegion.mValue = "region-" + std::to_string(aNumber % kEntryDomains / 2);
+  return made;
+}
+
+void
+MeasurePlacements(const block_table& aTable,
+                  const std::vector<address_bytes>& aQuestions)
+{
+  const service_id service{ "service" };
+  instant now = std::chrono::steady_clock::now();
+  document document;
+  document.mServices[service].mRank = work_rank::Standard;
+  std::vector<peer> peers;
+  for (std::size_t i = 1; i < kEntries; ++i) {
+    peer one;
+    one.mLast.mSender = Member(i);
+    one.mLast.mCredits = { { service, 6, 3 } };
+    one.mHeard = now;
+    peers.push_back(one);
+    document.mRegions[one.mLast.mSender.mRegion].mCap = 100;
+    document.mDomains[one.mLast.mSender.mDomain].mRegion =
+      one.mLast.mSender.mRegion;
+  }
+  member self = Member(0);
+  traffic_shifts shifts;
+  shifts.Observe(document, LiveRegions(self, peers), now);
+  placement_view view{ document, aTable, self, peers };
+  std::size_t choices = 0;
+  instant start = std::chrono::steady_clock::now();
+  for (std::size_t i = 0; i < kPlacements; ++i) {
+    report_rooms rooms(view, { { service, 6, 3 } }, now);
+    placement_answer answer = PlaceClient(view,
+                                          service,
+                                          aQuestions[i % aQuestions.size()],
+                                          rooms,
+                                          shifts,
+                                          now,
+                                          std::chrono::system_clock::now());
+    choices += answer.mChoices.size();
+  }
+  std::printf("placements_per_second=%.0f choices=%zu of=%zu\n",
+              static_cast<double>(kPlacements) / SecondsSince(start),
+              choices,
+              kPlacements);
+}
+
 void
 MeasureUpdates(block_table aTable, std::mt19937_64& aRandom)
 {
@@ -203,6 +259,7 @@
               static_cast<double>(gHeld - before) / kMegabyte,
               static_cast<double>(gPeak - before) / kMegabyte);
   MeasureLookups(table, questions);
+  MeasurePlacements(table, questions);
   MeasureUpdates(std::move(table), random);
   return 0;
 }
