--- a/laburnumdyke/decision/admission.cc
+++ b/laburnumdyke/decision/admission.cc
@@ -258,7 +258,11 @@
   if (aPool.mQueue.Size(aRequest.mRank) >= limit) {
     return refusal_reason::QueueFull;
   }
-  duration wait = aPool.mHold.Wait(ahead, state.mSlots);
+  // The rank's floor serves it while more urgent ranks wait.
+  double floorSlots = aPool.mShare.Floor(aRequest.mRank) * state.mSlots;
+  duration wait =
+    std::min(aPool.mHold.Wait(ahead, state.mSlots),
+             aPool.mHold.Wait(aPool.mQueue.AheadInRank(aRequest), floorSlots));
   return aNow + wait + aPool.mHold.Mean() > aRequest.mDeadline
            ? refusal_reason::DeadlineTooClose
            : refusal_reason::None;
--- a/laburnumdyke/decision/hold_time.h
+++ b/laburnumdyke/decision/hold_time.h
@@ -14,6 +14,7 @@
 public:
   // One over the weight of the newest sample.
   static constexpr std::int64_t kSamples = 16;
+  static constexpr duration kLongest = std::chrono::hours(1);
 
   void Learn(duration aHeld)
   {
@@ -25,11 +26,15 @@
   duration Mean() const { return mMean; }
 
   // Until a request with aAhead others before it gets one of aSlots slots,
-  // all of them in use now.
-  duration Wait(std::size_t aAhead, std::uint32_t aSlots) const
+  // all of them in use now. Without slots, the longest time.
+  duration Wait(std::size_t aAhead, double aSlots) const
   {
-    return mMean * static_cast<std::int64_t>(aAhead + 1) /
-           std::max(static_cast<std::int64_t>(aSlots), std::int64_t(1));
+    if (aSlots <= 0) {
+      return kLongest;
+    }
+    double turns = static_cast<double>(aAhead + 1) / aSlots;
+    return std::min(std::chrono::duration_cast<duration>(mMean * turns),
+                    kLongest);
   }
 
 private:
--- a/laburnumdyke/decision/rank_share.h
+++ b/laburnumdyke/decision/rank_share.h
@@ -35,6 +35,9 @@
 
   void SetFloors(const std::array<rank_spec, kRankCount>& aRanks);
 
+  // Share of the pool that is kept for the rank.
+  double Floor(work_rank aRank) const { return Use(aRank).mFloor; }
+
   // Notes that a rank asks for work.
   void CountDemand(work_rank aRank, instant aNow);
 
--- a/laburnumdyke/decision/request_queue.h
+++ b/laburnumdyke/decision/request_queue.h
@@ -101,14 +101,19 @@
   // which the document bounds.
   std::size_t Ahead(const admission_request& aRequest) const
   {
-    place at{ Order::Place(aRequest, mArrivals + 1), aRequest.mNumber };
     std::size_t count = 0;
     for (std::size_t i = 0; i < static_cast<std::size_t>(aRequest.mRank); ++i) {
       count += mLines[i].size();
     }
+    return count + AheadInRank(aRequest);
+  }
+
+  std::size_t AheadInRank(const admission_request& aRequest) const
+  {
+    place at{ Order::Place(aRequest, mArrivals + 1), aRequest.mNumber };
     const line& own = Line(aRequest.mRank);
-    return count + static_cast<std::size_t>(
-                     std::distance(own.begin(), own.lower_bound(at)));
+    return static_cast<std::size_t>(
+      std::distance(own.begin(), own.lower_bound(at)));
   }
 
   std::vector<request_number> Late(instant aNow) const
--- a/laburnumdyke/kernel/lock_rank.h
+++ b/laburnumdyke/kernel/lock_rank.h
@@ -20,6 +20,7 @@
   Lifecycle = 5,    // starting, running, leaving, stopped
   Document = 10,    // document in force
   Membership = 20,  // peers, incarnations, leases
+  Adverts = 25,     // what was handed to peers since their adverts
   Placement = 30,   // client blocks to failure domains
   Identity = 40,    // outcomes by request identity
   Regions = 45,     // region caps and shifts
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -28,6 +28,7 @@
   , mMembership(aKernel.Table<membership>())
   , mLedger(aKernel.Table<identity_ledger>())
   , mAdmission(aKernel.Table<admission>())
+  , mRelayCredit(aKernel.Table<relay_credit>())
   , mRetryBudget(aKernel.Table<retry_budget>())
 {
   instant now = std::chrono::steady_clock::now();
@@ -122,7 +123,16 @@
 {
   std::vector<service_credit> own = mAdmission.With(
     [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
-  return ChooseRoute(aService, Self(), own, LivePeers(aNow), aTried, aNow);
+  std::vector<peer> live = LivePeers(aNow);
+  std::vector<peer> peers = mRelayCredit.With(
+    [&](relay_credit& aCredit) { return aCredit.Adjust(live); });
+  route chosen = ChooseRoute(aService, Self(), own, peers, aTried, aNow);
+  if (chosen.mStep == route_step::Relay) {
+    mRelayCredit.With([&](relay_credit& aCredit) {
+      aCredit.CountRelay(chosen.mTarget.mInstance, aService);
+    });
+  }
+  return chosen;
 }
 
 bool
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -7,6 +7,7 @@
 #include "laburnumdyke/decision/document_state.h"
 #include "laburnumdyke/decision/identity_ledger.h"
 #include "laburnumdyke/decision/membership.h"
+#include "laburnumdyke/decision/relay_credit.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/kernel/kernel.h"
@@ -76,6 +77,7 @@
   table<membership>& mMembership;
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
+  table<relay_credit>& mRelayCredit;
   table<retry_budget>& mRetryBudget;
   std::shared_ptr<grant_waiters> mWaiters;
   std::shared_ptr<std::atomic<request_number>> mNumbers;
