--- a/laburnumdyke/decision/admission.cc
+++ b/laburnumdyke/decision/admission.cc
@@ -151,10 +151,14 @@
     if (!use.Serves() || health == health_state::Draining) {
       continue;
     }
-    std::uint32_t allowed = use.mHealth.Allowed(use.mSpec.mSlots, aNow);
+    std::uint32_t open = use.mHealth.Allowed(use.mSpec.mSlots, aNow);
+    std::uint32_t held = use.Used(aNow) - use.mInFlight;
+    if (held >= open) {
+      continue; // an earlier home may still occupy all of them
+    }
     pool_state& state = health == health_state::Usable ? trusted : distrusted;
     state.mAnyServes = true;
-    state.mSlots += allowed;
+    state.mSlots += open - held;
     state.mFree += use.Free(aNow);
   }
   return trusted.mAnyServes ? trusted : distrusted;
@@ -239,9 +243,6 @@
                                  const admission_request& aRequest,
                                  instant aNow) const
 {
-  if (aRequest.mDeadline <= aNow) {
-    return refusal_reason::DeadlinePassed;
-  }
   pool_state state = Survey(aPool, aNow);
   if (!state.mAnyServes) {
     return refusal_reason::NoUpstream;
@@ -300,6 +301,9 @@
 admission_answer
 basic_admission<Order>::Ask(const admission_request& aRequest, instant aNow)
 {
+  if (aRequest.mDeadline <= aNow) {
+    return Refuse(refusal_reason::DeadlinePassed, kLeastRetryAfter);
+  }
   auto found = mPools.find(aRequest.mService);
   if (found == mPools.end()) {
     return Refuse(refusal_reason::NoUpstream, kLeastRetryAfter);
--- a/laburnumdyke/testing/bench/deployment.cc
+++ b/laburnumdyke/testing/bench/deployment.cc
@@ -48,6 +48,8 @@
     service.mRank = load.mRank;
     service.mIdempotent = load.mIdempotent;
     service.mWarmUp = kWarmUp;
+    service.mDeadline = std::chrono::duration_cast<std::chrono::milliseconds>(
+      load.mDeadline * kLongestDeadline);
     made.mServices[load.mService] = service;
     for (std::uint32_t i = 0; i < load.mUpstreams; ++i) {
       upstream_spec spec;
--- a/laburnumdyke/testing/bench/deployment.h
+++ b/laburnumdyke/testing/bench/deployment.h
@@ -65,6 +65,9 @@
 inline constexpr std::chrono::seconds kMeasureFrom{ 20 };
 inline constexpr std::chrono::seconds kFreeze{ 5 };
 inline constexpr std::chrono::seconds kWarmUp{ 10 };
+// Deadlines are spread evenly about their mean.
+inline constexpr double kShortestDeadline = 0.5;
+inline constexpr double kLongestDeadline = 1.5;
 inline constexpr double kColdFactor = 4; // of the work at the start
 
 std::vector<scenario>
--- a/laburnumdyke/testing/bench/steered.cc
+++ b/laburnumdyke/testing/bench/steered.cc
@@ -15,7 +15,6 @@
       AddEntry(domain, index++);
     }
   }
-  Settle();
   if (aWorld.Scenario().mFreeze) {
     mEntries[0]->mFrozenFrom = aWorld.Now() + kMeasureFrom;
     mEntries[0]->mFrozenUntil = mEntries[0]->mFrozenFrom + kFreeze;
@@ -98,38 +97,13 @@
   });
 }
 
-// The run starts with a deployment that is up: everyone has heard everyone.
-template<queue_order Order>
-void
-steered<Order>::Settle()
-{
-  for (const std::unique_ptr<entry>& from : mEntries) {
-    std::shared_ptr<heartbeat> beat = MakeBeat(*from);
-    for (const std::unique_ptr<entry>& to : mEntries) {
-      to->mMembership.Hear(*beat, mWorld.Now());
-    }
-  }
-  for (const std::unique_ptr<entry>& one : mEntries) {
-    Refresh(*one);
-  }
-}
-
-template<queue_order Order>
-std::shared_ptr<heartbeat>
-steered<Order>::MakeBeat(entry& aEntry)
-{
-  std::shared_ptr<heartbeat> beat = std::make_shared<heartbeat>();
-  beat->mSender = aEntry.mSelf;
-  beat->mSequence = ++aEntry.mSequence;
-  beat->mCredits = aEntry.mAdmission.Credits(mWorld.Now());
-  return beat;
-}
-
 template<queue_order Order>
 void
 steered<Order>::Announce(entry& aEntry)
 {
-  std::shared_ptr<heartbeat> beat = MakeBeat(aEntry);
+  std::shared_ptr<heartbeat> beat =
+    std::make_shared<heartbeat>(aEntry.mMembership.Compose(mWorld.Now()));
+  beat->mCredits = aEntry.mAdmission.Credits(mWorld.Now());
   for (std::unique_ptr<entry>& one : mEntries) {
     entry* other = one.get();
     if (other == &aEntry) {
@@ -138,6 +112,9 @@
     mWorld.Events().After(Delay(aEntry, *other), [this, other, beat]() {
       OnEntry(*other, [this, other, beat]() {
         other->mMembership.Hear(*beat, mWorld.Now());
+        if (other->mMembership.TakeAnswerNow()) {
+          Announce(*other);
+        }
       });
     });
   }
@@ -148,15 +125,19 @@
 steered<Order>::Refresh(entry& aEntry)
 {
   instant now = mWorld.Now();
-  std::vector<home_claim> claims;
+  const document& document = mWorld.Document();
+  std::map<upstream_id, upstream_terms> terms;
   for (const std::pair<const upstream_id, upstream_spec>& one :
-       mWorld.Document().mUpstreams) {
-    if (one.second.mDomain == aEntry.mSelf.mDomain &&
-        aEntry.mMembership.HomeOf(one.first, now) == aEntry.mSelf.mInstance) {
-      claims.push_back({ one.first, 0, {} });
+       document.mUpstreams) {
+    if (one.second.mDomain == aEntry.mSelf.mDomain) {
+      terms[one.first] = {
+        one.second.mSlots, document.mServices.at(one.second.mService).mDeadline
+      };
     }
   }
-  Deliver(aEntry, aEntry.mAdmission.Configure(mWorld.Document(), claims, now));
+  std::vector<home_claim> claims =
+    aEntry.mMembership.Lease().Claims(terms, now);
+  Deliver(aEntry, aEntry.mAdmission.Configure(document, claims, now));
   Deliver(aEntry, aEntry.mAdmission.Tick(now));
 }
 
@@ -374,8 +355,9 @@
 {
   instant now = mWorld.Now();
   request_number number = aGrant.mNumber;
-  if (aEntry.mMembership.HomeOf(aGrant.mUpstream, now) !=
-      aEntry.mSelf.mInstance) {
+  instant deadline = mWorld.Request(aWaiter.mRequest).mDeadline;
+  if (!aEntry.mMembership.Lease().BeginDispatch(
+        aGrant.mUpstream, number, deadline, now)) {
     Deliver(aEntry,
             aEntry.mAdmission.Release(number, attempt_result::Abandoned, now));
     aWaiter.mEnd({ outcome_kind::NotRun, refusal_reason::LeaseLapsed });
--- a/laburnumdyke/testing/bench/steered.h
+++ b/laburnumdyke/testing/bench/steered.h
@@ -48,7 +48,6 @@
     retry_budget mBudget;
     relay_credit mCredit;
     std::map<request_number, waiter> mWaiters;
-    std::uint64_t mSequence = 0;
     request_number mNumber = 0;
     instant mFrozenFrom = instant::max();
     instant mFrozenUntil{};
@@ -71,9 +70,7 @@
 
   void AddEntry(const domain_id& aDomain, std::uint32_t aIndex);
   void OnEntry(entry& aEntry, event_queue::action aAction);
-  void Settle();
   void Beat(entry& aEntry);
-  std::shared_ptr<heartbeat> MakeBeat(entry& aEntry);
   void Announce(entry& aEntry);
   void Refresh(entry& aEntry);
   void ReadReports(entry& aEntry);
--- a/laburnumdyke/testing/bench/world.cc
+++ b/laburnumdyke/testing/bench/world.cc
@@ -66,7 +66,8 @@
   std::mt19937_64 random(aSeed);
   std::exponential_distribution<double> gap(rate);
   std::exponential_distribution<double> work(2);
-  std::uniform_real_distribution<double> allowed(0.5, 1.5);
+  std::uniform_real_distribution<double> allowed(kShortestDeadline,
+                                                 kLongestDeadline);
   duration at{ 0 };
   while (true) {
     double factor = mScenario.mHalfCold && at < kMeasureFrom ? 2 : 1;
