--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -11,6 +11,7 @@
 #include "laburnumdyke/decision/membership.h"
 #include "laburnumdyke/decision/placement.h"
 #include "laburnumdyke/decision/region_load.h"
+#include "laburnumdyke/decision/relay_credit.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/kernel/kernel.h"
@@ -124,6 +125,7 @@
   table<membership>& mMembership;
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
+  table<relay_credit>& mRelayCredit;
   table<retry_budget>& mRetryBudget;
   table<placement_state>& mPlacement;
   table<traffic_shifts>& mShifts;
--- a/laburnumdyke/plugin/heartbeat_codec.cc
+++ b/laburnumdyke/plugin/heartbeat_codec.cc
@@ -62,11 +62,11 @@
 IsWithinLimits(const proto::heartbeat& aMessage)
 {
   const proto::lease_message& lease = aMessage.lease();
-  return aMessage.credits_size() <= kMostEntries &&
-         aMessage.known_peers_size() <= kMostEntries &&
-         lease.acks_size() <= kMostEntries &&
-         lease.reports_size() <= kMostEntries &&
-         lease.silent_size() <= kMostEntries;
+  return aMessage.credits_size() <= kMostListed &&
+         aMessage.known_peers_size() <= kMostListed &&
+         lease.acks_size() <= kMostListed &&
+         lease.reports_size() <= kMostListed &&
+         lease.silent_size() <= kMostListed;
 }
 
 void
