Keep joining instances from missing one; count spent credit in routing

Causes: an instance joined without the acknowledgement of one that was still listening, or that only a third had vouched for; and after a clock was set back, beside one whose heartbeats it still ignored. Joining now asks every instance that may be alive, and waits while heartbeats of a lower incarnation are ignored.

Routing spends no more than an advert between two, lets adverts decay, and picks the better of two near peers at random.

Applies to decision/home_lease, membership, routing and entry_tables.

--- a/laburnumdyke/decision/home_lease.cc
+++ b/laburnumdyke/decision/home_lease.cc
@@ -88,6 +88,13 @@
   return changed;
 }
 
+void
+home_lease::NoteIgnored(instant aNow)
+{
+  Observe(aNow);
+  mIgnored = aNow;
+}
+
 lease_message
 home_lease::Compose(std::uint64_t aSequence, instant aNow)
 {
@@ -202,7 +209,8 @@
 {
   BurySilent(aNow);
   bool acknowledged = !mLeaving && mEligibleFrom != 0 && Acknowledged(aNow);
-  if (!acknowledged) {
+  bool mayJoin = mJoined || !mIgnored || aNow - *mIgnored >= kDrop;
+  if (!acknowledged || !mayJoin) {
     DropHomes();
     mJoined = false;
     return;
@@ -254,13 +262,20 @@
   return aNow - since < kTakeover;
 }
 
+// Joining asks every instance that may be alive, since it may hold what this
+// one is about to. Holding asks no longer than kDrop, so that a peer's death
+// doesn't interrupt it.
 bool
 home_lease::IsRequired(const domain_peer& aPeer, instant aNow) const
 {
+  if (aPeer.mLeaving) {
+    return false;
+  }
+  if (!mJoined) {
+    return IsAlive(aPeer, aNow);
+  }
   bool mayBecomeHome = aPeer.mEligible || aPeer.mAckedSequence != 0;
-  milliseconds span = mJoined ? kDrop : kTakeover;
-  return !aPeer.mLeaving && mayBecomeHome &&
-         aNow - std::max(aPeer.mHeard, mListening) < span;
+  return mayBecomeHome && aNow - std::max(aPeer.mHeard, mListening) < kDrop;
 }
 
 bool
--- a/laburnumdyke/decision/home_lease.h
+++ b/laburnumdyke/decision/home_lease.h
@@ -142,6 +142,10 @@
             const lease_message& aMessage,
             instant aNow);
 
+  // Notes a heartbeat of a domain instance that was dropped since a higher
+  // incarnation is known: this instance does not join until kDrop later.
+  void NoteIgnored(instant aNow);
+
   // What to send with the heartbeat of this sequence.
   lease_message Compose(std::uint64_t aSequence, instant aNow);
 
@@ -239,6 +243,7 @@
   instant mBorn{};                  // the first call
   instant mObserved{};              // the latest call
   instant mSettled{};               // when mHomes was last found in force
+  std::optional<instant> mIgnored;  // when a heartbeat was last dropped
   instant mListening{};             // since when
   std::uint64_t mEligibleFrom = 0;  // sequence; 0 while not eligible
   std::deque<sent_heartbeat> mSent; // oldest first
--- a/laburnumdyke/decision/membership.cc
+++ b/laburnumdyke/decision/membership.cc
@@ -37,6 +37,13 @@
 {
   const member& sender = aHeartbeat.mSender;
   if (IsStale(aHeartbeat, aNow)) {
+    bool isOther = sender.mInstance != mSelf.mInstance &&
+                   sender.mDomain == mSelf.mDomain &&
+                   sender.mIncarnation !=
+                     mPeers[sender.mInstance].mLast.mSender.mIncarnation;
+    if (isOther) {
+      mLease.NoteIgnored(aNow);
+    }
     return false;
   }
   mPeers[sender.mInstance] = { aHeartbeat, aNow };
--- a/laburnumdyke/decision/routing.cc
+++ b/laburnumdyke/decision/routing.cc
@@ -1,26 +1,15 @@
-// One pass over the live peers keeps the best by (free credit or not,
-// distance, credit). Credit outranks distance: a queue in the own failure
-// domain costs more than a link, whose budget admission guards.
+// One pass over the live peers keeps those of the best (credit left or not,
+// distance). Credit outranks distance: a queue in the own failure domain costs
+// more than a link, whose budget admission guards.
 #include "laburnumdyke/decision/routing.h"
 
-#include <tuple>
+#include <algorithm>
+#include <utility>
 
 namespace laburnumdyke {
 
 namespace {
 
-const service_credit*
-FindCredit(const std::vector<service_credit>& aCredits,
-           const service_id& aService)
-{
-  for (const service_credit& credit : aCredits) {
-    if (credit.mService == aService) {
-      return &credit;
-    }
-  }
-  return nullptr;
-}
-
 int
 Distance(const member& aFrom, const member& aTo)
 {
@@ -30,52 +19,102 @@
   return aFrom.mRegion == aTo.mRegion ? 1 : 2;
 }
 
-} // namespace
+// Credit by the age of the advert: whole at first, then down to nothing.
+std::uint32_t
+Decayed(std::uint32_t aFree, duration aAge)
+{
+  if (aAge < kAdvertFull) {
+    return aFree;
+  }
+  duration left = std::max<duration>(kAdvertLife - aAge, duration(0));
+  duration span = kAdvertLife - kAdvertFull;
+  std::uint64_t scaled = std::uint64_t{ aFree } *
+                         static_cast<std::uint64_t>(left.count()) /
+                         static_cast<std::uint64_t>(span.count());
+  return static_cast<std::uint32_t>(scaled);
+}
 
-route
-ChooseRoute(const service_id& aService,
-            const member& aSelf,
-            const std::vector<service_credit>& aOwnCredits,
-            const std::vector<peer>& aLivePeers,
-            const std::set<instance_id>& aTried,
-            instant aNow)
+std::optional<relay_candidate>
+Consider(const route_request& aRequest,
+         const peer& aPeer,
+         const relay_ledger& aLedger,
+         instant aNow)
 {
-  const service_credit* own = FindCredit(aOwnCredits, aService);
-  bool hereIsOpen = own != nullptr && aTried.count(aSelf.mInstance) == 0;
-  if (hereIsOpen && own->mFree > 0) {
-    return { route_step::Here, {}, refusal_reason::None };
+  const member& sender = aPeer.mLast.mSender;
+  const service_credit* credit =
+    FindCredit(aPeer.mLast.mCredits, aRequest.mService);
+  duration age = aNow - aPeer.mHeard;
+  bool usable = credit != nullptr && !sender.mLeaving &&
+                aRequest.mTried.count(sender.mInstance) == 0 &&
+                age < kAdvertLife;
+  if (!usable) {
+    return std::nullopt;
   }
-  // Less is better in each part.
-  using order = std::tuple<bool, int, std::uint32_t>;
-  const peer* best = nullptr;
-  order bestOrder;
-  for (const peer& one : aLivePeers) {
-    const member& sender = one.mLast.mSender;
-    const service_credit* credit = FindCredit(one.mLast.mCredits, aService);
-    bool usable = credit != nullptr && !sender.mLeaving &&
-                  aTried.count(sender.mInstance) == 0 &&
-                  aNow - one.mHeard < kAdvertLife;
-    if (!usable) {
+  std::uint32_t free = Decayed(credit->mFree, age);
+  std::uint32_t spent =
+    aLedger.Spent(sender.mInstance, aRequest.mService, aPeer.mHeard);
+  return relay_candidate{ &aPeer,
+                          Distance(aRequest.mSelf, sender),
+                          free - std::min(free, spent) };
+}
+
+} // namespace
+
+const service_credit*
+FindCredit(const std::vector<service_credit>& aCredits,
+           const service_id& aService)
+{
+  auto found = std::find_if(
+    aCredits.begin(), aCredits.end(), [&](const service_credit& aCredit) {
+      return aCredit.mService == aService;
+    });
+  return found == aCredits.end() ? nullptr : &*found;
+}
+
+std::vector<relay_candidate>
+NearestCandidates(const route_request& aRequest,
+                  const relay_ledger& aLedger,
+                  instant aNow)
+{
+  using order = std::pair<bool, int>; // less is better in each part
+  auto orderOf = [](const relay_candidate& aCandidate) {
+    return order(aCandidate.mLeft == 0, aCandidate.mDistance);
+  };
+  std::vector<relay_candidate> nearest;
+  for (const peer& one : aRequest.mLivePeers) {
+    std::optional<relay_candidate> candidate =
+      Consider(aRequest, one, aLedger, aNow);
+    if (!candidate) {
       continue;
     }
-    order candidate(
-      credit->mFree == 0, Distance(aSelf, sender), ~credit->mFree);
-    if (best == nullptr || candidate < bestOrder) {
-      best = &one;
-      bestOrder = candidate;
+    if (!nearest.empty() && orderOf(*candidate) < orderOf(nearest.front())) {
+      nearest.clear();
+    }
+    if (nearest.empty() || orderOf(*candidate) == orderOf(nearest.front())) {
+      nearest.push_back(*candidate);
     }
   }
-  bool bestIsFree = best != nullptr && !std::get<0>(bestOrder);
-  if (hereIsOpen && !bestIsFree) {
-    return { route_step::Here, {}, refusal_reason::None };
-  }
-  if (best == nullptr) {
-    return { route_step::Refuse, {}, refusal_reason::NoUpstream };
-  }
-  const member& target = best->mLast.mSender;
-  return { route_step::Relay,
-           { target.mInstance, target.mRelay, best->mLast.mStamp },
-           refusal_reason::None };
+  return nearest;
+}
+
+std::size_t
+most_credit::Pick(const std::vector<relay_candidate>& aNear)
+{
+  auto best = std::max_element(
+    aNear.begin(),
+    aNear.end(),
+    [](const relay_candidate& aLeft, const relay_candidate& aRight) {
+      return aLeft.mLeft < aRight.mLeft;
+    });
+  return static_cast<std::size_t>(best - aNear.begin());
+}
+
+std::size_t
+two_choices::Pick(const std::vector<relay_candidate>& aNear)
+{
+  std::size_t first = mRandom() % aNear.size();
+  std::size_t second = mRandom() % aNear.size();
+  return aNear[second].mLeft > aNear[first].mLeft ? second : first;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/routing.h
+++ b/laburnumdyke/decision/routing.h
@@ -1,16 +1,28 @@
 // Where a request goes next from this entry instance.
 //
+// Usage:
+//   router router;
+//   route next = router.Choose(request, now);
+//
 // In order: this instance where it is the home of an upstream of the service
-// with a free slot; then the live peer with credit that is nearest (same
-// failure domain, same region, other regions), most credit first; then this
-// instance's own queue; then a peer's.
+// with a free slot; then a live peer with credit left, of this failure domain,
+// else of this region, else of others; then this instance's own queue; then a
+// peer's. A peer that is leaving, silent or already tried is never chosen.
+//
+// Credit left is what the peer's latest advert says, less what was handed over
+// since, and shrinks to nothing as the advert ages to kAdvertLife. Which of
+// several near peers is chosen is the policy's: most_credit or two_choices.
 #pragma once
 
 #include "laburnumdyke/decision/admission.h"
 #include "laburnumdyke/decision/membership.h"
+#include "laburnumdyke/decision/relay_ledger.h"
 #include "laburnumdyke/decision/types.h"
+#include "laburnumdyke/kernel/lock_rank.h"
 
+#include <concepts>
 #include <optional>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -40,14 +52,112 @@
 
 // Adverts older than this count as no credit.
 inline constexpr std::chrono::milliseconds kAdvertLife{ 2000 };
+// Up to this age an advert counts in full.
+inline constexpr std::chrono::milliseconds kAdvertFull{ 1000 };
+
+// A peer that may be relayed to.
+struct relay_candidate
+{
+  const peer* mPeer = nullptr;
+  int mDistance = 0;
+  std::uint32_t mLeft = 0; // credit
+};
+
+// Picks one of at least one equally near candidates.
+template<class T>
+concept relay_choice = requires(T& aChoice,
+                                const std::vector<relay_candidate>& aNear)
+{
+  {
+    aChoice.Pick(aNear)
+    } -> std::same_as<std::size_t>;
+};
+
+// The candidate with the most credit.
+struct most_credit
+{
+  std::size_t Pick(const std::vector<relay_candidate>& aNear);
+};
+
+// The better of two at random, so that relays which read the same adverts
+// spread over the peers.
+struct two_choices
+{
+  std::size_t Pick(const std::vector<relay_candidate>& aNear);
+  std::mt19937_64 mRandom;
+};
 
-// aTried holds the instances that have already not run this request.
+// What routing goes by.
+struct route_request
+{
+  const service_id& mService;
+  const member& mSelf;
+  const std::vector<service_credit>& mOwnCredits;
+  const std::vector<peer>& mLivePeers;
+  // Instances that have already not run this request.
+  const std::set<instance_id>& mTried;
+};
+
+// The peers of the least distance that have credit left; where none has any,
+// the nearest that serve the service.
+std::vector<relay_candidate>
+NearestCandidates(const route_request& aRequest,
+                  const relay_ledger& aLedger,
+                  instant aNow);
+
+const service_credit*
+FindCredit(const std::vector<service_credit>& aCredits,
+           const service_id& aService);
+
+template<relay_choice Choice>
+class basic_router
+{
+public:
+  static constexpr lock_rank kLockRank = lock_rank::Placement;
+
+  basic_router() = default;
+  explicit basic_router(Choice aChoice)
+    : mChoice(std::move(aChoice))
+  {
+  }
+
+  // Counts the hand-over where it chooses one.
+  route Choose(const route_request& aRequest, instant aNow);
+
+private:
+  Choice mChoice;
+  relay_ledger mLedger;
+};
+
+using router = basic_router<two_choices>;
+
+template<relay_choice Choice>
 route
-ChooseRoute(const service_id& aService,
-            const member& aSelf,
-            const std::vector<service_credit>& aOwnCredits,
-            const std::vector<peer>& aLivePeers,
-            const std::set<instance_id>& aTried,
-            instant aNow);
+basic_router<Choice>::Choose(const route_request& aRequest, instant aNow)
+{
+  route here{ route_step::Here, {}, refusal_reason::None };
+  const service_credit* own =
+    FindCredit(aRequest.mOwnCredits, aRequest.mService);
+  bool hereIsOpen =
+    own != nullptr && aRequest.mTried.count(aRequest.mSelf.mInstance) == 0;
+  if (hereIsOpen && own->mFree > 0) {
+    return here;
+  }
+  std::vector<relay_candidate> nearest =
+    NearestCandidates(aRequest, mLedger, aNow);
+  bool creditLeft = !nearest.empty() && nearest.front().mLeft > 0;
+  if (hereIsOpen && !creditLeft) {
+    return here;
+  }
+  if (nearest.empty()) {
+    return { route_step::Refuse, {}, refusal_reason::NoUpstream };
+  }
+  const peer& chosen = *nearest[mChoice.Pick(nearest)].mPeer;
+  const member& target = chosen.mLast.mSender;
+  mLedger.Count(target.mInstance, aRequest.mService, aNow);
+  return { route_step::Relay,
+           { target.mInstance, target.mRelay, chosen.mLast.mStamp },
+           refusal_reason::None };
+}
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -40,6 +40,7 @@
   , mLedger(aKernel.Table<identity_ledger>())
   , mAdmission(aKernel.Table<admission>())
   , mRetryBudget(aKernel.Table<retry_budget>())
+  , mRouter(aKernel.Table<router>())
 {
   instant now = std::chrono::steady_clock::now();
   const settings& settings = aKernel.Settings();
@@ -61,6 +62,12 @@
     mMembership.With([&](membership& aMembership) {
       aMembership.Open(self, settings.mSeeds);
     });
+    // Instances with one seed would follow one another to the same peers.
+    mRouter.With([&](router& aRouter) {
+      std::hash<std::string> hash;
+      aRouter = router(two_choices{
+        std::mt19937_64(hash(self.mInstance.mValue) ^ self.mIncarnation) });
+    });
     mLedger.With([&](identity_ledger& aLedger) {
       aLedger.Open(self.mInstance, self.mIncarnation, now);
     });
@@ -133,7 +140,11 @@
 {
   std::vector<service_credit> own = mAdmission.With(
     [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
-  return ChooseRoute(aService, Self(), own, LivePeers(aNow), aTried, aNow);
+  member self = Self();
+  std::vector<peer> live = LivePeers(aNow);
+  route_request request{ aService, self, own, live, aTried };
+  return mRouter.With(
+    [&](router& aRouter) { return aRouter.Choose(request, aNow); });
 }
 
 bool
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -83,6 +83,7 @@
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
   table<retry_budget>& mRetryBudget;
+  table<router>& mRouter;
   std::shared_ptr<grant_waiters> mWaiters;
   std::shared_ptr<std::atomic<request_number>> mNumbers;
   instant mStarted{};
--- /dev/null
+++ b/laburnumdyke/testing/routing_test.cc
@@ -0,0 +1,156 @@
+// Routing by a table of peers, then the credit ledger under load.
+#include "laburnumdyke/decision/routing.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using std::chrono::milliseconds;
+
+namespace {
+
+const service_id kService{ "reports" };
+const instant kStart{ std::chrono::hours(1) };
+
+struct peer_row
+{
+  const char* mName;
+  const char* mDomain;
+  const char* mRegion;
+  std::uint32_t mFree;
+  int mAge = 0; // milliseconds
+  bool mLeaving = false;
+};
+
+member
+MemberOf(const char* aName, const char* aDomain, const char* aRegion)
+{
+  member one;
+  one.mInstance.mValue = aName;
+  one.mDomain.mValue = aDomain;
+  one.mRegion.mValue = aRegion;
+  return one;
+}
+
+peer
+PeerOf(const peer_row& aRow)
+{
+  peer one;
+  one.mLast.mSender = MemberOf(aRow.mName, aRow.mDomain, aRow.mRegion);
+  one.mLast.mSender.mLeaving = aRow.mLeaving;
+  one.mLast.mCredits = { { kService, 9, aRow.mFree } };
+  one.mHeard = kStart - milliseconds(aRow.mAge);
+  return one;
+}
+
+struct route_row
+{
+  const char* mCase;
+  int mOwnFree; // below 0: not a home of the service
+  std::vector<peer_row> mPeers;
+  std::set<instance_id> mTried;
+  std::string mExpected; // "here", "refuse" or the instance relayed to
+};
+
+std::string
+Describe(const route& aRoute)
+{
+  if (aRoute.mStep == route_step::Relay) {
+    return aRoute.mTarget.mInstance.mValue;
+  }
+  return aRoute.mStep == route_step::Here ? "here" : "refuse";
+}
+
+const std::vector<route_row> kRows = {
+  { "own slot first", 1, { { "p", "d1", "r1", 5 } }, {}, "here" },
+  { "own domain first",
+    0,
+    { { "far", "d3", "r2", 9 },
+      { "near", "d1", "r1", 1 },
+      { "mid", "d2", "r1", 9 } },
+    {},
+    "near" },
+  { "then the region",
+    -1,
+    { { "far", "d3", "r2", 9 },
+      { "near", "d1", "r1", 0 },
+      { "mid", "d2", "r1", 1 } },
+    {},
+    "mid" },
+  { "then others",
+    0,
+    { { "far", "d3", "r2", 9 }, { "near", "d1", "r1", 0 } },
+    {},
+    "far" },
+  { "own queue before a peer's", 0, { { "p", "d1", "r1", 0 } }, {}, "here" },
+  { "a peer's queue", -1, { { "p", "d1", "r1", 0 } }, {}, "p" },
+  { "not the tried", -1, { { "p", "d1", "r1", 1 } }, { { "p" } }, "refuse" },
+  { "not the leaving", -1, { { "p", "d1", "r1", 1, 0, true } }, {}, "refuse" },
+  { "not the silent", -1, { { "p", "d1", "r1", 9, 2000 } }, {}, "refuse" },
+  { "an old advert is small", 0, { { "p", "d1", "r1", 9, 1950 } }, {}, "here" },
+  { "an advert of 1.5 s is half",
+    0,
+    { { "p", "d1", "r1", 2, 1500 } },
+    {},
+    "p" },
+};
+
+template<relay_choice Choice>
+std::string
+RunRow(const route_row& aRow)
+{
+  member self = MemberOf("self", "d1", "r1");
+  std::vector<service_credit> own;
+  if (aRow.mOwnFree >= 0) {
+    own.push_back({ kService, 9, static_cast<std::uint32_t>(aRow.mOwnFree) });
+  }
+  std::vector<peer> peers;
+  for (const peer_row& row : aRow.mPeers) {
+    peers.push_back(PeerOf(row));
+  }
+  basic_router<Choice> router;
+  return Describe(
+    router.Choose({ kService, self, own, peers, aRow.mTried }, kStart));
+}
+
+} // namespace
+
+TEST_GROUP(Routing){};
+
+TEST(Routing, FollowsTheTable)
+{
+  for (const route_row& row : kRows) {
+    STRCMP_EQUAL_TEXT(
+      row.mExpected.c_str(), RunRow<most_credit>(row).c_str(), row.mCase);
+    STRCMP_EQUAL_TEXT(
+      row.mExpected.c_str(), RunRow<two_choices>(row).c_str(), row.mCase);
+  }
+}
+
+TEST(Routing, SpendsNoMoreThanTheAdvertBetweenTwo)
+{
+  member self = MemberOf("self", "d1", "r1");
+  std::vector<service_credit> own{ { kService, 9, 0 } };
+  std::vector<peer> peers{ PeerOf({ "a", "d1", "r1", 4 }),
+                           PeerOf({ "b", "d1", "r1", 3 }) };
+  router router;
+  instant now = kStart;
+  for (int advert = 0; advert < 50; ++advert) {
+    std::map<std::string, int> sent;
+    // Longer apart than a request is in transit, so each advert is whole.
+    for (int i = 0; i < 20; ++i) {
+      now += milliseconds(10);
+      route next = router.Choose({ kService, self, own, peers, {} }, now);
+      ++sent[Describe(next)];
+    }
+    CHECK_EQUAL(4, sent["a"]);
+    CHECK_EQUAL(3, sent["b"]);
+    CHECK_EQUAL(13, sent["here"]);
+    now += milliseconds(300);
+    for (peer& one : peers) {
+      one.mHeard = now;
+    }
+  }
+}
