--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -76,13 +76,13 @@
   , mMembership(aKernel.Table<membership>())
   , mLedger(aKernel.Table<identity_ledger>())
   , mAdmission(aKernel.Table<admission>())
-  , mRelayCredit(aKernel.Table<relay_credit>())
   , mRetryBudget(aKernel.Table<retry_budget>())
   , mPlacement(aKernel.Table<placement_state>())
   , mShifts(aKernel.Table<traffic_shifts>())
   , mRegionLoad(aKernel.Table<region_load>())
   , mLinks(aKernel.Table<link_budget>())
   , mLinkLenders(aKernel.Table<link_lenders>())
+  , mRouter(aKernel.Table<router>())
 {
   instant now = std::chrono::steady_clock::now();
   const settings& settings = aKernel.Settings();
@@ -104,6 +104,12 @@
     mMembership.With([&](membership& aMembership) {
       aMembership.Open(self, settings.mSeeds);
     });
+    // Instances with one seed would follow one another to the same peers.
+    mRouter.With([&](router& aRouter) {
+      std::hash<std::string> hash;
+      aRouter = router(two_choices{
+        std::mt19937_64(hash(self.mInstance.mValue) ^ self.mIncarnation) });
+    });
     mLedger.With([&](identity_ledger& aLedger) {
       aLedger.Open(self.mInstance, self.mIncarnation, now);
     });
@@ -176,16 +182,11 @@
 {
   std::vector<service_credit> own = mAdmission.With(
     [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+  member self = Self();
   std::vector<peer> live = LivePeers(aNow);
-  std::vector<peer> peers = mRelayCredit.With(
-    [&](relay_credit& aCredit) { return aCredit.Adjust(live); });
-  route chosen = ChooseRoute(aService, Self(), own, peers, aTried, aNow);
-  if (chosen.mStep == route_step::Relay) {
-    mRelayCredit.With([&](relay_credit& aCredit) {
-      aCredit.CountRelay(chosen.mTarget.mInstance, aService);
-    });
-  }
-  return chosen;
+  route_request request{ aService, self, own, live, aTried };
+  return mRouter.With(
+    [&](router& aRouter) { return aRouter.Choose(request, aNow); });
 }
 
 bool
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -11,7 +11,6 @@
 #include "laburnumdyke/decision/membership.h"
 #include "laburnumdyke/decision/placement.h"
 #include "laburnumdyke/decision/region_load.h"
-#include "laburnumdyke/decision/relay_credit.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/kernel/kernel.h"
@@ -125,13 +124,13 @@
   table<membership>& mMembership;
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
-  table<relay_credit>& mRelayCredit;
   table<retry_budget>& mRetryBudget;
   table<placement_state>& mPlacement;
   table<traffic_shifts>& mShifts;
   table<region_load>& mRegionLoad;
   table<link_budget>& mLinks;
   table<link_lenders>& mLinkLenders;
+  table<router>& mRouter;
   std::shared_ptr<grant_waiters> mWaiters;
   std::shared_ptr<std::atomic<request_number>> mNumbers;
   instant mStarted{};
