Add the console of forms and a fuller status

Cause: operators had no way to change the document but laburnumctl, and /v1/status named neither content hash, latency, refusals, headroom nor drains.

The form model (decision/form_model) is pure: a draft of typed rows is rendered to the document's text and read by the reader of documents, so the forms accept what the tool accepts. Only values that the fields' own rules take reach that text. The pages work without scripts; each post holds the whole draft, the parts that were edited alone.

Ruled out: a draft as an object in the platform's store. It would need the platform for each step and leave an object behind for each abandoned draft. Ignoring rows over the limit of a post: they would be removed silently, so such a post is refused.

Applies to the operator address. In-flight counts of draining upstreams are not shown: admission has no accessor for them.

--- a/laburnumdyke/plugin/operator_http.cc
+++ b/laburnumdyke/plugin/operator_http.cc
@@ -1,12 +1,12 @@
-// The operators' address: status as JSON and counters in the text exposition
-// format.
+// The operators' address: status as JSON, counters in the text exposition
+// format and the console of forms.
 //
 // Paths:
 //   GET /v1/status   this instance and what it sees of the others
 //   GET /metrics     counters and latency histograms
-#include "laburnumdyke/plugin/entry_tables.h"
+//   /console...      the console of forms (console.h)
+#include "laburnumdyke/plugin/console.h"
 #include "laburnumdyke/plugin/exposition.h"
-#include "laburnumdyke/plugin/http_server.h"
 
 #include <boost/json.hpp>
 
@@ -14,22 +14,6 @@
 
 namespace {
 
-boost::json::array
-DescribePeers(const std::vector<peer>& aPeers)
-{
-  boost::json::array peers;
-  for (const peer& one : aPeers) {
-    boost::json::object description;
-    description["instance"] = one.mLast.mSender.mInstance.mValue;
-    description["failure_domain"] = one.mLast.mSender.mDomain.mValue;
-    description["region"] = one.mLast.mSender.mRegion.mValue;
-    description["version"] = one.mLast.mVersion;
-    description["leaving"] = one.mLast.mSender.mLeaving;
-    peers.push_back(std::move(description));
-  }
-  return peers;
-}
-
 class operator_http
 {
 public:
@@ -39,6 +23,7 @@
   explicit operator_http(kernel& aKernel)
     : mKernel(aKernel)
     , mTables(aKernel)
+    , mConsole(aKernel)
     , mServer(aKernel, *this)
   {
   }
@@ -55,6 +40,10 @@
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
     std::string_view target = FromBeast(aExchange.Head().target());
+    if (console::IsPath(target)) {
+      co_await mConsole.Handle(aExchange);
+      co_return;
+    }
     string_answer answer(http::status::ok, 11);
     if (target == "/metrics") {
       answer.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -62,8 +51,8 @@
                                        mKernel.Latencies().Summaries());
     } else if (target == "/v1/status") {
       answer.set(http::field::content_type, "application/json");
-      answer.body() =
-        boost::json::serialize(Status(std::chrono::steady_clock::now()));
+      answer.body() = boost::json::serialize(StatusJson(
+        CollectStatus(mKernel, mTables, std::chrono::steady_clock::now())));
     } else {
       answer.result(http::status::not_found);
       answer.body() = "no such path\n";
@@ -72,34 +61,9 @@
   }
 
 private:
-  boost::json::object Status(instant aNow)
-  {
-    boost::json::object status;
-    member self = mTables.Self();
-    status["instance"] = self.mInstance.mValue;
-    status["failure_domain"] = self.mDomain.mValue;
-    status["region"] = self.mRegion.mValue;
-    status["leaving"] = self.mLeaving;
-    status["version"] = mTables.Version();
-    boost::json::array credits;
-    mTables.Admission().With([&](admission& aAdmission) {
-      status["in_flight"] = aAdmission.InFlight();
-      status["queued"] = aAdmission.Queued();
-      for (const service_credit& credit : aAdmission.Credits(aNow)) {
-        boost::json::object one;
-        one["service"] = credit.mService.mValue;
-        one["slots"] = credit.mSlots;
-        one["free"] = credit.mFree;
-        credits.push_back(std::move(one));
-      }
-    });
-    status["credits"] = std::move(credits);
-    status["peers"] = DescribePeers(mTables.LivePeers(aNow));
-    return status;
-  }
-
   kernel& mKernel;
   entry_tables mTables;
+  console mConsole;
   http_server<operator_http> mServer;
 };
 
