--- a/laburnumdyke/testing/harness/deployment.cc
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -12,9 +12,12 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <set>
 #include <thread>
 
+#include <unistd.h>
+
 namespace laburnumdyke {
 
 namespace {
@@ -43,14 +46,21 @@
 endpoint
 FreeEndpoint()
 {
-  // Ports handed out before stay reserved for this process.
-  static std::set<std::uint16_t> sGiven;
+  // Below the range that the system gives to outgoing connections, so that
+  // none of them takes the port of a process that is being started again.
+  constexpr std::uint16_t kFirst = 20000;
+  constexpr std::uint16_t kCount = 12000;
+  static std::uint16_t sNext =
+    static_cast<std::uint16_t>(::getpid() * 131L % kCount);
   asio::io_context context;
   while (true) {
-    tcp::acceptor acceptor(context,
-                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    std::uint16_t port = acceptor.local_endpoint().port();
-    if (sGiven.insert(port).second) {
+    std::uint16_t port = static_cast<std::uint16_t>(kFirst + sNext);
+    sNext = static_cast<std::uint16_t>((sNext + 1) % kCount);
+    tcp::endpoint local(asio::ip::address_v4::loopback(), port);
+    tcp::acceptor acceptor(context, local.protocol());
+    error_code failure;
+    acceptor.bind(local, failure);
+    if (!failure) {
       return { "127.0.0.1", port };
     }
   }
@@ -79,8 +89,22 @@
   return self.parent_path().parent_path().parent_path().string();
 }
 
-deployment::deployment()
-  : mFolder(MakeFolder())
+std::string
+PlatformLink(const std::string& aDaemon)
+{
+  return "platform of " + aDaemon;
+}
+
+std::string
+SeedLink(const std::string& aFromDomain, const std::string& aToDomain)
+{
+  return aFromDomain + " to " + aToDomain;
+}
+
+deployment::deployment(deployment_options aOptions)
+  : mOptions(aOptions)
+  , mLinks(std::make_unique<link_set>())
+  , mFolder(MakeFolder())
   , mPlatform(FreeEndpoint())
 {
 }
@@ -123,14 +147,112 @@
 {
   const daemon_addresses& own = mAddresses.at(aName);
   const std::string& domain = mDomainOf.at(aName);
-  const endpoint& seed = mAddresses.at(mNames.front()).mPeer;
+  auto link = mNearEnds.find(PlatformLink(aName));
+  const endpoint& platform = link == mNearEnds.end() ? mPlatform : link->second;
   return "[instance]\nname = " + aName + "\nregion = " + mRegionOf.at(domain) +
          "\nfailure_domain = " + domain +
          "\n[listen]\ncaller = " + own.mCaller.Text() +
          "\nrelay = " + own.mRelay.Text() + "\npeer = " + own.mPeer.Text() +
          "\noperator = " + own.mOperator.Text() +
-         "\n[platform]\naddress = " + mPlatform.Text() +
-         "\n[peers]\nseeds = " + seed.Text() + "\n";
+         "\n[platform]\naddress = " + platform.Text() +
+         "\n[peers]\nseeds = " + Seeds(domain) + "\n";
+}
+
+const std::string&
+deployment::FirstDaemon(const std::string& aDomain) const
+{
+  for (const std::string& name : mNames) {
+    if (mDomainOf.at(name) == aDomain) {
+      return name;
+    }
+  }
+  return mNames.front();
+}
+
+std::string
+deployment::Seeds(const std::string& aDomain) const
+{
+  if (!mOptions.mSeedLinks) {
+    return mAddresses.at(mNames.front()).mPeer.Text();
+  }
+  std::string seeds = mAddresses.at(FirstDaemon(aDomain)).mPeer.Text();
+  for (const std::pair<const std::string, std::string>& domain : mRegionOf) {
+    auto link = mNearEnds.find(SeedLink(aDomain, domain.first));
+    if (link != mNearEnds.end()) {
+      seeds += ", " + link->second.Text();
+    }
+  }
+  return seeds;
+}
+
+void
+deployment::OpenLink(const std::string& aName, const endpoint& aTo)
+{
+  endpoint near = FreeEndpoint();
+  mLinks->Open(aName, near, aTo);
+  mNearEnds[aName] = near;
+}
+
+void
+deployment::OpenLinks()
+{
+  for (const std::string& name : mNames) {
+    if (mOptions.mPlatformLinks) {
+      OpenLink(PlatformLink(name), mPlatform);
+    }
+  }
+  for (const std::pair<const std::string, std::string>& from : mRegionOf) {
+    for (const std::pair<const std::string, std::string>& to : mRegionOf) {
+      if (mOptions.mSeedLinks && from.first != to.first) {
+        OpenLink(SeedLink(from.first, to.first),
+                 mAddresses.at(FirstDaemon(to.first)).mPeer);
+      }
+    }
+  }
+  for (const upstream_plan& plan : mPlans) {
+    if (mOptions.mUpstreamLinks) {
+      OpenLink(plan.mName, mUpstreamAddresses.at(plan.mName));
+    }
+  }
+}
+
+void
+deployment::SetPlatform(const std::string& aFaults) const
+{
+  PostText(mPlatform, "/control", aFaults);
+}
+
+void
+deployment::SetUpstream(const std::string& aName,
+                        const std::string& aFaults) const
+{
+  PostText(mUpstreamAddresses.at(aName), "/control", aFaults);
+}
+
+process
+deployment::StartTool(const std::vector<std::string>& aArguments,
+                      const std::string& aLog) const
+{
+  return process(
+    ProgramFolder() + "/laburnumctl", aArguments, mFolder + "/" + aLog);
+}
+
+tool_result
+deployment::RunTool(const std::vector<std::string>& aArguments) const
+{
+  constexpr std::string_view kLog = "laburnumctl.log";
+  std::filesystem::remove(mFolder + "/" + std::string(kLog));
+  tool_result result;
+  result.mStatus = StartTool(aArguments, std::string(kLog)).Wait(kStartLimit);
+  result.mOutput = ReadLog(std::string(kLog));
+  return result;
+}
+
+std::string
+deployment::ReadLog(const std::string& aLog) const
+{
+  std::ifstream file(mFolder + "/" + aLog, std::ios::binary);
+  return { std::istreambuf_iterator<char>(file), {} };
 }
 
 void
@@ -155,9 +277,13 @@
       "[failure_domain " + domain.first + "]\nregion = " + domain.second + "\n";
   }
   for (const upstream_plan& plan : mPlans) {
+    auto link = mNearEnds.find(plan.mName);
+    const endpoint& address = link == mNearEnds.end()
+                                ? mUpstreamAddresses.at(plan.mName)
+                                : link->second;
     text += "[upstream " + plan.mName + "]\nservice = " + plan.mService +
             "\nfailure_domain = " + plan.mDomain +
-            "\naddress = " + mUpstreamAddresses.at(plan.mName).Text() +
+            "\naddress = " + address.Text() +
             "\nslots = " + std::to_string(plan.mSlots) +
             "\nconnections = 650\nstate = " +
             (leaving.count(plan.mName) > 0 ? "leaving" : "serving") + "\n";
@@ -167,6 +293,34 @@
 
 bool
 deployment::Submit(std::uint64_t aVersion, const std::string& aText)
+{
+  return SubmitTo(mPlatform, aVersion, aText);
+}
+
+endpoint
+deployment::StartLaggingPlatform()
+{
+  endpoint listen = FreeEndpoint();
+  StartPlatform(listen);
+  bool up =
+    WaitUntil([&]() { return SubmitTo(listen, 1, Document({})); }, kStartLimit);
+  if (!up) {
+    std::fprintf(stderr, "the lagging platform took no document\n");
+    std::exit(2);
+  }
+  return listen;
+}
+
+void
+deployment::UsePlatform(const std::string& aName, const endpoint& aPlatform)
+{
+  mNearEnds[PlatformLink(aName)] = aPlatform;
+}
+
+bool
+deployment::SubmitTo(const endpoint& aPlatform,
+                     std::uint64_t aVersion,
+                     const std::string& aText)
 {
   document_result parsed = ParseDocument(aText);
   if (!parsed.mDocument) {
@@ -179,12 +333,12 @@
   row.mChangeId = "change-" + std::to_string(aVersion);
   row.mSubmitter = "test";
   call_request object;
-  object.mTo = mPlatform;
+  object.mTo = aPlatform;
   object.mMethod = http::verb::put;
   object.mTarget = "/v1/objects/" + row.mContentHash;
   object.mBody = canonical;
   call_request write;
-  write.mTo = mPlatform;
+  write.mTo = aPlatform;
   write.mMethod = http::verb::put;
   write.mTarget = "/v1/tables/config/rows/current";
   write.mHeaders = { { "If-Match", std::to_string(aVersion - 1) } };
@@ -193,21 +347,19 @@
 }
 
 void
-deployment::Start(const std::string& aHead)
+deployment::StartPlatform(const endpoint& aListen)
+{
+  mStandIns.emplace_back(ProgramFolder() +
+                           "/laburnumdyke/testing/platform_standin",
+                         std::vector<std::string>{ "--listen", aListen.Text() },
+                         mFolder + "/platform.log");
+}
+
+void
+deployment::StartStandIns()
 {
-  mHead = aHead;
-  document_result checked = ParseDocument(Document({}));
-  for (const text_fault& fault : checked.mFaults) {
-    std::fprintf(stderr, "%s\n", fault.Describe("document").c_str());
-  }
-  if (!checked.mDocument) {
-    std::exit(2);
-  }
   std::string standIns = ProgramFolder() + "/laburnumdyke/testing/";
-  mStandIns.emplace_back(
-    standIns + "platform_standin",
-    std::vector<std::string>{ "--listen", mPlatform.Text() },
-    mFolder + "/platform.log");
+  StartPlatform(mPlatform);
   for (const upstream_plan& plan : mPlans) {
     mStandIns.emplace_back(
       standIns + "upstream_standin",
@@ -219,6 +371,25 @@
                                 std::to_string(plan.mSlots) },
       mFolder + "/" + plan.mName + ".log");
   }
+}
+
+void
+deployment::Start(const std::string& aHead,
+                  const std::vector<std::string>& aCutLinks)
+{
+  mHead = aHead;
+  OpenLinks();
+  for (const std::string& link : aCutLinks) {
+    mLinks->Set(link, { .mCut = true });
+  }
+  document_result checked = ParseDocument(Document({}));
+  for (const text_fault& fault : checked.mFaults) {
+    std::fprintf(stderr, "%s\n", fault.Describe("document").c_str());
+  }
+  if (!checked.mDocument) {
+    std::exit(2);
+  }
+  StartStandIns();
   bool up = WaitUntil([&]() { return Submit(1, Document({})); }, kStartLimit);
   if (!up) {
     std::fprintf(stderr, "the platform's stand-in took no document\n");
--- a/laburnumdyke/testing/harness/deployment.h
+++ b/laburnumdyke/testing/harness/deployment.h
@@ -11,11 +11,13 @@
 #pragma once
 
 #include "laburnumdyke/kernel/endpoint.h"
+#include "laburnumdyke/testing/harness/link_set.h"
 #include "laburnumdyke/testing/harness/process.h"
 
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,6 +40,28 @@
   endpoint mOperator;
 };
 
+// Links that a test can cut; without them processes connect directly.
+struct deployment_options
+{
+  bool mPlatformLinks = false; // one for each daemon, named PlatformLink
+  // Seeds in another failure domain are reached over a link, named SeedLink.
+  // Instances that have heard of each other connect directly.
+  bool mSeedLinks = false;
+  bool mUpstreamLinks = false; // one for each upstream, under its name
+};
+
+std::string
+PlatformLink(const std::string& aDaemon);
+std::string
+SeedLink(const std::string& aFromDomain, const std::string& aToDomain);
+
+// The end of a program that ran to its end.
+struct tool_result
+{
+  std::optional<int> mStatus; // nothing where it did not end in time
+  std::string mOutput;
+};
+
 // A free port on loopback, by asking the system for one.
 endpoint
 FreeEndpoint();
@@ -55,7 +79,7 @@
 class deployment
 {
 public:
-  deployment();
+  explicit deployment(deployment_options aOptions = {});
   ~deployment();
 
   void AddDomain(const std::string& aDomain, const std::string& aRegion);
@@ -63,8 +87,10 @@
   void AddDaemon(const std::string& aName, const std::string& aDomain);
 
   // Starts every process and submits the first document: aHead with a section
-  // for each failure domain and upstream added to it.
-  void Start(const std::string& aHead);
+  // for each failure domain and upstream added to it. The named links are cut
+  // from the start.
+  void Start(const std::string& aHead,
+             const std::vector<std::string>& aCutLinks = {});
 
   // Starts a daemon again, on the same addresses.
   void StartDaemon(const std::string& aName);
@@ -76,10 +102,40 @@
   // True where the platform took it.
   bool Submit(std::uint64_t aVersion, const std::string& aText);
 
+  // The same, on another platform than the deployment's own.
+  static bool SubmitTo(const endpoint& aPlatform,
+                       std::uint64_t aVersion,
+                       const std::string& aText);
+
+  // Starts a second platform's stand-in with the first document alone, as a
+  // replica whose reads lag; returns its address.
+  endpoint StartLaggingPlatform();
+
+  // The platform that a daemon is given at its next start.
+  void UsePlatform(const std::string& aName, const endpoint& aPlatform);
+
   // True once every running daemon has the version in force and sees all
   // others.
   bool WaitForVersion(std::uint64_t aVersion, std::chrono::milliseconds aLimit);
 
+  // The links of the options, to cut.
+  link_set& Links() { return *mLinks; }
+
+  // Switches faults of stand-ins; aFaults is the JSON that their control pages
+  // take.
+  void SetPlatform(const std::string& aFaults) const;
+  void SetUpstream(const std::string& aName, const std::string& aFaults) const;
+
+  // Starts laburnumctl with a log of its own in the folder.
+  process StartTool(const std::vector<std::string>& aArguments,
+                    const std::string& aLog) const;
+
+  // Runs laburnumctl to its end.
+  tool_result RunTool(const std::vector<std::string>& aArguments) const;
+
+  // What a process has printed into its log in the folder.
+  std::string ReadLog(const std::string& aLog) const;
+
   process& Daemon(const std::string& aName) { return mDaemons.at(aName); }
   const daemon_addresses& Addresses(const std::string& aName) const
   {
@@ -99,8 +155,17 @@
 
 private:
   std::string Settings(const std::string& aName) const;
-
-  std::string mFolder; // of settings and logs
+  std::string Seeds(const std::string& aDomain) const;
+  void OpenLinks();
+  void OpenLink(const std::string& aName, const endpoint& aTo);
+  void StartPlatform(const endpoint& aListen);
+  void StartStandIns();
+  const std::string& FirstDaemon(const std::string& aDomain) const;
+
+  deployment_options mOptions;
+  std::unique_ptr<link_set> mLinks; // none where no option asks for links
+  std::map<std::string, endpoint> mNearEnds; // by name of the link
+  std::string mFolder;                       // of settings and logs
   endpoint mPlatform;
   std::string mHead;
   std::map<std::string, std::string> mRegionOf; // by failure domain
--- a/laburnumdyke/testing/harness/process.cc
+++ b/laburnumdyke/testing/harness/process.cc
@@ -35,6 +35,9 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Nothing else is inherited: a socket of the test's own links would stay
+  // open in the program after the test has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   int failure = posix_spawn(
     &mPid, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
