--- a/laburnumdyke/testing/harness/one_kernel.h
+++ b/laburnumdyke/testing/harness/one_kernel.h
@@ -23,6 +23,11 @@
               std::uint64_t aVersion,
               const std::string& aText);
 
+// Waits until the kernel, which must be running, is the home of the upstreams
+// of its document; stops the process where it does not become so.
+void
+WaitForHomes(kernel& aKernel);
+
 // One region, failure domain and upstream (3 slots at aUpstream) for each of
 // the services booking (urgent, not idempotent), job-sheet and report (bulk).
 std::string
