Heed what an upstream says of itself; first versions wait for peers

It now listens for three heartbeat periods and takes the newest of platform and peers. Cause of work offered to a draining upstream: its refusals reached admission without their text.

--- a/laburnumdyke/decision/admission.cc
+++ b/laburnumdyke/decision/admission.cc
@@ -447,6 +447,33 @@
   }
 }
 
+template<queue_order Order>
+void
+basic_admission<Order>::ReportDraining(const upstream_id& aUpstream,
+                                       instant aNow)
+{
+  auto found = mUpstreams.find(aUpstream);
+  if (found != mUpstreams.end()) {
+    upstream_use& use = found->second;
+    use.mHealth.Judge(attempt_result::Draining, use.mWarmUp, aNow);
+  }
+}
+
+template<queue_order Order>
+std::vector<upstream_view>
+basic_admission<Order>::Upstreams() const
+{
+  std::vector<upstream_view> views;
+  for (const upstream_entry& entry : mUpstreams) {
+    const upstream_use& use = entry.second;
+    if (use.mHome || use.mInFlight > 0) {
+      views.push_back(
+        { entry.first, use.mSpec.mAddress, use.mHome, use.mInFlight });
+    }
+  }
+  return views;
+}
+
 template<queue_order Order>
 admission_changes
 basic_admission<Order>::Tick(instant aNow)
--- a/laburnumdyke/decision/admission.h
+++ b/laburnumdyke/decision/admission.h
@@ -86,6 +86,15 @@
   std::uint32_t mFree = 0;
 };
 
+// One upstream as admission sees it.
+struct upstream_view
+{
+  upstream_id mUpstream;
+  endpoint mAddress;
+  bool mHome = false;
+  std::uint32_t mInFlight = 0;
+};
+
 template<queue_order Order>
 class basic_admission
 {
@@ -116,6 +125,13 @@
   // Takes a load report of an upstream in.
   void Report(const upstream_id& aUpstream, std::uint32_t aBusy, instant aNow);
 
+  // Takes the upstream's own word that it leaves: no new work for a while.
+  void ReportDraining(const upstream_id& aUpstream, instant aNow);
+
+  // The upstreams whose home this instance is, or that it still has requests
+  // in flight at.
+  std::vector<upstream_view> Upstreams() const;
+
   // Refuses queued requests whose deadline has passed, and grants what time
   // has made free.
   admission_changes Tick(instant aNow);
--- a/laburnumdyke/decision/upstream_health.cc
+++ b/laburnumdyke/decision/upstream_health.cc
@@ -85,7 +85,8 @@
   if (mBadShare < kWellShare) {
     mDoublings = 0;
   }
-  if (mOnTrial) {
+  // While the upstream drains, this answers what it took before.
+  if (mOnTrial && mDrainUntil <= aNow) {
     mOnTrial = false;
     BeginWarmUp(aWarmUp, aNow);
   }
--- a/laburnumdyke/plugin/config_watch.cc
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -26,6 +26,9 @@
 
 constexpr std::chrono::milliseconds kPeriod{ 1000 };
 constexpr std::chrono::milliseconds kAnnounceEvery{ 5000 };
+// Three heartbeat periods: every live peer that knows this address, or is a
+// seed, has been heard by then.
+constexpr std::chrono::milliseconds kListenFirst = 3 * membership::kPeriod;
 
 // A version and where its objects can be had.
 struct version_offer
@@ -77,14 +80,26 @@
       asio::redirect_error(asio::use_awaitable, ignored));
   }
 
+  // Until this instance has heard its peers, a platform that lags may be all
+  // it knows of, and what it puts in force first may be old.
+  asio::awaitable<void> ListenFirst()
+  {
+    asio::steady_timer timer(mStrand, kListenFirst);
+    error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+
   asio::awaitable<void> Watch()
   {
+    co_await ListenFirst();
     while (true) {
       std::optional<version_offer> offer = co_await AskPlatform();
-      if (offer) {
-        co_await Take(*offer);
+      std::optional<version_offer> other = BestPeerOffer();
+      bool peerIsNewer = other && (!offer || other->mVersion > offer->mVersion);
+      if (peerIsNewer) {
+        offer = other;
       }
-      offer = BestPeerOffer();
       if (offer) {
         co_await Take(*offer);
       }
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -44,7 +44,22 @@
 forward_result
 Fail(outcome_kind aOutcome, refusal_reason aReason, bool aBegun = false)
 {
-  return { aOutcome, aReason, aBegun };
+  return { aOutcome, aReason, aBegun, upstream_sign::None };
+}
+
+upstream_sign
+SignOf(const answer_head& aHead)
+{
+  std::string_view refusal = FromBeast(aHead[ToBeast(kUpstreamNotRunHeader)]);
+  if (refusal == "draining") {
+    return upstream_sign::Draining;
+  }
+  if (refusal == "shedding") {
+    return upstream_sign::Shedding;
+  }
+  bool isError =
+    http::to_status_class(aHead.result()) == http::status_class::server_error;
+  return isError ? upstream_sign::Errored : upstream_sign::None;
 }
 
 asio::awaitable<error_code>
@@ -195,18 +210,24 @@
 {
   if (aHead.result() == http::status::service_unavailable &&
       aHead.count(ToBeast(kUpstreamNotRunHeader)) > 0) {
-    return Fail(outcome_kind::NotRun, refusal_reason::UpstreamRefused);
+    return { outcome_kind::NotRun,
+             refusal_reason::UpstreamRefused,
+             false,
+             SignOf(aHead) };
   }
   std::string_view outcome = FromBeast(aHead[ToBeast(kOutcomeHeader)]);
   if (outcome.empty()) {
-    return { outcome_kind::Answered, refusal_reason::None, false };
+    return {
+      outcome_kind::Answered, refusal_reason::None, false, SignOf(aHead)
+    };
   }
   std::optional<outcome_kind> kind = ParseOutcome(outcome);
   std::optional<refusal_reason> reason =
     ParseRefusal(FromBeast(aHead[ToBeast(kReasonHeader)]));
   return { kind.value_or(outcome_kind::Unknown),
            reason.value_or(refusal_reason::None),
-           false };
+           false,
+           upstream_sign::None };
 }
 
 bool
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -44,6 +44,15 @@
   std::function<bool()> mMayBegin;
 };
 
+// What an upstream's answer says of the upstream itself.
+enum class upstream_sign
+{
+  None,
+  Draining, // refused the request since it leaves
+  Shedding, // refused the request since it is overloaded
+  Errored,  // answered with a server error
+};
+
 struct forward_result
 {
   outcome_kind mOutcome = outcome_kind::NotRun;
@@ -51,6 +60,7 @@
   // The caller's answer has been begun; where the outcome is not Answered it
   // was cut short.
   bool mBegun = false;
+  upstream_sign mSign = upstream_sign::None;
 };
 
 asio::awaitable<forward_result>
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -68,6 +68,16 @@
       aResult.mReason == refusal_reason::LeaseLapsed) {
     return attempt_result::Abandoned;
   }
+  switch (aResult.mSign) {
+    case upstream_sign::Draining:
+      return attempt_result::Draining;
+    case upstream_sign::Shedding:
+      return attempt_result::Shedding;
+    case upstream_sign::Errored:
+      return attempt_result::Errored;
+    case upstream_sign::None:
+      break;
+  }
   if (aResult.mOutcome == outcome_kind::Answered) {
     return attempt_result::Answered;
   }
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -128,7 +128,7 @@
 
   static forward_result NotRun(refusal_reason aReason)
   {
-    return { outcome_kind::NotRun, aReason, false };
+    return { outcome_kind::NotRun, aReason, false, upstream_sign::None };
   }
 
   asio::awaitable<void> Refuse(http_exchange& aExchange,
@@ -160,7 +160,9 @@
     }
     begin_result begun = mTables.Begin(*aFacts.mIdentity, Now());
     if (!begun.mMayRun) {
-      co_return forward_result{ begun.mOutcome, begun.mReason, false };
+      co_return forward_result{
+        begun.mOutcome, begun.mReason, false, upstream_sign::None
+      };
     }
     forward_result result = co_await Attempts(state);
     mTables.Finish(*aFacts.mIdentity, result.mOutcome, Now());
@@ -178,7 +180,8 @@
     if (!reachable) {
       co_return forward_result{ outcome_kind::Unknown,
                                 refusal_reason::IssuerGone,
-                                false };
+                                false,
+                                upstream_sign::None };
     }
     relay_target target{ identity.mIssuer,
                          issuer->mLast.mSender.mRelay,
@@ -190,9 +193,15 @@
   {
     mTables.RetryBudget().With(
       [&](retry_budget& aBudget) { aBudget.CountRequest(Now()); });
+    bool mayHaveRun = false;
     for (std::size_t attempt = 1;; ++attempt) {
       bool relayed = false;
       forward_result result = co_await Attempt(aState, relayed);
+      // "Not run" speaks of the request, and so of every attempt at it.
+      if (mayHaveRun && result.mOutcome == outcome_kind::NotRun) {
+        result.mOutcome = outcome_kind::Unknown;
+      }
+      mayHaveRun = mayHaveRun || result.mOutcome == outcome_kind::Unknown;
       std::optional<retry_reason> reason =
         RetryReason(result, relayed, aState.mFacts.mIdempotent);
       if (!reason || result.mBegun || !aState.mPrefix.mComplete ||
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -26,7 +26,9 @@
     ++mSends;
     mLastBody = aPrefix.mBytes;
     mLastReuse = aRequest.mReuse;
-    forward_result result{ outcome_kind::Answered, refusal_reason::None, true };
+    forward_result result{
+      outcome_kind::Answered, refusal_reason::None, true, upstream_sign::None
+    };
     if (!mScript.empty()) {
       result = mScript.front();
       mScript.pop_front();
@@ -59,13 +61,16 @@
 
 constexpr forward_result kLost{ outcome_kind::Unknown,
                                 refusal_reason::UpstreamLost,
-                                false };
+                                false,
+                                upstream_sign::None };
 constexpr forward_result kRefused{ outcome_kind::NotRun,
                                    refusal_reason::UpstreamRefused,
-                                   false };
+                                   false,
+                                   upstream_sign::None };
 constexpr forward_result kNoConnection{ outcome_kind::NotRun,
                                         refusal_reason::UpstreamConnect,
-                                        false };
+                                        false,
+                                        upstream_sign::None };
 
 struct pipeline_row
 {
@@ -142,6 +147,12 @@
     { "answered", "report", {}, 1, "answered", "" },
     { "idempotent, refused once", "report", { kRefused }, 2, "answered", "" },
     { "idempotent, lost once", "report", { kLost }, 2, "answered", "" },
+    { "idempotent, lost, then refused",
+      "report",
+      { kLost, kRefused, kRefused, kRefused },
+      2,
+      "unknown",
+      "upstream_refused" },
     { "booking, refused before work",
       "booking",
       { kRefused },
