Add the long randomised run over the decisions in virtual time

scripts/soak drives membership, admission, routing, the identity ledger, the retry budget, the document's state and submissions of nine entry instances and 18 upstreams in one thread; an oracle recounts runs, slots, answers, versions and changes from what upstreams see and callers are told. A seed and a number of events give one digest.

The home of an upstream is not yet held on a lease; the not-run comes from a retry of an idempotent request whose first attempt was lost after sending and whose second was refused.

--- /dev/null
+++ b/laburnumdyke/testing/soak/entry_decisions.cc
@@ -0,0 +1,188 @@
+// The order of the calls is that of entry_tables and peer_link; the judgement
+// of attempts is the pipeline's own.
+#include "laburnumdyke/testing/soak/entry_decisions.h"
+
+#include "laburnumdyke/decision/placement.h"
+#include "laburnumdyke/plugin/request_pipeline.h"
+
+#include <utility>
+
+namespace laburnumdyke {
+
+entry_decisions::entry_decisions(const member& aSelf,
+                                 std::vector<endpoint> aSeeds,
+                                 instant aNow)
+  : mStarted(aNow)
+{
+  mMembership.Open(aSelf, std::move(aSeeds));
+  mLedger.Open(aSelf.mInstance, aSelf.mIncarnation, aNow);
+}
+
+bool
+entry_decisions::Accept(const known_document& aDocument)
+{
+  return mDocument.Accept(
+    aDocument.mVersion, aDocument.mHash, aDocument.mText, aDocument.mDocument);
+}
+
+std::chrono::milliseconds
+entry_decisions::Stamp(instant aNow) const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aNow - mStarted);
+}
+
+heartbeat
+entry_decisions::Compose(instant aNow)
+{
+  heartbeat message;
+  message.mSender = mMembership.Self();
+  message.mSequence = ++mSequence;
+  message.mVersion = mDocument.Version();
+  message.mContentHash = mDocument.ContentHash();
+  message.mStamp = Stamp(aNow);
+  message.mCredits = mAdmission.Credits(aNow);
+  for (const peer& one : mMembership.Live(aNow)) {
+    message.mKnownPeers.push_back(one.mLast.mSender.mPeer);
+  }
+  return message;
+}
+
+bool
+entry_decisions::Hear(const heartbeat& aHeartbeat, instant aNow)
+{
+  return mMembership.Hear(aHeartbeat, aNow);
+}
+
+bool
+entry_decisions::TakeAnswerNow()
+{
+  return false;
+}
+
+std::vector<endpoint>
+entry_decisions::Targets(instant aNow) const
+{
+  return mMembership.Targets(aNow);
+}
+
+std::vector<peer>
+entry_decisions::LivePeers(instant aNow) const
+{
+  return mMembership.Live(aNow);
+}
+
+std::optional<peer>
+entry_decisions::FindPeer(const instance_id& aInstance, instant aNow) const
+{
+  return mMembership.Find(aInstance, aNow);
+}
+
+void
+entry_decisions::BeginLeaving(instant)
+{
+  mMembership.BeginLeaving();
+}
+
+admission_changes
+entry_decisions::RefreshHomes(instant aNow)
+{
+  std::shared_ptr<const document> document = mDocument.Document();
+  if (!document) {
+    return {};
+  }
+  std::set<upstream_id> homes;
+  for (const std::pair<const upstream_id, upstream_spec>& entry :
+       document->mUpstreams) {
+    bool mine = entry.second.mDomain == Self().mDomain &&
+                mMembership.HomeOf(entry.first, aNow) == Self().mInstance;
+    if (mine) {
+      homes.insert(entry.first);
+    }
+  }
+  return mAdmission.Configure(*document, homes, aNow);
+}
+
+admission_changes
+entry_decisions::Tick(instant aNow)
+{
+  return mAdmission.Tick(aNow);
+}
+
+admission_answer
+entry_decisions::Ask(const admission_request& aRequest, instant aNow)
+{
+  return mAdmission.Ask(aRequest, aNow);
+}
+
+void
+entry_decisions::Withdraw(request_number aNumber)
+{
+  mAdmission.Withdraw(aNumber);
+}
+
+admission_changes
+entry_decisions::Release(request_number aNumber,
+                         const attempt_end& aEnd,
+                         instant aNow)
+{
+  attempt_result judged = JudgeAttempt({ aEnd.mOutcome, aEnd.mReason, false });
+  return mAdmission.Release(aNumber, judged, aNow);
+}
+
+route
+entry_decisions::Route(const service_id& aService,
+                       const std::set<instance_id>& aTried,
+                       instant aNow) const
+{
+  return ChooseRoute(aService,
+                     Self(),
+                     mAdmission.Credits(aNow),
+                     mMembership.Live(aNow),
+                     aTried,
+                     aNow);
+}
+
+bool
+entry_decisions::BeginDispatch(const grant& aGrant, instant, instant aNow)
+{
+  return mMembership.HomeOf(aGrant.mUpstream, aNow) == Self().mInstance;
+}
+
+void
+entry_decisions::EndDispatch(request_number)
+{
+}
+
+bool
+entry_decisions::IsFresh(std::chrono::milliseconds aStamp, instant aNow) const
+{
+  std::chrono::milliseconds age = Stamp(aNow) - aStamp;
+  return age >= std::chrono::milliseconds(0) && age < 2 * kAdvertLife;
+}
+
+std::optional<retry_reason>
+entry_decisions::RetryReasonOf(const attempt_end& aEnd,
+                               bool aRelayed,
+                               bool aIdempotent) const
+{
+  return RetryReason(
+    { aEnd.mOutcome, aEnd.mReason, false }, aRelayed, aIdempotent);
+}
+
+std::vector<instance_id>
+entry_decisions::Lookup(const service_id& aService,
+                        const address_bytes& aClient,
+                        instant aNow) const
+{
+  std::vector<instance_id> named;
+  std::shared_ptr<const document> document = mDocument.Document();
+  if (document) {
+    for (const entry_choice& choice : PlaceClient(
+           *document, aService, aClient, Self(), mMembership.Live(aNow))) {
+      named.push_back(choice.mInstance);
+    }
+  }
+  return named;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/soak_test.cc
@@ -0,0 +1,172 @@
+// The randomised run at fixed seeds, its exactness, and the oracle against
+// histories that break each rule.
+#include "laburnumdyke/testing/soak/soak_run.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kEvents = 100000;
+
+soak_report
+Run(std::uint64_t aSeed, std::uint64_t aEvents)
+{
+  soak_run run({ aSeed, aEvents, false });
+  run.Go();
+  return run.Report();
+}
+
+std::uint64_t
+Count(const oracle& aOracle, violation_kind aKind)
+{
+  return aOracle.Counts().at(static_cast<std::size_t>(aKind));
+}
+
+} // namespace
+
+TEST_GROUP(Soak){};
+
+TEST(Soak, TheSameSeedGivesTheSameRun)
+{
+  soak_report first = Run(4, kEvents / 4);
+  soak_report second = Run(4, kEvents / 4);
+  soak_report other = Run(5, kEvents / 4);
+  CHECK(first.mDigest == second.mDigest);
+  CHECK(first.mDigest != other.mDigest);
+}
+
+TEST_GROUP(Oracle)
+{
+  simulation mSimulation{ 1, kSoakEntries };
+  oracle mOracle{ mSimulation };
+
+  void RunAt(attempt_tag aTag, std::uint64_t aRun)
+  {
+    mOracle.OnRun(0, kSoakSlots, aRun, aTag, mSimulation.Now() + 1s);
+  }
+
+  void Pass(duration aTime)
+  {
+    mSimulation.AtWorld(aTime, event_kind::Check, [] {});
+    mSimulation.Step();
+  }
+};
+
+TEST(Oracle, SeesDoubleRuns)
+{
+  mOracle.OnRequest(1, false);
+  mOracle.OnRequest(2, true);
+  RunAt({ 1, 1 }, 1);
+  RunAt({ 2, 1 }, 2);
+  RunAt({ 2, 2 }, 3);
+  CHECK(mOracle.Violations().empty());
+  mOracle.OnRunEnd(0, 1);
+  RunAt({ 1, 2 }, 4);
+  CHECK(Count(mOracle, violation_kind::DoubleRun) == 1);
+}
+
+TEST(Oracle, SeesFalseNotRunBeforeAndAfter)
+{
+  mOracle.OnRequest(1, true);
+  RunAt({ 1, 1 }, 1);
+  mOracle.OnTold({ 1, 1 }, outcome_kind::NotRun, refusal_reason::None, 0);
+  CHECK(Count(mOracle, violation_kind::FalseNotRun) == 1);
+  mOracle.OnTold({ 1, 2 }, outcome_kind::NotRun, refusal_reason::None, 0);
+  CHECK(Count(mOracle, violation_kind::FalseNotRun) == 1);
+  RunAt({ 1, 2 }, 2);
+  CHECK(Count(mOracle, violation_kind::FalseNotRun) == 2);
+}
+
+TEST(Oracle, SeesNotRunOfAnIdentityThatRan)
+{
+  mOracle.OnRequest(1, false);
+  RunAt({ 1, 1 }, 1);
+  mOracle.OnTold({ 1, 2 }, outcome_kind::NotRun, refusal_reason::None, 0);
+  CHECK(Count(mOracle, violation_kind::NotRunAfterRun) == 1);
+}
+
+TEST(Oracle, SeesAnswersOfAnother)
+{
+  mOracle.OnRequest(1, true);
+  mOracle.OnTold({ 1, 1 }, outcome_kind::Answered, refusal_reason::None, 1);
+  CHECK(mOracle.Violations().empty());
+  mOracle.OnTold({ 1, 1 }, outcome_kind::Answered, refusal_reason::None, 2);
+  CHECK(Count(mOracle, violation_kind::AnswerOfAnother) == 1);
+}
+
+TEST(Oracle, SeesSlotsOvershotUntilTheDeadline)
+{
+  for (std::uint64_t i = 1; i <= kSoakSlots; ++i) {
+    RunAt({ i, 1 }, i);
+  }
+  Pass(2s);
+  RunAt({ 10, 1 }, 10);
+  CHECK(mOracle.Violations().empty());
+  for (std::uint64_t i = 11; i <= 10 + kSoakSlots; ++i) {
+    RunAt({ i, 1 }, i);
+  }
+  CHECK(Count(mOracle, violation_kind::SlotsOvershot) == 1);
+}
+
+TEST(Oracle, SeesWorkToLeaving)
+{
+  process_address instance{ 0, 1 };
+  mOracle.OnLeavingLearnt(0, instance, leaving_sign::Document);
+  Pass(2s);
+  mOracle.OnWork(0, instance);
+  CHECK(mOracle.Violations().empty());
+  Pass(2s);
+  mOracle.OnWork(0, { 1, 1 });
+  mOracle.OnWork(1, instance);
+  CHECK(mOracle.Violations().empty());
+  mOracle.OnWork(0, instance);
+  CHECK(Count(mOracle, violation_kind::WorkToLeaving) == 1);
+  mOracle.OnServingLearnt(0, instance);
+  mOracle.OnWork(0, instance);
+  CHECK(Count(mOracle, violation_kind::WorkToLeaving) == 1);
+}
+
+TEST(Oracle, SeesVersionsGoBackOrStay)
+{
+  mOracle.OnVersion({ 0, 1 }, 3);
+  mOracle.OnVersion({ 0, 2 }, 2);
+  CHECK(mOracle.Violations().empty());
+  mOracle.OnVersion({ 0, 2 }, 1);
+  CHECK(Count(mOracle, violation_kind::VersionWentBack) == 1);
+  mOracle.OnRowWritten(4, "a");
+  Pass(6s);
+  mOracle.CheckSpread({ 0, 2 }, 4);
+  CHECK(Count(mOracle, violation_kind::VersionNotSpread) == 0);
+  mOracle.CheckSpread({ 0, 2 }, 3);
+  CHECK(Count(mOracle, violation_kind::VersionNotSpread) == 1);
+}
+
+TEST(Oracle, SeesChangesTwiceAndMisreported)
+{
+  submission_outcome conflict;
+  conflict.mKind = submission_kind::Conflict;
+  mOracle.OnRowWritten(1, "a");
+  mOracle.OnSubmitted("a", conflict);
+  CHECK(Count(mOracle, violation_kind::ChangeMisreported) == 1);
+  mOracle.OnSubmitted("b", conflict);
+  mOracle.OnRowWritten(2, "b");
+  CHECK(Count(mOracle, violation_kind::ChangeMisreported) == 2);
+  mOracle.OnRowWritten(3, "a");
+  CHECK(Count(mOracle, violation_kind::ChangeTwice) == 1);
+}
+
+TEST(Oracle, SeesLookupsThatNameStoppedInstances)
+{
+  Pass(1min);
+  mOracle.OnLookup({ 0, 1 }, 1, std::nullopt);
+  mOracle.OnLookup({ 0, 1 }, 1, mSimulation.Now() - 1s);
+  CHECK(mOracle.Violations().empty());
+  mOracle.OnLookup({ 0, 1 }, 1, mSimulation.Now() - 5s);
+  CHECK(Count(mOracle, violation_kind::LookupNamesStopped) == 1);
+}
