--- a/laburnumdyke/decision/document_chunks.cc
+++ b/laburnumdyke/decision/document_chunks.cc
@@ -18,6 +18,7 @@
 
 constexpr std::string_view kHeader = "laburnumdyke-manifest 1\n";
 constexpr std::uint64_t kBoundaryMask = 255; // one line in 256 ends a chunk
+constexpr std::size_t kSmallestChunk = 8UL * 1024;  // bytes
 constexpr std::size_t kLargestChunk = 256UL * 1024; // bytes
 constexpr std::size_t kHashLength = 64;
 
@@ -31,7 +32,8 @@
     std::size_t next = end == std::string_view::npos ? aText.size() : end + 1;
     std::uint64_t hash = XXH3_64bits(aText.data() + length, next - length);
     length = next;
-    if ((hash & kBoundaryMask) == 0 || length >= kLargestChunk) {
+    bool boundary = (hash & kBoundaryMask) == 0 && length >= kSmallestChunk;
+    if (boundary || length >= kLargestChunk) {
       break;
     }
   }
--- a/laburnumdyke/testing/caller_interface_test.cc
+++ b/laburnumdyke/testing/caller_interface_test.cc
@@ -118,6 +118,7 @@
   {
     // Nothing listens where the upstreams should be.
     ForceDocument(*mKernel, 1, SmallDocument({ "127.0.0.1", 1 }));
+    WaitForHomes(*mKernel);
   }
 
   call_result Get(const std::string& aTarget)
