--- a/laburnumdyke/testing/soak/caller_fleet.cc
+++ b/laburnumdyke/testing/soak/caller_fleet.cc
@@ -203,10 +203,9 @@
               [this, aId, attempt, step, target, request, answer] {
                 if (!mWorld.mSimulation.Process(target).mRunning) {
                   ConnectionRefused(aId, target);
-                  Told(aId,
-                       attempt,
-                       step,
-                       { outcome_kind::NotRun, refusal_reason::None });
+                  if (pending* one = InStep(aId, step)) {
+                    Again(aId, *one, outcome_kind::NotRun);
+                  }
                   return;
                 }
                 mWorld.mSimulation.AtProcess(
--- a/laburnumdyke/testing/soak/entry_decisions.cc
+++ b/laburnumdyke/testing/soak/entry_decisions.cc
@@ -9,6 +9,17 @@
 
 namespace laburnumdyke {
 
+namespace {
+
+upstream_terms
+TermsOf(const document& aDocument, const upstream_spec& aUpstream)
+{
+  return { aUpstream.mSlots,
+           aDocument.mServices.at(aUpstream.mService).mDeadline };
+}
+
+} // namespace
+
 entry_decisions::entry_decisions(const member& aSelf,
                                  std::vector<endpoint> aSeeds,
                                  instant aNow)
@@ -21,8 +32,10 @@
 bool
 entry_decisions::Accept(const known_document& aDocument)
 {
-  return mDocument.Accept(
-    aDocument.mVersion, aDocument.mHash, aDocument.mText, aDocument.mDocument);
+  return mDocument.Accept(aDocument.mVersion,
+                          aDocument.mHash,
+                          aDocument.mObjects,
+                          aDocument.mDocument);
 }
 
 std::chrono::milliseconds
@@ -34,16 +47,11 @@
 heartbeat
 entry_decisions::Compose(instant aNow)
 {
-  heartbeat message;
-  message.mSender = mMembership.Self();
-  message.mSequence = ++mSequence;
+  heartbeat message = mMembership.Compose(aNow);
   message.mVersion = mDocument.Version();
   message.mContentHash = mDocument.ContentHash();
   message.mStamp = Stamp(aNow);
   message.mCredits = mAdmission.Credits(aNow);
-  for (const peer& one : mMembership.Live(aNow)) {
-    message.mKnownPeers.push_back(one.mLast.mSender.mPeer);
-  }
   return message;
 }
 
@@ -56,7 +64,7 @@
 bool
 entry_decisions::TakeAnswerNow()
 {
-  return false;
+  return mMembership.TakeAnswerNow();
 }
 
 std::vector<endpoint>
@@ -78,9 +86,9 @@
 }
 
 void
-entry_decisions::BeginLeaving(instant)
+entry_decisions::BeginLeaving(instant aNow)
 {
-  mMembership.BeginLeaving();
+  mMembership.BeginLeaving(aNow);
 }
 
 admission_changes
@@ -90,16 +98,15 @@
   if (!document) {
     return {};
   }
-  std::set<upstream_id> homes;
+  std::map<upstream_id, upstream_terms> terms;
   for (const std::pair<const upstream_id, upstream_spec>& entry :
        document->mUpstreams) {
-    bool mine = entry.second.mDomain == Self().mDomain &&
-                mMembership.HomeOf(entry.first, aNow) == Self().mInstance;
-    if (mine) {
-      homes.insert(entry.first);
+    if (entry.second.mDomain == Self().mDomain) {
+      terms[entry.first] = TermsOf(*document, entry.second);
     }
   }
-  return mAdmission.Configure(*document, homes, aNow);
+  return mAdmission.Configure(
+    *document, mMembership.Lease().Claims(terms, aNow), aNow);
 }
 
 admission_changes
@@ -125,7 +132,9 @@
                          const attempt_end& aEnd,
                          instant aNow)
 {
-  attempt_result judged = JudgeAttempt({ aEnd.mOutcome, aEnd.mReason, false });
+  attempt_result judged =
+    aEnd.mDraining ? attempt_result::Draining
+                   : JudgeAttempt({ aEnd.mOutcome, aEnd.mReason, false });
   return mAdmission.Release(aNumber, judged, aNow);
 }
 
@@ -143,14 +152,18 @@
 }
 
 bool
-entry_decisions::BeginDispatch(const grant& aGrant, instant, instant aNow)
+entry_decisions::BeginDispatch(const grant& aGrant,
+                               instant aDeadline,
+                               instant aNow)
 {
-  return mMembership.HomeOf(aGrant.mUpstream, aNow) == Self().mInstance;
+  return mMembership.Lease().BeginDispatch(
+    aGrant.mUpstream, aGrant.mNumber, aDeadline, aNow);
 }
 
 void
-entry_decisions::EndDispatch(request_number)
+entry_decisions::EndDispatch(request_number aNumber)
 {
+  mMembership.Lease().EndDispatch(aNumber);
 }
 
 bool
--- a/laburnumdyke/testing/soak/entry_decisions.h
+++ b/laburnumdyke/testing/soak/entry_decisions.h
@@ -88,7 +88,6 @@
   identity_ledger mLedger;
   admission mAdmission;
   retry_budget mRetries;
-  std::uint64_t mSequence = 0;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -186,13 +186,19 @@
 entry_instance::EndAttempt(flow_id aId, flow& aFlow, const attempt_end& aEnd)
 {
   ++aFlow.mStep;
+  if (aEnd.mOutcome == outcome_kind::Unknown) {
+    aFlow.mMayHaveRun = aEnd.mReason;
+  }
   bool idempotent = SoakServices().at(aFlow.mRequest.mService).mIdempotent;
   bool again =
     mDecisions.RetryReasonOf(aEnd, aFlow.mRelayed, idempotent).has_value() &&
     aFlow.mAttempt < kMostAttempts && Now() < aFlow.mDeadline &&
     mDecisions.Retries().TakeRetry(Now());
   if (!again) {
-    EndFlow(aId, aFlow, aEnd);
+    // "Not run" speaks for all attempts, not for the last alone.
+    bool uncertain = aEnd.mOutcome == outcome_kind::NotRun &&
+                     aFlow.mMayHaveRun != refusal_reason::None;
+    EndFlow(aId, aFlow, uncertain ? Unknown(aFlow.mMayHaveRun) : aEnd);
     return;
   }
   LaterInStage(
@@ -228,6 +234,7 @@
   mWaiting[aFlow.mNumber] = aId;
   admission_answer answer = mDecisions.Ask(
     { aFlow.mNumber, service.mService, service.mRank, aFlow.mDeadline }, Now());
+  Deliver(answer.mOthers);
   switch (answer.mStep) {
     case admission_step::Granted:
       Granted(answer.mGrant);
@@ -566,8 +573,12 @@
 void
 entry_instance::SendHeartbeats()
 {
-  std::shared_ptr<const heartbeat> message =
-    std::make_shared<const heartbeat>(mDecisions.Compose(Now()));
+  heartbeat composed = mDecisions.Compose(Now());
+  std::shared_ptr<const heartbeat> toDomain =
+    std::make_shared<const heartbeat>(composed);
+  composed.mLease = {};
+  std::shared_ptr<const heartbeat> toOthers =
+    std::make_shared<const heartbeat>(std::move(composed));
   for (const endpoint& target : mDecisions.Targets(Now())) {
     std::size_t index = EntryAt(target).value();
     std::size_t far = DomainOfEntry(index);
@@ -575,6 +586,8 @@
                 mWorld.mSimulation.Chance(kHeartbeatLoss);
     if (!lost) {
       soak_world world = mWorld;
+      std::shared_ptr<const heartbeat> message =
+        far == Domain() ? toDomain : toOthers;
       mWorld.mSimulation.AtProcess(
         { index, 0 },
         mWorld.mNetwork.Delay(Domain(), far),
@@ -664,7 +677,7 @@
       const document_state& state =
         world.mEntries.at(source)->Decisions().Document();
       known_document known{
-        state.Version(), state.ContentHash(), state.Text(), state.Document()
+        state.Version(), state.ContentHash(), state.Objects(), state.Document()
       };
       if (known.mDocument) {
         world.mSimulation.AtProcess(self,
--- a/laburnumdyke/testing/soak/entry_instance.h
+++ b/laburnumdyke/testing/soak/entry_instance.h
@@ -90,6 +90,8 @@
     std::set<instance_id> mTried;
     std::size_t mAttempt = 0;
     bool mOwned = false; // its identity was begun here
+    // Why an earlier attempt may have run; None where none has.
+    refusal_reason mMayHaveRun = refusal_reason::None;
     bool mRelayed = false;
     std::size_t mRelayPeer = 0;
     std::optional<grant> mGrant;
--- a/laburnumdyke/testing/soak/operators.cc
+++ b/laburnumdyke/testing/soak/operators.cc
@@ -104,14 +104,13 @@
   } else if (const put_object_action* put =
                std::get_if<put_object_action>(&aAction)) {
     Continue(aId, delay, [this, object = *put](submission& aOne, instant aNow) {
-      return aOne.OnObjectStored(
-        mPlatform.StoreObject(object.mHash, object.mText), aNow);
+      return aOne.OnObjectStored(mPlatform.StoreDocument(object.mText), aNow);
     });
   } else if (const get_object_action* get =
                std::get_if<get_object_action>(&aAction)) {
     Continue(
       aId, delay, [this, hash = get->mHash](submission& aOne, instant aNow) {
-        return aOne.OnObject(mPlatform.ReadObject(hash), aNow);
+        return aOne.OnObject(mPlatform.ReadDocument(hash), aNow);
       });
   } else if (const write_row_action* write =
                std::get_if<write_row_action>(&aAction)) {
--- a/laburnumdyke/testing/soak/platform_mock.cc
+++ b/laburnumdyke/testing/soak/platform_mock.cc
@@ -28,17 +28,42 @@
   return row ? row_reading{ row->mRevision, row->mValue } : row_reading{};
 }
 
+bool
+platform_mock::Assemble(document_assembly& aAssembly, const std::string& aHash)
+{
+  const std::string* manifest = mModel.GetObject(aHash);
+  if (mSet.mOutage || manifest == nullptr ||
+      !aAssembly.TakeManifest(*manifest)) {
+    return false;
+  }
+  for (const std::string& hash : aAssembly.Missing()) {
+    const std::string* chunk = mModel.GetObject(hash);
+    if (chunk == nullptr || !aAssembly.TakeChunk(hash, *chunk)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::optional<std::string>
-platform_mock::ReadObject(const std::string& aHash)
+platform_mock::ReadDocument(const std::string& aHash)
 {
-  const std::string* text = mSet.mOutage ? nullptr : mModel.GetObject(aHash);
-  return text == nullptr ? std::nullopt : std::optional(*text);
+  document_assembly assembly(aHash);
+  return Assemble(assembly, aHash) ? std::optional(assembly.Text())
+                                   : std::nullopt;
 }
 
 bool
-platform_mock::StoreObject(const std::string& aHash, const std::string& aText)
+platform_mock::StoreDocument(const std::string& aText)
 {
-  return !mSet.mOutage && mModel.PutObject(aHash, aText);
+  if (mSet.mOutage) {
+    return false;
+  }
+  bool stored = true;
+  for (const object_map::value_type& one : SplitDocument(aText).mObjects) {
+    stored = mModel.PutObject(one.first, *one.second) && stored;
+  }
+  return stored;
 }
 
 bool
@@ -75,18 +100,21 @@
 std::optional<known_document>
 platform_mock::Fetch(const config_row& aRow)
 {
-  std::optional<std::string> text = ReadObject(aRow.mContentHash);
-  if (!text) {
+  if (mSet.mOutage) {
     return std::nullopt;
   }
   known_document& known = mParsed[aRow.mContentHash];
   if (!known.mDocument) {
-    document_result parsed = ParseDocument(*text);
+    document_assembly assembly(aRow.mContentHash);
+    if (!Assemble(assembly, aRow.mContentHash)) {
+      return std::nullopt;
+    }
+    document_result parsed = ParseDocument(assembly.Text());
     if (!parsed.mDocument) {
       return std::nullopt;
     }
     known.mHash = aRow.mContentHash;
-    known.mText = std::make_shared<const std::string>(std::move(*text));
+    known.mObjects = assembly.Objects();
     known.mDocument =
       std::make_shared<const document>(std::move(*parsed.mDocument));
   }
--- a/laburnumdyke/testing/soak/platform_mock.h
+++ b/laburnumdyke/testing/soak/platform_mock.h
@@ -4,6 +4,7 @@
 // Texts are parsed once for all instances.
 #pragma once
 
+#include "laburnumdyke/decision/document_chunks.h"
 #include "laburnumdyke/decision/submission.h"
 #include "laburnumdyke/testing/soak/oracle.h"
 #include "laburnumdyke/testing/soak/simulation.h"
@@ -21,7 +22,7 @@
 {
   std::uint64_t mVersion = 0;
   std::string mHash;
-  std::shared_ptr<const std::string> mText;
+  object_map mObjects;
   std::shared_ptr<const document> mDocument;
 };
 
@@ -32,8 +33,9 @@
 
   // Nothing in an outage; revision 0 where there is no row.
   std::optional<row_reading> ReadRow();
-  std::optional<std::string> ReadObject(const std::string& aHash);
-  bool StoreObject(const std::string& aHash, const std::string& aText);
+  // The objects of a document, joined or apart.
+  std::optional<std::string> ReadDocument(const std::string& aHash);
+  bool StoreDocument(const std::string& aText);
   write_answer WriteRow(const write_row_action& aWrite);
 
   // The document that a row names; nothing in an outage.
@@ -51,6 +53,7 @@
 
 private:
   void Count(int aChange);
+  bool Assemble(document_assembly& aAssembly, const std::string& aHash);
   bool Apply(const write_row_action& aWrite);
 
   simulation& mSimulation;
