Judge 'not run' and drains by attempt and newest sign in the randomised run

docs/CALLERS.md lets an instance that can't reach the issuer speak for the attempt alone, and a newer document that has an upstream serving is a newer sign than its own word.

--- a/laburnumdyke/testing/soak/caller_fleet.cc
+++ b/laburnumdyke/testing/soak/caller_fleet.cc
@@ -179,6 +179,7 @@
   std::uint64_t step = ++aOne.mStep;
   std::uint32_t attempt = ++aOne.mAttempt;
   ++mOutcomes.at(aOne.mService).mAttempts;
+  mWorld.mOracle.OnAttempt({ aId, attempt });
   const std::vector<std::size_t>& choices = aOne.mLookup.mChoices;
   std::size_t target = choices.at((attempt - 1) % choices.size());
   soak_request request;
