--- a/laburnumdyke/plugin/heartbeat_codec.h
+++ b/laburnumdyke/plugin/heartbeat_codec.h
@@ -11,7 +11,7 @@
 
 inline constexpr std::size_t kLongestHeartbeat = 64UL * 1024; // bytes
 // Entries in each list of a heartbeat.
-inline constexpr int kMostEntries = 2000;
+inline constexpr int kMostListed = 2000;
 // Longer times in a heartbeat are refused.
 inline constexpr std::chrono::hours kLongestTime{ 24L * 365 * 100 };
 
--- a/laburnumdyke/testing/soak/entry_decisions.cc
+++ b/laburnumdyke/testing/soak/entry_decisions.cc
@@ -2,7 +2,6 @@
 // of attempts is the pipeline's own.
 #include "laburnumdyke/testing/soak/entry_decisions.h"
 
-#include "laburnumdyke/decision/placement.h"
 #include "laburnumdyke/plugin/request_pipeline.h"
 
 #include <utility>
@@ -105,6 +104,7 @@
       terms[entry.first] = TermsOf(*document, entry.second);
     }
   }
+  RefreshPlacement(document, aNow);
   return mAdmission.Configure(
     *document, mMembership.Lease().Claims(terms, aNow), aNow);
 }
@@ -141,14 +141,21 @@
 route
 entry_decisions::Route(const service_id& aService,
                        const std::set<instance_id>& aTried,
-                       instant aNow) const
+                       instant aNow)
 {
-  return ChooseRoute(aService,
-                     Self(),
-                     mAdmission.Credits(aNow),
-                     mMembership.Live(aNow),
-                     aTried,
-                     aNow);
+  std::vector<peer> peers = mRelayCredit.Adjust(mMembership.Live(aNow));
+  route chosen = ChooseRoute(
+    aService, Self(), mAdmission.Credits(aNow), peers, aTried, aNow);
+  if (chosen.mStep == route_step::Relay) {
+    mRelayCredit.CountRelay(chosen.mTarget.mInstance, aService);
+  }
+  return chosen;
+}
+
+bool
+entry_decisions::MayDispatch(const upstream_id& aUpstream, instant aNow)
+{
+  return mMembership.Lease().MayDispatch(aUpstream, aNow);
 }
 
 bool
@@ -182,18 +189,39 @@
     { aEnd.mOutcome, aEnd.mReason, false }, aRelayed, aIdempotent);
 }
 
+void
+entry_decisions::RefreshPlacement(
+  const std::shared_ptr<const document>& aDocument,
+  instant aNow)
+{
+  if (mBlocksOf != aDocument) {
+    mBlocks = UpdateBlocks(mBlocks, mBlocksOf.get(), *aDocument);
+    mBlocksOf = aDocument;
+  }
+  std::vector<peer> peers = mMembership.Live(aNow);
+  mShifts.Observe(*aDocument, LiveRegions(Self(), peers), aNow);
+}
+
 std::vector<instance_id>
 entry_decisions::Lookup(const service_id& aService,
                         const address_bytes& aClient,
-                        instant aNow) const
+                        instant aNow)
 {
   std::vector<instance_id> named;
   std::shared_ptr<const document> document = mDocument.Document();
-  if (document) {
-    for (const entry_choice& choice : PlaceClient(
-           *document, aService, aClient, Self(), mMembership.Live(aNow))) {
-      named.push_back(choice.mInstance);
-    }
+  if (!document) {
+    return named;
+  }
+  RefreshPlacement(document, aNow);
+  std::vector<peer> peers = mMembership.Live(aNow);
+  placement_view view{ *document, mBlocks, Self(), peers };
+  report_rooms rooms(view, mAdmission.Credits(aNow), aNow);
+  civil_time civilNow{ std::chrono::duration_cast<civil_time::duration>(
+    aNow.time_since_epoch()) };
+  placement_answer placed =
+    PlaceClient(view, aService, aClient, rooms, mShifts, aNow, civilNow);
+  for (const entry_choice& choice : placed.mChoices) {
+    named.push_back(choice.mInstance);
   }
   return named;
 }
--- a/laburnumdyke/testing/soak/entry_decisions.h
+++ b/laburnumdyke/testing/soak/entry_decisions.h
@@ -7,6 +7,8 @@
 #include "laburnumdyke/decision/document_state.h"
 #include "laburnumdyke/decision/identity_ledger.h"
 #include "laburnumdyke/decision/membership.h"
+#include "laburnumdyke/decision/placement.h"
+#include "laburnumdyke/decision/relay_credit.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/testing/soak/platform_mock.h"
@@ -62,10 +64,11 @@
 
   route Route(const service_id& aService,
               const std::set<instance_id>& aTried,
-              instant aNow) const;
+              instant aNow);
 
-  // The check immediately before a dispatch.
+  // The check before a dispatch, and once more before its first byte.
   bool BeginDispatch(const grant& aGrant, instant aDeadline, instant aNow);
+  bool MayDispatch(const upstream_id& aUpstream, instant aNow);
   void EndDispatch(request_number aNumber);
 
   bool IsFresh(std::chrono::milliseconds aStamp, instant aNow) const;
@@ -77,9 +80,11 @@
   // The entry instances of a look-up's answer, best first.
   std::vector<instance_id> Lookup(const service_id& aService,
                                   const address_bytes& aClient,
-                                  instant aNow) const;
+                                  instant aNow);
 
 private:
+  void RefreshPlacement(const std::shared_ptr<const document>& aDocument,
+                        instant aNow);
   std::chrono::milliseconds Stamp(instant aNow) const;
 
   instant mStarted;
@@ -88,6 +93,10 @@
   identity_ledger mLedger;
   admission mAdmission;
   retry_budget mRetries;
+  relay_credit mRelayCredit;
+  traffic_shifts mShifts;
+  block_table mBlocks;
+  std::shared_ptr<const document> mBlocksOf; // that mBlocks was made from
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kPollLeast{ 800 };
 constexpr std::chrono::milliseconds kPollMost{ 1200 };
 constexpr std::chrono::seconds kIdleLife{ 5 };
+constexpr std::chrono::milliseconds kCancelSettle{ 250 }; // as the pipeline's
 constexpr double kHeartbeatLoss = 0.005;
 constexpr double kClosedWhileIdle = 0.002; // the upstream closed it
 
@@ -370,6 +371,11 @@
     EndDispatch(aId, aFlow, NotRun(refusal_reason::UpstreamConnect));
     return;
   }
+  if (!mDecisions.MayDispatch(aFlow.mGrant->mUpstream, Now())) {
+    ++aFlow.mStep;
+    EndDispatch(aId, aFlow, NotRun(refusal_reason::LeaseLapsed));
+    return;
+  }
   aFlow.mConnection = ++mLastConnection;
   mConnections[aFlow.mConnection] = aId;
   Write(aId, aFlow, aUpstream);
@@ -468,14 +474,26 @@
   EndDispatch(aId, aFlow, Unknown(refusal_reason::UpstreamTimeout));
 }
 
+// After an unknown outcome the upstream may still be at work for a moment.
 void
 entry_instance::EndDispatch(flow_id aId, flow& aFlow, const attempt_end& aEnd)
 {
   request_number number = aFlow.mNumber;
-  mDecisions.EndDispatch(number);
-  admission_changes changes = mDecisions.Release(number, aEnd, Now());
   EndAttempt(aId, aFlow, aEnd);
-  Deliver(changes);
+  if (aEnd.mOutcome == outcome_kind::Unknown) {
+    Later(kCancelSettle, event_kind::Timer, [this, number, aEnd] {
+      ReleaseSlot(number, aEnd);
+    });
+  } else {
+    ReleaseSlot(number, aEnd);
+  }
+}
+
+void
+entry_instance::ReleaseSlot(request_number aNumber, const attempt_end& aEnd)
+{
+  mDecisions.EndDispatch(aNumber);
+  Deliver(mDecisions.Release(aNumber, aEnd, Now()));
 }
 
 // --- relay --------------------------------------------------------------
--- a/laburnumdyke/testing/soak/entry_instance.h
+++ b/laburnumdyke/testing/soak/entry_instance.h
@@ -139,6 +139,8 @@
   void TimeOut(flow_id aId, flow& aFlow, std::size_t aUpstream);
   void EndDispatch(flow_id aId, flow& aFlow, const attempt_end& aEnd);
 
+  void ReleaseSlot(request_number aNumber, const attempt_end& aEnd);
+
   void RelayToIssuer(flow_id aId, flow& aFlow);
   void Relay(flow_id aId,
              flow& aFlow,
