--- a/laburnumdyke/decision/routing.h
+++ b/laburnumdyke/decision/routing.h
@@ -113,7 +113,7 @@
 class basic_router
 {
 public:
-  static constexpr lock_rank kLockRank = lock_rank::Placement;
+  static constexpr lock_rank kLockRank = lock_rank::Adverts;
 
   basic_router() = default;
   explicit basic_router(Choice aChoice)
