Add the bench again, on the home lease and the router

Ruled out: heartbeats (made by Compose, heard by all) and the deadline bound (the service's deadline covers each request's).

A table test covers credits of upstreams whose slots an earlier home still holds.

--- a/laburnumdyke/testing/admission_test.cc
+++ b/laburnumdyke/testing/admission_test.cc
@@ -121,6 +121,36 @@
   LONGS_EQUAL(0U, one.mAdmission.Credits(one.mNow).at(0).mFree);
 }
 
+// Rows: slots of the two upstreams that an earlier home may still occupy.
+TEST(Admission, CreditsSkipUpstreamsWhollyHeldByAnEarlierHome)
+{
+  struct held_row
+  {
+    std::uint32_t mFirst = 0;
+    std::uint32_t mSecond = 0;
+    bool mAdvertised = false;
+    std::uint32_t mSlots = 0;
+  };
+  const held_row rows[] = {
+    { 0, 0, true, 6 }, { 3, 0, true, 3 }, { 1, 3, true, 2 }, { 3, 3, false, 0 }
+  };
+  for (const held_row& row : rows) {
+    document made = MakeDocument(2, 3);
+    fixture one(made);
+    one.mAdmission.Configure(
+      made,
+      { { { UpstreamName(0) }, row.mFirst, kStart + 5s },
+        { { UpstreamName(1) }, row.mSecond, kStart + 5s } },
+      kStart);
+    std::vector<service_credit> credits = one.mAdmission.Credits(one.mNow);
+    LONGS_EQUAL(row.mAdvertised ? 1 : 0, credits.size());
+    if (row.mAdvertised) {
+      LONGS_EQUAL(row.mSlots, credits.at(0).mSlots);
+      LONGS_EQUAL(row.mSlots, credits.at(0).mFree);
+    }
+  }
+}
+
 TEST(Admission, LeavingUpstreamGetsNoNewWorkAndKeepsWhatItHas)
 {
   fixture one(MakeDocument(2, 1));
--- /dev/null
+++ b/laburnumdyke/testing/bench/world.cc
@@ -0,0 +1,242 @@
+// Each service draws its arrivals from its own generator, so that a flood of
+// one kind leaves the others' arrivals as they are without it and the two runs
+// can be compared request by request.
+#include "laburnumdyke/testing/bench/world.h"
+
+#include <algorithm>
+
+namespace laburnumdyke::bench {
+
+namespace {
+
+// Share of the one pool's load that each rank asks for.
+constexpr std::array<double, kRankCount> kOnePoolShare = { 0.5, 0.35, 0.15 };
+
+duration
+Scale(duration aTime, double aFactor)
+{
+  return std::chrono::duration_cast<duration>(aTime * aFactor);
+}
+
+} // namespace
+
+duration
+rank_figures::Quantile(double aShare)
+{
+  if (mLatencies.empty()) {
+    return duration::zero();
+  }
+  std::sort(mLatencies.begin(), mLatencies.end());
+  std::size_t index = static_cast<std::size_t>(
+    aShare * static_cast<double>(mLatencies.size() - 1));
+  return mLatencies.at(index);
+}
+
+world::world(const deployment& aDeployment,
+             const scenario& aScenario,
+             std::uint64_t aSeed,
+             std::chrono::seconds aLength)
+  : mDeployment(aDeployment)
+  , mScenario(aScenario)
+  , mLength(aLength)
+  , mStart(mEvents.Now())
+  , mDocument(aDeployment.Document())
+{
+  for (const std::pair<const upstream_id, upstream_spec>& entry :
+       mDocument.mUpstreams) {
+    mUpstreams[entry.first].mSlots = entry.second.mSlots;
+  }
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    AddArrivals(i, aLength, aSeed * kRankCount + i);
+  }
+  AddFaults();
+}
+
+void
+world::AddArrivals(std::size_t aLoad,
+                   std::chrono::seconds aLength,
+                   std::uint64_t aSeed)
+{
+  const service_load& own = mDeployment.mLoads.at(aLoad);
+  const service_load& asked = mScenario.mOnePool ? mDeployment.mLoads[0] : own;
+  double share = mScenario.mOnePool ? kOnePoolShare.at(aLoad) : 1;
+  double rate =
+    asked.Capacity() * mScenario.mLoad * share * mScenario.mFlood.at(aLoad);
+  std::vector<domain_id> domains = mDeployment.Domains();
+  std::mt19937_64 random(aSeed);
+  std::exponential_distribution<double> gap(rate);
+  std::exponential_distribution<double> work(2);
+  std::uniform_real_distribution<double> allowed(kShortestDeadline,
+                                                 kLongestDeadline);
+  duration at{ 0 };
+  while (true) {
+    double factor = mScenario.mHalfCold && at < kMeasureFrom ? 2 : 1;
+    at += std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(gap(random) * factor));
+    if (at >= aLength) {
+      return;
+    }
+    bench_request request;
+    request.mService = asked.mService;
+    request.mRank = own.mRank;
+    request.mDomain = domains.at(random() % domains.size());
+    request.mSent = mStart + at;
+    request.mDeadline = request.mSent + Scale(own.mDeadline, allowed(random));
+    request.mWork = Scale(asked.mWork, 0.5 + work(random));
+    request.mIdempotent = asked.mIdempotent;
+    request.mMeasured =
+      at >= kMeasureFrom && request.mDeadline < mStart + aLength;
+    std::size_t index = mRequests.size();
+    mRequests.push_back(request);
+    mEvents.At(request.mSent + mDeployment.mClientDelay,
+               [this, index]() { mArrive(index); });
+    mEvents.At(request.mDeadline,
+               [this, index]() { mRequests[index].mSettled = true; });
+    if (request.mMeasured) {
+      ++mFigures.mRanks.at(static_cast<std::size_t>(own.mRank)).mOffered;
+    }
+  }
+}
+
+void
+world::AddFaults()
+{
+  if (!mScenario.mHalfCold) {
+    return;
+  }
+  int index = 0;
+  for (std::pair<const upstream_id, upstream_spec>& entry :
+       mDocument.mUpstreams) {
+    if (++index % 2 == 0) {
+      entry.second.mState = upstream_state::Leaving;
+    }
+  }
+  mEvents.At(mStart + kMeasureFrom, [this]() { ComeBackCold(); });
+}
+
+void
+world::ComeBackCold()
+{
+  for (std::pair<const upstream_id, upstream_spec>& entry :
+       mDocument.mUpstreams) {
+    if (entry.second.mState == upstream_state::Leaving) {
+      entry.second.mState = upstream_state::Serving;
+      mUpstreams[entry.first].mCold = true;
+      mUpstreams[entry.first].mColdSince = Now();
+    }
+  }
+  mDocumentChanged();
+}
+
+void
+world::Run(std::function<void(std::size_t)> aArrive,
+           std::function<void()> aDocumentChanged)
+{
+  mArrive = std::move(aArrive);
+  mDocumentChanged = std::move(aDocumentChanged);
+  mEvents.RunUntil(mStart + mLength);
+}
+
+std::uint32_t
+world::Busy(const upstream_id& aUpstream) const
+{
+  const upstream_model& upstream = mUpstreams.at(aUpstream);
+  return upstream.mBusy + static_cast<std::uint32_t>(upstream.mLine.size());
+}
+
+void
+world::Send(const upstream_id& aUpstream,
+            std::size_t aRequest,
+            duration aDelay,
+            bool aTellDeadline,
+            on_result aDone)
+{
+  upstream_model& upstream = mUpstreams.at(aUpstream);
+  visit arriving{ aRequest, aDelay, aTellDeadline, std::move(aDone) };
+  mEvents.After(aDelay, [this, &upstream, arriving]() {
+    if (upstream.mBusy < upstream.mSlots) {
+      Begin(upstream, arriving);
+    } else {
+      ++mFigures.mOvershot;
+      upstream.mLine.push_back(arriving);
+    }
+  });
+}
+
+double
+world::ColdFactor(const upstream_model& aUpstream) const
+{
+  std::chrono::duration<double> warm = Now() - aUpstream.mColdSince;
+  std::chrono::duration<double> span = kWarmUp;
+  if (!aUpstream.mCold || warm >= span) {
+    return 1;
+  }
+  return kColdFactor - (kColdFactor - 1) * (warm / span);
+}
+
+void
+world::Begin(upstream_model& aUpstream, visit aVisit)
+{
+  bench_request& request = mRequests.at(aVisit.mRequest);
+  ++aUpstream.mBusy;
+  ++request.mRuns;
+  mFigures.mDoubleRuns += !request.mIdempotent && request.mRuns == 2 ? 1 : 0;
+  mFigures.mFalseNotRun += request.mToldNotRun ? 1 : 0;
+  duration work = Scale(request.mWork, ColdFactor(aUpstream));
+  // The deadline is told as the time left, so the way to here adds to it.
+  duration left = request.mDeadline + aVisit.mDelay - Now();
+  bool whole = !aVisit.mTellDeadline || work <= left;
+  duration spent = whole ? work : std::max(left, duration::zero());
+  bool late = Now() + spent > request.mDeadline;
+  mFigures.mWorked += spent;
+  if (late || request.mSettled || request.mRuns > 1) {
+    mFigures.mWasted += spent;
+  }
+  mEvents.After(spent, [this, &aUpstream, aVisit, whole]() {
+    End(aUpstream, aVisit, whole);
+  });
+}
+
+void
+world::End(upstream_model& aUpstream, const visit& aVisit, bool aWhole)
+{
+  --aUpstream.mBusy;
+  on_result done = aVisit.mDone;
+  mEvents.After(aVisit.mDelay, [done, aWhole]() {
+    done(aWhole ? attempt_result::Answered : attempt_result::Abandoned);
+  });
+  if (!aUpstream.mLine.empty()) {
+    visit next = aUpstream.mLine.front();
+    aUpstream.mLine.pop_front();
+    Begin(aUpstream, next);
+  }
+}
+
+void
+world::Settle(std::size_t aRequest, outcome_kind aOutcome, refusal_reason aWhy)
+{
+  mEvents.After(mDeployment.mClientDelay, [this, aRequest, aOutcome, aWhy]() {
+    bench_request& request = mRequests.at(aRequest);
+    if (request.mSettled) {
+      return;
+    }
+    request.mSettled = true;
+    if (aOutcome == outcome_kind::NotRun) {
+      request.mToldNotRun = true;
+      mFigures.mFalseNotRun += request.mRuns > 0 ? 1 : 0;
+    }
+    if (!request.mMeasured) {
+      return;
+    }
+    if (aOutcome == outcome_kind::Answered) {
+      rank_figures& rank =
+        mFigures.mRanks.at(static_cast<std::size_t>(request.mRank));
+      ++rank.mServed;
+      rank.mLatencies.push_back(Now() - request.mSent);
+    } else {
+      ++mFigures.mRefusals[aWhy];
+    }
+  });
+}
+
+} // namespace laburnumdyke::bench
