--- a/laburnumdyke/testing/demo_main.cc
+++ b/laburnumdyke/testing/demo_main.cc
@@ -72,8 +72,9 @@
   for (const std::string service : { "booking", "job-sheet", "report" }) {
     for (const std::string& domain : domains) {
       for (const char* number : { "-1", "-2" }) {
-        aDeployment.AddUpstream(
-          { service + "-" + domain + number, service, domain, 3 });
+        std::string name = service;
+        name.append("-").append(domain).append(number);
+        aDeployment.AddUpstream({ name, service, domain, 3 });
       }
     }
   }
--- a/laburnumdyke/testing/document_chunks_test.cc
+++ b/laburnumdyke/testing/document_chunks_test.cc
@@ -33,7 +33,7 @@
     blocks.push_back(prefix);
   }
   for (std::uint32_t i = 0; i < aExtra; ++i) {
-    client_prefix prefix = blocks[i * 1000];
+    client_prefix prefix = blocks[static_cast<std::size_t>(i) * 1000];
     prefix.mAddress[15] = 128;
     prefix.mLength = 121;
     blocks.push_back(prefix);
@@ -78,7 +78,7 @@
   document_objects after = SplitDocument(ManyBlocks(1));
   std::size_t whole = BytesToMove({}, before);
   // Two of the largest chunks and the manifest; most often one of 36 KB.
-  CHECK(BytesToMove(before, after) <= 2 * 256 * 1024 + whole / 100);
+  CHECK(BytesToMove(before, after) <= 2UL * 256 * 1024 + whole / 100);
   CHECK(BytesToMove(before, after) < whole / 2);
 }
 
