--- a/laburnumdyke/testing/bench/world.cc
+++ b/laburnumdyke/testing/bench/world.cc
@@ -81,7 +81,10 @@
     request.mRank = own.mRank;
     request.mDomain = domains.at(random() % domains.size());
     request.mSent = mStart + at;
-    request.mDeadline = request.mSent + Scale(own.mDeadline, allowed(random));
+    // An entry clamps the deadline to that of the service asked for.
+    request.mDeadline =
+      request.mSent + std::min(Scale(own.mDeadline, allowed(random)),
+                               Scale(asked.mDeadline, kLongestDeadline));
     request.mWork = Scale(asked.mWork, 0.5 + work(random));
     request.mIdempotent = asked.mIdempotent;
     request.mMeasured =
