--- a/laburnumdyke/testing/harness/scenario.cc
+++ b/laburnumdyke/testing/harness/scenario.cc
@@ -77,7 +77,8 @@
 StartTwoDomains(deployment& aDeployment)
 {
   aDeployment.Start(TwoDomainHead());
-  return aDeployment.WaitForVersion(1, kEventLimit);
+  return aDeployment.WaitForVersion(1, kEventLimit) &&
+         aDeployment.WaitForHomes(kEventLimit);
 }
 
 std::vector<endpoint>
