Give the HTTP server's streams a type name of their own

Cause of the crash of console_test and standin_test under the address sanitizer: connection_set was defined twice, in plugin/http_server.h and in testing/standin/connections.h. Their inline constructors have one symbol; the unoptimised build took the one of the set, and a list of the stand-in was used without having been constructed. The optimised build inlined both, so that nothing showed there.

Ruled out: a coroutine that outlives its accept loop's handler (the crash is in the first connection of the first test, with the loop alive).

--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -75,7 +75,7 @@
          request_parser& aParser);
 
 // The live connections of one server, so that Close reaches them.
-struct connection_set
+struct open_streams
 {
   static constexpr lock_rank kLockRank = lock_rank::Connections;
   std::set<std::shared_ptr<tcp_stream>> mStreams;
@@ -124,7 +124,7 @@
   {
     error_code ignored;
     mAcceptor.close(ignored);
-    mConnections.With([](connection_set& aSet) { aSet.mStreams.clear(); });
+    mConnections.With([](open_streams& aSet) { aSet.mStreams.clear(); });
   }
 
 private:
@@ -143,7 +143,7 @@
         std::make_shared<tcp_stream>(std::move(socket));
       stream->socket().set_option(tcp::no_delay(true), failure);
       mConnections.With(
-        [&](connection_set& aSet) { aSet.mStreams.insert(stream); });
+        [&](open_streams& aSet) { aSet.mStreams.insert(stream); });
       asio::co_spawn(stream->get_executor(), Serve(stream), asio::detached);
     }
   }
@@ -185,7 +185,7 @@
     error_code ignored;
     aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
     mConnections.With(
-      [&](connection_set& aSet) { aSet.mStreams.erase(aStream); });
+      [&](open_streams& aSet) { aSet.mStreams.erase(aStream); });
   }
 
   kernel& mKernel;
@@ -193,7 +193,7 @@
   tcp::acceptor mAcceptor;
   std::atomic<bool> mLeaving{ false };
   std::atomic<std::size_t> mInFlight{ 0 };
-  guarded<connection_set, connection_set::kLockRank> mConnections;
+  guarded<open_streams, open_streams::kLockRank> mConnections;
 };
 
 } // namespace laburnumdyke
