--- a/laburnumdyke/testing/demo_main.cc
+++ b/laburnumdyke/testing/demo_main.cc
@@ -4,15 +4,14 @@
 //
 // Prints outcomes by rank and every promise with its figure; ends non-zero if
 // a promise was broken.
-#include "laburnumdyke/testing/harness/caller.h"
+#include "laburnumdyke/testing/harness/background_load.h"
 #include "laburnumdyke/testing/harness/deployment.h"
-
-#include <boost/json.hpp>
+#include "laburnumdyke/testing/harness/scenario.h"
+#include "laburnumdyke/testing/harness/upstream_count.h"
 
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
-#include <set>
 #include <thread>
 
 namespace {
@@ -155,61 +154,6 @@
   }
 }
 
-// Counts what upstreams saw.
-struct upstream_count
-{
-  std::uint64_t mRuns = 0;
-  std::uint64_t mOvershot = 0;
-  std::uint64_t mRunTwice = 0;
-  std::set<std::string> mRunIds;
-};
-
-std::uint64_t
-Number(const boost::json::object& aObject, const char* aKey)
-{
-  const boost::json::value* value = aObject.if_contains(aKey);
-  return value != nullptr && value->is_number()
-           ? value->to_number<std::uint64_t>()
-           : 0;
-}
-
-boost::json::object
-ReadControl(const deployment& aDeployment, const std::string& aName)
-{
-  boost::system::error_code failure;
-  boost::json::value parsed = boost::json::parse(
-    GetText(aDeployment.UpstreamAddress(aName), "/control"), failure);
-  return !failure && parsed.is_object() ? parsed.get_object()
-                                        : boost::json::object();
-}
-
-upstream_count
-CountUpstreams(const deployment& aDeployment)
-{
-  upstream_count count;
-  for (const upstream_plan& plan : aDeployment.Upstreams()) {
-    boost::json::object control = ReadControl(aDeployment, plan.mName);
-    count.mRuns += Number(control, "runs");
-    std::uint64_t overshot = Number(control, "overshot");
-    if (overshot > 0) {
-      std::printf("overshot: %s %llu\n",
-                  plan.mName.c_str(),
-                  static_cast<unsigned long long>(overshot));
-    }
-    count.mOvershot += overshot;
-    const boost::json::value* runs = control.if_contains("runs_by_id");
-    if (runs == nullptr || !runs->is_object()) {
-      continue;
-    }
-    for (const boost::json::key_value_pair& run : runs->get_object()) {
-      bool first = count.mRunIds.insert(std::string(run.key())).second;
-      bool once = run.value().to_number<std::uint64_t>() == 1;
-      count.mRunTwice += first && once ? 0 : 1;
-    }
-  }
-  return count;
-}
-
 bool
 Promise(const char* aText, std::uint64_t aBroken)
 {
@@ -227,9 +171,9 @@
 {
   aDeployment.Submit(2, aDeployment.Document({ aName }));
   std::this_thread::sleep_for(kLeaveLimit);
-  std::uint64_t before = Number(ReadControl(aDeployment, aName), "runs");
+  std::uint64_t before = CountUpstream(aDeployment, aName).mRuns;
   std::this_thread::sleep_for(kPhase);
-  return Number(ReadControl(aDeployment, aName), "runs") - before;
+  return CountUpstream(aDeployment, aName).mRuns - before;
 }
 
 bool
@@ -239,25 +183,20 @@
               std::uint64_t aLateWork)
 {
   upstream_count upstreams = CountUpstreams(aDeployment);
-  std::uint64_t falseNotRun = 0;
-  for (const identified_request& request : aReport.mIdentified) {
-    bool ran = upstreams.mRunIds.count(request.mIdentity) > 0;
-    falseNotRun += request.mTold == outcome_kind::NotRun && ran ? 1 : 0;
-  }
   std::uint64_t cutByStop = 0;
   for (const cut_request& cut : aReport.mCut) {
     cutByStop += cut.mEntry == aStopped ? 1 : 0;
   }
-  std::uint64_t wrong = 0;
   std::uint64_t unserved = 0;
   for (const rank_tally& tally : aReport.mRanks) {
-    wrong += tally.mWrong;
     unserved += tally.mAnswered == 0 ? 1 : 0;
   }
   bool kept = Promise("every rank was served", unserved);
-  kept &= Promise("each caller got the whole answer to its own request", wrong);
-  kept &= Promise("no booking ran twice", upstreams.mRunTwice);
-  kept &= Promise("told \"not run\": truly not run", falseNotRun);
+  kept &= Promise("each caller got the whole answer to its own request",
+                  WrongAnswers(aReport));
+  kept &= Promise("no booking ran twice", upstreams.RunTwice());
+  kept &=
+    Promise("told \"not run\": truly not run", FalseNotRun(upstreams, aReport));
   kept &=
     Promise("no upstream was given more than its slots", upstreams.mOvershot);
   kept &= Promise("the leaving upstream got no new work after 3 s", aLateWork);
@@ -277,13 +216,9 @@
     return 2;
   }
   std::printf("6 daemons in 3 failure domains and 2 regions, 18 upstreams\n");
-  std::vector<endpoint> first;
-  for (const std::string& name : deployed.DaemonNames()) {
-    first.push_back(deployed.Addresses(name).mCaller);
-  }
-  caller_group callers(first, 1);
-  AddCallers(callers);
-  std::thread load([&]() { callers.Run(); });
+  background_load load(CallerAddresses(deployed), 1);
+  AddCallers(load.Callers());
+  load.Start();
   std::this_thread::sleep_for(kPhase);
   std::printf("killing daemon leinster-a-1\n");
   deployed.Daemon("leinster-a-1").Signal(SIGKILL);
@@ -294,13 +229,10 @@
   deployed.Daemon("munster-a-1").Signal(SIGTERM);
   std::optional<int> status = deployed.Daemon("munster-a-1").Wait(kStopLimit);
   std::this_thread::sleep_for(kPhase / 2);
-  callers.Stop();
-  load.join();
-  PrintTable(callers.Report());
-  bool kept = JudgePromises(deployed,
-                            callers.Report(),
-                            deployed.Addresses("munster-a-1").mCaller,
-                            late);
+  const caller_report& report = load.Stop();
+  PrintTable(report);
+  bool kept = JudgePromises(
+    deployed, report, deployed.Addresses("munster-a-1").mCaller, late);
   kept &=
     Promise("the planned stop ended with exit status 0", status == 0 ? 0 : 1);
   return kept ? 0 : 1;
