Share one client of the platform between console, watch and tool

Ruled out: a blocking client with a coroutine wrapper, since the daemon must not wait in a worker. One coroutine client over the concept http_exchanger is run to its end by the tool (ctl/wait.h); submission_driver.h holds the only loop over a submission's actions. Timeouts stay as they were, as options: 5 s an object in the daemon, 20 s in the tool.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -2,7 +2,7 @@
 // come from.
 //
 // Usage:
-//   commands<blocking_http, system_clock> run(options, http, clock, out, err);
+//   commands<asio_http, asio_clock> run(options, http, clock, out, err);
 //   return static_cast<int>(run.Run());
 //
 // Results go to the first stream, faults of use and of the network to the
@@ -10,7 +10,10 @@
 #pragma once
 
 #include "ctl/report.h"
-#include "ctl/submit_driver.h"
+#include "ctl/wait.h"
+#include "laburnumdyke/plugin/submission_driver.h"
+
+#include <boost/json.hpp>
 
 #include <array>
 #include <fstream>
@@ -64,6 +67,15 @@
 
 private:
   static constexpr std::size_t kReadSize = 64UL * 1024; // bytes
+  // An operator's link may be slow.
+  static constexpr std::chrono::milliseconds kObjectTimeout{ 20000 };
+
+  platform_client<Http> Platform()
+  {
+    platform_options options;
+    options.mObjectTimeout = kObjectTimeout;
+    return platform_client<Http>(mHttp, *mOptions.mPlatform, options);
+  }
 
   exit_status Check()
   {
@@ -94,21 +106,22 @@
     request.mChangeId = mOptions.mChangeId;
     request.mSubmitter = mOptions.mSubmitter;
     request.mBase = mOptions.mBase;
-    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    platform_client<Http> platform = Platform();
     submission_outcome outcome =
-      RunSubmission(std::move(request), platform, mClock);
+      Wait(RunSubmission(std::move(request), platform, mClock));
     ReportOutcome(mOut, mOptions, outcome);
     return StatusOf(outcome.mKind);
   }
 
   exit_status Show()
   {
-    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    platform_client<Http> platform = Platform();
     std::optional<config_row> row = InForce(platform);
     if (!row) {
       return exit_status::Unavailable;
     }
-    std::optional<std::string> text = platform.GetDocument(row->mContentHash);
+    std::optional<std::string> text =
+      Wait(platform.GetDocument(row->mContentHash));
     if (!text) {
       mErrors << "laburnumctl: the document of version " << row->mVersion
               << " can't be read\n";
@@ -132,7 +145,7 @@
 
   exit_status History()
   {
-    platform_client<Http> platform(mHttp, *mOptions.mPlatform);
+    platform_client<Http> platform = Platform();
     std::optional<config_row> row = InForce(platform);
     if (!row) {
       return exit_status::Unavailable;
@@ -146,7 +159,8 @@
     client_request request;
     request.mTo = aAddress;
     request.mTarget = std::move(aTarget);
-    std::optional<client_answer> answer = mHttp.Exchange(std::move(request));
+    std::optional<client_answer> answer =
+      Wait(mHttp.Exchange(std::move(request)));
     boost::system::error_code failure;
     boost::json::value parsed;
     if (answer) {
@@ -166,7 +180,8 @@
 
   std::optional<config_row> InForce(platform_client<Http>& aPlatform)
   {
-    std::optional<row_reading> reading = aPlatform.ReadRow();
+    row_answer answer = Wait(aPlatform.ReadRow());
+    std::optional<row_reading> reading = answer.Reading();
     if (!reading) {
       mErrors << "laburnumctl: no answer from the platform\n";
       return std::nullopt;
--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -1,16 +1,11 @@
 // laburnumctl: checks, submits and shows documents, and asks running
-// instances. Each exchange runs a context of its own until it ends: the tool
-// does one thing at a time.
+// instances.
 #include "ctl/commands.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-
 #include <array>
 #include <cstdlib>
 #include <iostream>
 #include <random>
-#include <thread>
 
 using namespace laburnumdyke;
 
@@ -18,30 +13,6 @@
 
 constexpr int kChangeIdWords = 4; // of 32 bits
 
-class blocking_http
-{
-public:
-  std::optional<client_answer> Exchange(client_request aRequest)
-  {
-    std::optional<client_answer> result;
-    asio::io_context context(1);
-    asio::co_spawn(
-      context,
-      laburnumdyke::Exchange(std::move(aRequest)),
-      [&result](std::exception_ptr, std::optional<client_answer> aAnswer) {
-        result = std::move(aAnswer);
-      });
-    context.run();
-    return result;
-  }
-};
-
-struct system_clock
-{
-  instant Now() { return std::chrono::steady_clock::now(); }
-  void SleepUntil(instant aUntil) { std::this_thread::sleep_until(aUntil); }
-};
-
 std::string
 NewChangeId()
 {
@@ -83,9 +54,9 @@
   if (options.mSubmitter.empty()) {
     options.mSubmitter = LoginName();
   }
-  blocking_http http;
-  system_clock clock;
-  commands<blocking_http, system_clock> run(
+  asio_http http;
+  asio_clock clock;
+  commands<asio_http, asio_clock> run(
     std::move(options), http, clock, std::cout, std::cerr);
   return static_cast<int>(run.Run());
 }
--- /dev/null
+++ b/ctl/wait.h
@@ -0,0 +1,29 @@
+// Runs one awaitable to its end on a context of its own: the tool does one
+// thing at a time.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace laburnumdyke {
+
+template<class Result>
+Result
+Wait(boost::asio::awaitable<Result> aWork)
+{
+  std::optional<Result> result;
+  boost::asio::io_context context(1);
+  boost::asio::co_spawn(
+    context, std::move(aWork), [&result](std::exception_ptr, Result aResult) {
+      result = std::move(aResult);
+    });
+  context.run();
+  return std::move(*result);
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/config_watch.cc
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -9,14 +9,13 @@
 // have not. An object counts only where its hash is the one that was named.
 #include "laburnumdyke/decision/config_row.h"
 #include "laburnumdyke/plugin/entry_tables.h"
-#include "laburnumdyke/plugin/http_client.h"
+#include "laburnumdyke/plugin/platform_client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/json.hpp>
 
 #include <random>
 
@@ -109,35 +108,23 @@
 
   asio::awaitable<std::optional<version_offer>> AskPlatform()
   {
-    client_request request;
-    request.mTo = mKernel.Settings().mPlatform;
-    request.mTarget = "/v1/tables/config/rows/current";
-    std::optional<client_answer> answer = co_await Exchange(request);
-    if (!answer || (answer->mStatus != 200 && answer->mStatus != 404)) {
+    platform_client<asio_http> platform = ClientOf(Platform());
+    row_answer answer = co_await platform.ReadRow();
+    if (answer.mStatus == row_status::NoAnswer) {
       mKernel.Counters().Add("platform_unavailable_total");
-      co_return std::nullopt;
     }
-    std::optional<config_row> row = ReadRow(*answer);
-    if (!row) {
+    std::optional<config_row> row = DecodeConfigRow(answer.mReading.mValue);
+    if (answer.mStatus != row_status::Read || !row) {
       co_return std::nullopt;
     }
-    co_return version_offer{ row->mVersion,
-                             row->mContentHash,
-                             mKernel.Settings().mPlatform };
+    co_return version_offer{ row->mVersion, row->mContentHash, Platform() };
   }
 
-  static std::optional<config_row> ReadRow(const client_answer& aAnswer)
+  const endpoint& Platform() const { return mKernel.Settings().mPlatform; }
+
+  platform_client<asio_http> ClientOf(const endpoint& aAddress)
   {
-    boost::system::error_code failure;
-    boost::json::value parsed = boost::json::parse(aAnswer.mBody, failure);
-    if (aAnswer.mStatus != 200 || failure || !parsed.is_object()) {
-      return std::nullopt;
-    }
-    const boost::json::value* value = parsed.get_object().if_contains("value");
-    if (value == nullptr || !value->is_string()) {
-      return std::nullopt;
-    }
-    return DecodeConfigRow(FromBeast(value->get_string()));
+    return platform_client<asio_http>(mHttp, aAddress);
   }
 
   std::optional<version_offer> BestPeerOffer()
@@ -156,42 +143,17 @@
     return best;
   }
 
-  asio::awaitable<std::optional<std::string>> FetchObject(
-    const endpoint& aFrom,
-    const std::string& aHash)
-  {
-    client_request request;
-    request.mTo = aFrom;
-    request.mTarget = "/v1/objects/" + aHash;
-    request.mTimeout = std::chrono::milliseconds(5000);
-    std::optional<client_answer> answer = co_await Exchange(request);
-    if (!answer || answer->mStatus != 200) {
-      co_return std::nullopt;
-    }
-    mKernel.Counters().Add("document_bytes_total", {}, answer->mBody.size());
-    co_return std::move(answer->mBody);
-  }
-
   // False where an object could not be had.
   asio::awaitable<bool> Fetch(const version_offer& aOffer,
                               document_assembly& aAssembly)
   {
-    std::optional<std::string> manifest =
-      co_await FetchObject(aOffer.mFrom, aOffer.mContentHash);
-    if (!manifest || !aAssembly.TakeManifest(std::move(*manifest))) {
-      co_return false;
-    }
-    mTables.DocumentState().With(
-      [&](document_state& aState) { aAssembly.Reuse(aState.Objects()); });
-    std::vector<std::string> missing = aAssembly.Missing();
-    for (const std::string& hash : missing) {
-      std::optional<std::string> chunk =
-        co_await FetchObject(aOffer.mFrom, hash);
-      if (!chunk || !aAssembly.TakeChunk(hash, std::move(*chunk))) {
-        co_return false;
-      }
-    }
-    co_return true;
+    object_map atHand = mTables.DocumentState().With(
+      [](document_state& aState) { return aState.Objects(); });
+    platform_client<asio_http> source = ClientOf(aOffer.mFrom);
+    bool whole = co_await source.GetObjects(
+      aOffer.mContentHash, aAssembly, std::move(atHand));
+    mKernel.Counters().Add("document_bytes_total", {}, source.ObjectBytes());
+    co_return whole;
   }
 
   asio::awaitable<void> Take(version_offer aOffer)
@@ -245,19 +207,15 @@
 
   asio::awaitable<void> AnnounceOnce(std::string aState)
   {
-    boost::json::object body;
-    body["address"] = mKernel.Settings().mPeer.Text();
-    body["state"] = aState;
-    client_request request;
-    request.mTo = mKernel.Settings().mPlatform;
-    request.mMethod = http::verb::put;
-    request.mTarget = "/v1/instances/" + mKernel.Settings().mInstance;
-    request.mBody = boost::json::serialize(body);
-    co_await Exchange(request);
+    platform_client<asio_http> platform = ClientOf(Platform());
+    co_await platform.PutInstance(mKernel.Settings().mInstance,
+                                  mKernel.Settings().mPeer,
+                                  std::move(aState));
   }
 
   kernel& mKernel;
   entry_tables mTables;
+  asio_http mHttp;
   asio::strand<asio::io_context::executor_type> mStrand;
   std::mt19937_64 mRandom;
 };
--- a/laburnumdyke/plugin/console.cc
+++ b/laburnumdyke/plugin/console.cc
@@ -193,7 +193,8 @@
     aDraft.mBaseHash.find_first_not_of("0123456789abcdef") == std::string::npos;
   std::optional<std::string> text;
   if (isHash) {
-    console_platform platform(mKernel.Settings().mPlatform);
+    asio_http http;
+    platform_client<asio_http> platform(http, mKernel.Settings().mPlatform);
     text = co_await platform.GetDocument(aDraft.mBaseHash);
   }
   if (text) {
@@ -260,8 +261,11 @@
   request.mSubmitter = aPost.mSubmitter;
   request.mBase = aPost.mDraft.mBaseVersion;
   request.mPatience = kPatience;
-  console_platform platform(mKernel.Settings().mPlatform);
-  submission_outcome outcome = co_await platform.Submit(request);
+  asio_http http;
+  asio_clock clock;
+  platform_client<asio_http> platform(http, mKernel.Settings().mPlatform);
+  submission_outcome outcome =
+    co_await RunSubmission(std::move(request), platform, clock);
   mKernel.Counters().Add("console_submissions_total", ToString(outcome.mKind));
   mKernel.Log().Info("console_submission",
                      { { "outcome", std::string(ToString(outcome.mKind)) },
--- a/laburnumdyke/plugin/console.h
+++ b/laburnumdyke/plugin/console.h
@@ -16,8 +16,8 @@
 #pragma once
 
 #include "laburnumdyke/plugin/console_html.h"
-#include "laburnumdyke/plugin/console_platform.h"
 #include "laburnumdyke/plugin/http_server.h"
+#include "laburnumdyke/plugin/submission_driver.h"
 
 #include <atomic>
 #include <memory>
--- /dev/null
+++ b/laburnumdyke/plugin/platform_client.h
@@ -0,0 +1,249 @@
+// The platform's table, object store and instance list. The console, the watch
+// over the configuration and the command-line tool share it; a peer serves
+// objects in the same form.
+//
+// Usage:
+//   asio_http http;
+//   platform_client<asio_http> platform(http, address);
+//   row_answer row = co_await platform.ReadRow();
+//
+// http_exchanger is what a client for HTTP must have; tests give a mock.
+//
+// Options: platform_options. Errors are values: a write without an answer may
+// have taken effect, a read without one has no result.
+#pragma once
+
+#include "laburnumdyke/decision/document_chunks.h"
+#include "laburnumdyke/decision/submission.h"
+#include "laburnumdyke/plugin/http_client.h"
+
+#include <concepts>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace laburnumdyke {
+
+// Exchange gives nothing where no whole answer came in time: the request may
+// still have taken effect.
+template<class T>
+concept http_exchanger = requires(T& aHttp, client_request aRequest)
+{
+  {
+    aHttp.Exchange(std::move(aRequest))
+    } -> std::same_as<asio::awaitable<std::optional<client_answer>>>;
+};
+
+struct asio_http
+{
+  asio::awaitable<std::optional<client_answer>> Exchange(
+    client_request aRequest)
+  {
+    return laburnumdyke::Exchange(std::move(aRequest));
+  }
+};
+
+struct platform_options
+{
+  std::chrono::milliseconds mTimeout{ 2000 };
+  std::chrono::milliseconds mObjectTimeout{ 5000 }; // each object
+};
+
+enum class row_status
+{
+  Read,
+  Absent, // no row was written yet
+  Malformed,
+  NoAnswer, // or an answer that tells nothing of the row
+};
+
+struct row_answer
+{
+  row_status mStatus = row_status::NoAnswer;
+  row_reading mReading; // revision 0 unless read
+
+  // Nothing where neither the row nor its absence is known.
+  std::optional<row_reading> Reading() const;
+};
+
+// What an answer to a read of the row says.
+row_answer
+ReadRowAnswer(const std::optional<client_answer>& aAnswer);
+
+write_answer
+ReadWriteAnswer(const std::optional<client_answer>& aAnswer);
+
+// An instance's row in the platform's list.
+std::string
+InstanceBody(const endpoint& aAddress, std::string_view aState);
+
+template<http_exchanger Http>
+class platform_client
+{
+public:
+  platform_client(Http& aHttp,
+                  endpoint aAddress,
+                  platform_options aOptions = {})
+    : mHttp(aHttp)
+    , mAddress(std::move(aAddress))
+    , mOptions(aOptions)
+  {
+  }
+
+  asio::awaitable<row_answer> ReadRow()
+  {
+    std::optional<client_answer> answer = co_await mHttp.Exchange(
+      Request(http::verb::get, std::string(kRowTarget)));
+    row_answer row = ReadRowAnswer(answer);
+    if (row.mStatus == row_status::Read ||
+        row.mStatus == row_status::Malformed) {
+      mLastRow = DecodeConfigRow(row.mReading.mValue);
+    }
+    co_return row;
+  }
+
+  asio::awaitable<write_answer> WriteRow(write_row_action aWrite)
+  {
+    client_request request = Request(http::verb::put, std::string(kRowTarget));
+    request.mIfMatch = std::to_string(aWrite.mRevision);
+    request.mBody = std::move(aWrite.mValue);
+    std::optional<client_answer> answer =
+      co_await mHttp.Exchange(std::move(request));
+    co_return ReadWriteAnswer(answer);
+  }
+
+  // Stores a document: the chunks that the version read last does not have,
+  // and its manifest last. False where one of them could not be stored.
+  asio::awaitable<bool> PutDocument(put_object_action aPut)
+  {
+    document_objects objects = SplitDocument(aPut.mText);
+    std::set<std::string> known = co_await KnownChunks();
+    for (const object_map::value_type& entry : objects.mObjects) {
+      if (entry.first == objects.mHash || known.count(entry.first) > 0) {
+        continue;
+      }
+      bool stored = co_await PutObject(entry.first, *entry.second);
+      if (!stored) {
+        co_return false;
+      }
+    }
+    bool stored =
+      co_await PutObject(objects.mHash, *objects.mObjects.at(objects.mHash));
+    co_return stored;
+  }
+
+  // Reads the objects that aAtHand lacks. False where one can't be read or is
+  // not the one named. aAssembly must outlive the call.
+  asio::awaitable<bool> GetObjects(std::string aHash,
+                                   document_assembly& aAssembly,
+                                   object_map aAtHand)
+  {
+    std::optional<std::string> manifest = co_await GetObject(std::move(aHash));
+    if (!manifest || !aAssembly.TakeManifest(std::move(*manifest))) {
+      co_return false;
+    }
+    aAssembly.Reuse(aAtHand);
+    std::vector<std::string> missing = aAssembly.Missing();
+    for (const std::string& hash : missing) {
+      std::optional<std::string> chunk = co_await GetObject(hash);
+      if (!chunk || !aAssembly.TakeChunk(hash, std::move(*chunk))) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  // The canonical text; nothing where an object can't be read or is not the
+  // one named.
+  asio::awaitable<std::optional<std::string>> GetDocument(std::string aHash)
+  {
+    document_assembly assembly(aHash);
+    bool whole = co_await GetObjects(std::move(aHash), assembly, {});
+    if (!whole) {
+      co_return std::nullopt;
+    }
+    co_return assembly.Text();
+  }
+
+  // Puts an instance on the platform's list; no answer is needed.
+  asio::awaitable<void> PutInstance(std::string aInstance,
+                                    endpoint aAddress,
+                                    std::string aState)
+  {
+    client_request request =
+      Request(http::verb::put, std::string(kInstancesTarget) + aInstance);
+    request.mBody = InstanceBody(aAddress, aState);
+    co_await mHttp.Exchange(std::move(request));
+  }
+
+  // Of the bodies of the objects read by this client.
+  std::size_t ObjectBytes() const { return mObjectBytes; }
+
+private:
+  static constexpr std::string_view kRowTarget =
+    "/v1/tables/config/rows/current";
+  static constexpr std::string_view kObjectsTarget = "/v1/objects/";
+  static constexpr std::string_view kInstancesTarget = "/v1/instances/";
+
+  asio::awaitable<bool> PutObject(std::string aHash, std::string aText)
+  {
+    client_request request =
+      Request(http::verb::put, std::string(kObjectsTarget) + aHash);
+    request.mBody = std::move(aText);
+    request.mTimeout = mOptions.mObjectTimeout;
+    std::optional<client_answer> answer =
+      co_await mHttp.Exchange(std::move(request));
+    co_return answer && answer->mStatus == 200;
+  }
+
+  asio::awaitable<std::optional<std::string>> GetObject(std::string aHash)
+  {
+    client_request request =
+      Request(http::verb::get, std::string(kObjectsTarget) + aHash);
+    request.mTimeout = mOptions.mObjectTimeout;
+    std::optional<client_answer> answer =
+      co_await mHttp.Exchange(std::move(request));
+    if (!answer || answer->mStatus != 200) {
+      co_return std::nullopt;
+    }
+    mObjectBytes += answer->mBody.size();
+    co_return std::move(answer->mBody);
+  }
+
+  // The chunks of the version that was read last.
+  asio::awaitable<std::set<std::string>> KnownChunks()
+  {
+    std::set<std::string> known;
+    if (!mLastRow) {
+      co_return known;
+    }
+    document_assembly assembly(mLastRow->mContentHash);
+    std::optional<std::string> manifest =
+      co_await GetObject(mLastRow->mContentHash);
+    if (manifest && assembly.TakeManifest(std::move(*manifest))) {
+      std::vector<std::string> chunks = assembly.Missing();
+      known.insert(chunks.begin(), chunks.end());
+    }
+    co_return known;
+  }
+
+  client_request Request(http::verb aMethod, std::string aTarget) const
+  {
+    client_request request;
+    request.mTo = mAddress;
+    request.mMethod = aMethod;
+    request.mTarget = std::move(aTarget);
+    request.mTimeout = mOptions.mTimeout;
+    return request;
+  }
+
+  Http& mHttp;
+  endpoint mAddress;
+  platform_options mOptions;
+  std::optional<config_row> mLastRow;
+  std::size_t mObjectBytes = 0;
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/testing/console_test.cc
+++ b/laburnumdyke/testing/console_test.cc
@@ -1,9 +1,10 @@
 // The console of forms: the form model against the reader of documents, the
 // forms' encoding, and whole changes through the pages of one kernel with the
 // platform's stand-in, beside the same changes by laburnumctl's path.
-#include "ctl/submit_driver.h"
+#include "ctl/wait.h"
 #include "laburnumdyke/plugin/console_html.h"
 #include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/submission_driver.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/http_call.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
@@ -295,32 +296,6 @@
 
 namespace {
 
-struct call_http
-{
-  std::optional<client_answer> Exchange(client_request aRequest)
-  {
-    call_request call;
-    call.mTo = aRequest.mTo;
-    call.mMethod = aRequest.mMethod;
-    call.mTarget = aRequest.mTarget;
-    call.mBody = aRequest.mBody;
-    if (!aRequest.mIfMatch.empty()) {
-      call.mHeaders = { { "If-Match", aRequest.mIfMatch } };
-    }
-    call_result result = CallNow(call);
-    if (!result.mComplete) {
-      return std::nullopt;
-    }
-    return client_answer{ result.mStatus, result.mBody };
-  }
-};
-
-struct steady_sleeper
-{
-  instant Now() { return std::chrono::steady_clock::now(); }
-  void SleepUntil(instant aUntil) { std::this_thread::sleep_until(aUntil); }
-};
-
 // What a browser without scripts does: reads a page's fields, changes some,
 // and posts them with the button that was pressed.
 class browser
@@ -473,10 +448,10 @@
     request.mText = text;
     request.mChangeId = "tool-" + std::to_string(++sChanges);
     request.mSubmitter = "tool";
-    call_http http;
-    platform_client<call_http> platform(http, mPlatformAddress);
-    steady_sleeper clock;
-    return RunSubmission(std::move(request), platform, clock);
+    asio_http http;
+    asio_clock clock;
+    platform_client<asio_http> platform(http, mPlatformAddress);
+    return Wait(RunSubmission(std::move(request), platform, clock));
   }
 
   void WaitForVersion(std::uint64_t aVersion)
--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -42,18 +42,19 @@
   std::deque<std::optional<client_answer>> mAnswers;
   std::vector<client_request> mRequests;
 
-  std::optional<client_answer> Exchange(client_request aRequest)
+  asio::awaitable<std::optional<client_answer>> Exchange(
+    client_request aRequest)
   {
     mock()
       .actualCall("Exchange")
       .withParameter("target", aRequest.mTarget.c_str());
     mRequests.push_back(std::move(aRequest));
     if (mAnswers.empty()) {
-      return std::nullopt;
+      co_return std::nullopt;
     }
     std::optional<client_answer> answer = std::move(mAnswers.front());
     mAnswers.pop_front();
-    return answer;
+    co_return answer;
   }
 };
 
@@ -62,7 +63,11 @@
   instant mNow;
 
   instant Now() { return mNow; }
-  void SleepUntil(instant aUntil) { mNow = std::max(mNow, aUntil); }
+  asio::awaitable<void> SleepUntil(instant aUntil)
+  {
+    mNow = std::max(mNow, aUntil);
+    co_return;
+  }
 };
 
 std::string
--- /dev/null
+++ b/laburnumdyke/testing/platform_client_test.cc
@@ -0,0 +1,151 @@
+// The platform's client against a mock of HTTP: what each answer becomes, which
+// objects are asked for, and how long each exchange may take.
+#include "ctl/wait.h"
+#include "laburnumdyke/plugin/platform_client.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+
+namespace {
+
+// Answers in the order given, and none when they run out.
+struct mock_http
+{
+  std::deque<std::optional<client_answer>> mAnswers;
+  std::vector<client_request> mRequests;
+
+  asio::awaitable<std::optional<client_answer>> Exchange(
+    client_request aRequest)
+  {
+    mRequests.push_back(std::move(aRequest));
+    if (mAnswers.empty()) {
+      co_return std::nullopt;
+    }
+    std::optional<client_answer> answer = std::move(mAnswers.front());
+    mAnswers.pop_front();
+    co_return answer;
+  }
+};
+
+// Three objects: two chunks and the manifest.
+document_objects
+TwoChunks()
+{
+  std::string text;
+  while (SplitDocument(text).mObjects.size() < 3) {
+    text += std::to_string(text.size()) + " some line of a document\n";
+  }
+  return SplitDocument(text);
+}
+
+} // namespace
+
+TEST_GROUP(PlatformClient)
+{
+  mock_http mHttp;
+  platform_client<mock_http> mPlatform{ mHttp, { "127.0.0.1", 1 } };
+};
+
+TEST(PlatformClient, AReadOfTheRowTellsAbsenceFromSilence)
+{
+  struct row
+  {
+    std::optional<client_answer> mAnswer;
+    row_status mStatus;
+    std::optional<std::uint64_t> mRevision; // nothing: no reading
+  };
+  const std::vector<row> kRows = {
+    { std::nullopt, row_status::NoAnswer, std::nullopt },
+    { client_answer{ 503, "" }, row_status::NoAnswer, std::nullopt },
+    { client_answer{ 404, "{}" }, row_status::Absent, 0 },
+    { client_answer{ 200, "" }, row_status::Malformed, std::nullopt },
+    { client_answer{ 200, "[]" }, row_status::Malformed, std::nullopt },
+    { client_answer{ 200, "{\"revision\":1}" },
+      row_status::Malformed,
+      std::nullopt },
+    { client_answer{ 200, "{\"revision\":0,\"value\":\"a\"}" },
+      row_status::Malformed,
+      std::nullopt },
+    { client_answer{ 200, "{\"revision\":7,\"value\":\"a\"}" },
+      row_status::Read,
+      7 },
+  };
+  for (const row& one : kRows) {
+    mHttp.mAnswers = { one.mAnswer };
+    row_answer answer = Wait(mPlatform.ReadRow());
+    CHECK(one.mStatus == answer.mStatus);
+    CHECK(one.mRevision.has_value() == answer.Reading().has_value());
+    CHECK(!one.mRevision || *one.mRevision == answer.Reading()->mRevision);
+  }
+}
+
+TEST(PlatformClient, AWriteWithoutAClearAnswerMayHaveTakenEffect)
+{
+  const std::vector<std::pair<std::optional<client_answer>, write_answer>>
+    kRows = {
+      { std::nullopt, write_answer::NoAnswer },
+      { client_answer{ 503, "" }, write_answer::NoAnswer },
+      { client_answer{ 412, "" }, write_answer::Mismatch },
+      { client_answer{ 200, "" }, write_answer::Written },
+    };
+  for (const std::pair<std::optional<client_answer>, write_answer>& row :
+       kRows) {
+    mHttp.mAnswers = { row.first };
+    write_row_action write{ 3, "value" };
+    CHECK(row.second == Wait(mPlatform.WriteRow(write)));
+    CHECK_EQUAL(std::string("3"), mHttp.mRequests.back().mIfMatch);
+  }
+}
+
+TEST(PlatformClient, OnlyObjectsNotAtHandAreRead)
+{
+  document_objects objects = TwoChunks();
+  const std::string& manifest = *objects.mObjects.at(objects.mHash);
+  document_assembly whole(objects.mHash);
+  CHECK(whole.TakeManifest(manifest));
+  std::vector<std::string> chunks = whole.Missing();
+  object_map atHand{ *objects.mObjects.find(chunks.front()) };
+  const std::string& second = *objects.mObjects.at(chunks.back());
+  mHttp.mAnswers = { client_answer{ 200, manifest },
+                     client_answer{ 200, second } };
+  document_assembly assembly(objects.mHash);
+  CHECK(Wait(mPlatform.GetObjects(objects.mHash, assembly, atHand)));
+  CHECK(assembly.Missing().empty());
+  CHECK_EQUAL(2u, mHttp.mRequests.size());
+  CHECK_EQUAL("/v1/objects/" + chunks.back(), mHttp.mRequests.back().mTarget);
+  CHECK_EQUAL(manifest.size() + second.size(), mPlatform.ObjectBytes());
+}
+
+TEST(PlatformClient, AnObjectThatIsNotTheOneNamedEndsTheRead)
+{
+  document_objects objects = TwoChunks();
+  const std::string& manifest = *objects.mObjects.at(objects.mHash);
+  const std::vector<std::deque<std::optional<client_answer>>> kRows = {
+    { std::nullopt },
+    { client_answer{ 404, "" } },
+    { client_answer{ 200, "other" } },
+    { client_answer{ 200, manifest }, std::nullopt },
+    { client_answer{ 200, manifest }, client_answer{ 200, "other" } },
+  };
+  for (const std::deque<std::optional<client_answer>>& row : kRows) {
+    mHttp.mAnswers = row;
+    CHECK(!Wait(mPlatform.GetDocument(objects.mHash)).has_value());
+    CHECK(mHttp.mAnswers.empty());
+  }
+}
+
+TEST(PlatformClient, ExchangesTakeTheirTimeoutsFromTheOptions)
+{
+  platform_options options{ std::chrono::milliseconds(3),
+                            std::chrono::milliseconds(4) };
+  platform_client<mock_http> platform(mHttp, { "127.0.0.1", 1 }, options);
+  Wait(platform.ReadRow());
+  CHECK(std::chrono::milliseconds(3) == mHttp.mRequests.back().mTimeout);
+  Wait(platform.GetDocument("x"));
+  CHECK(std::chrono::milliseconds(4) == mHttp.mRequests.back().mTimeout);
+}
