Keep the one-slot trial after a drain when an earlier attempt fails

Cause: JudgeBad assigned the trial flag from the number of doublings alone. A request in flight when the upstream said that it drains, and refused or lost after that, cleared the flag, and ten seconds later every slot was open.

Ruled out: the lease (MayDispatch passed), home moves (one instance sent all), JudgeGood (it keeps the trial until the rest ends).

The new unit test saw 3 slots open for "refused" before, 1 after.

Conclusion: a trial under way ends with an answer alone.

--- a/laburnumdyke/decision/upstream_health.cc
+++ b/laburnumdyke/decision/upstream_health.cc
@@ -74,7 +74,8 @@
   }
   mRestUntil = aNow + kFirstRest * (1U << mDoublings);
   mDoublings = std::min(mDoublings + 1, kLongestRestDoublings);
-  mOnTrial = mDoublings > kTrialDoublings;
+  // A trial that is under way, as after a drain, ends with an answer alone.
+  mOnTrial = mOnTrial || mDoublings > kTrialDoublings;
 }
 
 void
--- /dev/null
+++ b/laburnumdyke/testing/upstream_health_test.cc
@@ -0,0 +1,53 @@
+// Health of one upstream: trials after illness and drains.
+#include "laburnumdyke/decision/upstream_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds kWarmUp{ 2 };
+constexpr std::uint32_t kSlots = 3;
+
+} // namespace
+
+TEST_GROUP(UpstreamHealth)
+{
+  instant mNow = instant() + 1h;
+  upstream_health mHealth;
+
+  void Judge(attempt_result aResult)
+  {
+    mHealth.Judge(aResult, kWarmUp, mNow);
+  }
+};
+
+// What was in flight when the drain was heard may end in any way before the
+// trial; none of it opens more than the trial's slot.
+TEST(UpstreamHealth, FailuresDuringADrainDontWidenTheTrial)
+{
+  struct row
+  {
+    const char* mName;
+    attempt_result mLate;
+  };
+  const row kRows[] = {
+    { "refused", attempt_result::Refused },
+    { "failed", attempt_result::Failed },
+    { "errored", attempt_result::Errored },
+    { "shedding", attempt_result::Shedding },
+    { "answered", attempt_result::Answered },
+    { "abandoned", attempt_result::Abandoned },
+  };
+  for (const row& each : kRows) {
+    mHealth = upstream_health();
+    Judge(attempt_result::Draining);
+    mNow += 50ms;
+    Judge(each.mLate);
+    mNow += upstream_health::kDrainRest;
+    CHECK(mHealth.State(mNow) == health_state::Usable);
+    LONGS_EQUAL_TEXT(1, mHealth.Allowed(kSlots, mNow), each.mName);
+  }
+}
