End an upstream's drain by its load reports, never by a request

Cause: ten seconds after each word of a draining upstream one request tried it again. An upstream that leaves was so offered new work for as long as it left, against "an upstream that is leaving gets no new work".

Now its load reports end the drain, ten seconds after its last word at the earliest, since they lag. Without any report the word lapses after 60 s, so that an upstream without a load page is not lost for good. Both lead to the trial of one request at a time. A report that says "draining" no longer counts as a report of load.

Weighed: only the load page (an upstream that has lost it would stay out until the document changes, where measurements stop arriving); a trial by request at a longer rest (still work for an upstream that leaves).

The randomised run gets a load page that lags, fails and lies, and its oracle loses the exemption of one trial each 4 s. admission_test expected the trial without a report; it now expects none before the report and one after it.

--- a/laburnumdyke/decision/upstream_health.cc
+++ b/laburnumdyke/decision/upstream_health.cc
@@ -40,7 +40,8 @@
       JudgeBad(false, aNow);
       return;
     case attempt_result::Draining:
-      mDrainUntil = aNow + kDrainRest;
+      mDrains = true;
+      mDrainWord = aNow;
       mOnTrial = true;
       return;
     case attempt_result::Shedding:
@@ -51,6 +52,12 @@
   }
 }
 
+bool
+upstream_health::Drains(instant aNow) const
+{
+  return mDrains && aNow - mDrainWord < kDrainLife;
+}
+
 double
 upstream_health::BadShare(instant aNow) const
 {
@@ -87,7 +94,7 @@
     mDoublings = 0;
   }
   // While the upstream drains, this answers what it took before.
-  if (mOnTrial && mDrainUntil <= aNow) {
+  if (mOnTrial && !Drains(aNow)) {
     mOnTrial = false;
     BeginWarmUp(aWarmUp, aNow);
   }
@@ -99,12 +106,16 @@
   mReported = aBusy;
   mReportedAt = aNow;
   mHasReport = true;
+  // An earlier report may be older than the upstream's word.
+  if (aNow - mDrainWord >= kDrainRest) {
+    mDrains = false;
+  }
 }
 
 health_state
 upstream_health::State(instant aNow) const
 {
-  if (mDrainUntil > aNow) {
+  if (Drains(aNow)) {
     return health_state::Draining;
   }
   return mRestUntil > aNow ? health_state::Ill : health_state::Usable;
--- a/laburnumdyke/decision/upstream_health.h
+++ b/laburnumdyke/decision/upstream_health.h
@@ -7,7 +7,11 @@
 //
 // An upstream that fails, or answers with errors more often than not, rests
 // for a time that doubles; it comes back with one slot and ramps up. One that
-// says that it drains rests for kDrainRest after each such answer.
+// says that it drains gets no request, not even to learn whether it serves
+// again: that is read from its load reports, kDrainRest after its last word at
+// the earliest, since reports lag. Where none comes, the word lapses after
+// kDrainLife, so that an upstream without reports is not lost for good. After
+// either, one request at a time tries it until it answers.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -43,6 +47,7 @@
   static constexpr std::uint32_t kLongestRestDoublings = 5;
   static constexpr std::chrono::milliseconds kShedRest{ 100 };
   static constexpr std::chrono::seconds kDrainRest{ 10 };
+  static constexpr std::chrono::seconds kDrainLife{ 60 };
   static constexpr std::chrono::seconds kReportLife{ 3 };
   // Slots that a load report may add to the instance's own count.
   static constexpr std::uint32_t kReportInfluence = 1;
@@ -61,7 +66,8 @@
              std::chrono::milliseconds aWarmUp,
              instant aNow);
 
-  // Takes a load report in: requests in progress at the upstream.
+  // Takes a load report in that doesn't say that the upstream drains: requests
+  // in progress there.
   void Report(std::uint32_t aBusy, instant aNow);
 
   health_state State(instant aNow) const;
@@ -80,14 +86,16 @@
   void JudgeBad(bool aRestAtOnce, instant aNow);
   void JudgeGood(std::chrono::milliseconds aWarmUp, instant aNow);
 
+  bool Drains(instant aNow) const;
   double BadShare(instant aNow) const;
 
   double mBadShare = 0; // at mJudged
   instant mJudged{};
   std::uint32_t mDoublings = 0; // of the next rest
-  bool mOnTrial = false;        // was ill; one slot until it answers
+  bool mOnTrial = false;        // was ill or drained; one slot until it answers
   instant mRestUntil{};
-  instant mDrainUntil{};
+  bool mDrains = false;
+  instant mDrainWord{}; // when it last said so
   instant mWarmSince{};
   std::chrono::milliseconds mWarmUp{ 0 };
   std::uint32_t mReported = 0;
--- a/laburnumdyke/plugin/load_watch.cc
+++ b/laburnumdyke/plugin/load_watch.cc
@@ -2,8 +2,9 @@
 // period.
 //
 // A report is a hint: it may lag or mislead, and admission bounds what it can
-// change. An upstream's word that it drains counts at once, and for as long as
-// it is repeated: no request has to be refused to find it out again.
+// change. An upstream's word that it drains counts at once and is no report of
+// load; a report without it is what ends a drain, so that no request is sent
+// to find out.
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/http_client.h"
 
@@ -94,12 +95,12 @@
     bool draining = state != nullptr && state->is_string() &&
                     state->get_string() == "draining";
     mTables.Admission().With([&](admission& aAdmission) {
-      if (busy != nullptr && busy->is_int64() && busy->get_int64() >= 0) {
-        aAdmission.Report(
-          aUpstream, static_cast<std::uint32_t>(busy->get_int64()), aNow);
-      }
       if (draining) {
         aAdmission.ReportDraining(aUpstream, aNow);
+      } else if (busy != nullptr && busy->is_int64() &&
+                 busy->get_int64() >= 0) {
+        aAdmission.Report(
+          aUpstream, static_cast<std::uint32_t>(busy->get_int64()), aNow);
       }
     });
   }
--- a/laburnumdyke/testing/admission_test.cc
+++ b/laburnumdyke/testing/admission_test.cc
@@ -166,7 +166,7 @@
   }
 }
 
-TEST(Admission, DrainingAnswerStopsNewWorkUntilTheRestEnds)
+TEST(Admission, DrainingAnswerStopsNewWorkUntilAReportEndsIt)
 {
   fixture one(MakeDocument(2, 2));
   upstream_id drains = one.Run(attempt_result::Draining);
@@ -178,6 +178,10 @@
   }
   CHECK(others > 900);
   one.mNow = end;
+  for (int i = 0; i < 2; ++i) {
+    CHECK(one.Run(attempt_result::Answered) != drains);
+  }
+  one.mAdmission.Report(drains, 0, one.mNow);
   CHECK(one.Run(attempt_result::Draining) == drains ||
         one.Run(attempt_result::Draining) == drains);
 }
--- a/laburnumdyke/testing/soak/entry_decisions.cc
+++ b/laburnumdyke/testing/soak/entry_decisions.cc
@@ -150,6 +150,18 @@
   return mRouter.Choose({ aService, self, own, live, aTried }, aNow);
 }
 
+void
+entry_decisions::Report(const upstream_id& aUpstream,
+                        const upstream_load& aLoad,
+                        instant aNow)
+{
+  if (aLoad.mDraining) {
+    mAdmission.ReportDraining(aUpstream, aNow);
+  } else {
+    mAdmission.Report(aUpstream, aLoad.mBusy, aNow);
+  }
+}
+
 bool
 entry_decisions::MayDispatch(const upstream_id& aUpstream, instant aNow)
 {
--- a/laburnumdyke/testing/soak/entry_decisions.h
+++ b/laburnumdyke/testing/soak/entry_decisions.h
@@ -11,6 +11,7 @@
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/testing/soak/platform_mock.h"
+#include "laburnumdyke/testing/soak/upstream_mock.h"
 
 #include <memory>
 #include <optional>
@@ -67,6 +68,15 @@
 
   // The check before a dispatch, and once more before its first byte.
   bool BeginDispatch(const grant& aGrant, instant aDeadline, instant aNow);
+  // What the load page of an upstream says.
+  void Report(const upstream_id& aUpstream,
+              const upstream_load& aLoad,
+              instant aNow);
+  std::vector<upstream_view> Upstreams() const
+  {
+    return mAdmission.Upstreams();
+  }
+
   bool MayDispatch(const upstream_id& aUpstream, instant aNow);
   void EndDispatch(request_number aNumber);
 
--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds kTickPeriod{ 25 };
 constexpr std::chrono::milliseconds kPollLeast{ 800 };
 constexpr std::chrono::milliseconds kPollMost{ 1200 };
+constexpr std::chrono::milliseconds kLoadPeriod{ 1000 }; // as load_watch's
 constexpr std::chrono::seconds kIdleLife{ 5 };
 constexpr std::chrono::milliseconds kCancelSettle{ 250 }; // as the pipeline's
 constexpr double kHeartbeatLoss = 0.005;
@@ -91,6 +92,7 @@
 {
   Beat();
   TickAdmission();
+  WatchLoad();
   Poll();
 }
 
@@ -441,8 +443,7 @@
       EndDispatch(id, one, NotRun(refusal_reason::UpstreamRefused));
       return;
     case upstream_reply::Draining:
-      mWorld.mOracle.OnLeavingLearnt(
-        aUpstream, mAddress, leaving_sign::OwnAnswer);
+      HearDrain(aUpstream);
       EndDispatch(
         id,
         one,
@@ -638,6 +639,55 @@
   Deliver(mDecisions.RefreshHomes(Now()));
 }
 
+// --- load of upstreams --------------------------------------------------
+
+void
+entry_instance::WatchLoad()
+{
+  for (const upstream_view& upstream : mDecisions.Upstreams()) {
+    if (upstream.mHome) {
+      AskLoad(UpstreamIndex(upstream.mUpstream).value());
+    }
+  }
+  Later(kLoadPeriod, event_kind::Timer, [this] { WatchLoad(); });
+}
+
+void
+entry_instance::AskLoad(std::size_t aUpstream)
+{
+  soak_world world = mWorld;
+  process_address self = mAddress;
+  duration delay = mWorld.mNetwork.Delay(Domain(), Domain());
+  mWorld.mSimulation.AtWorld(
+    delay, event_kind::Upstream, [this, world, self, aUpstream, delay] {
+      std::optional<upstream_load> load = world.mUpstreams.at(aUpstream).Load();
+      if (load) {
+        world.mSimulation.AtProcess(
+          self, delay, event_kind::Upstream, [this, aUpstream, load] {
+            TakeLoad(aUpstream, *load);
+          });
+      }
+    });
+}
+
+// A word that was true when it was sent may be late.
+void
+entry_instance::HearDrain(std::size_t aUpstream)
+{
+  if (mWorld.mUpstreams.at(aUpstream).IsLeaving()) {
+    mWorld.mOracle.OnLeavingLearnt(aUpstream, mAddress, leaving_sign::OwnWord);
+  }
+}
+
+void
+entry_instance::TakeLoad(std::size_t aUpstream, const upstream_load& aLoad)
+{
+  if (aLoad.mDraining) {
+    HearDrain(aUpstream);
+  }
+  mDecisions.Report(SoakUpstream(aUpstream), aLoad, Now());
+}
+
 // --- configuration ------------------------------------------------------
 
 void
--- a/laburnumdyke/testing/soak/entry_instance.h
+++ b/laburnumdyke/testing/soak/entry_instance.h
@@ -150,6 +150,11 @@
   void Beat();
   void SendHeartbeats();
   void TickAdmission();
+  // Asks the upstreams whose home this is for their load.
+  void WatchLoad();
+  void AskLoad(std::size_t aUpstream);
+  void HearDrain(std::size_t aUpstream);
+  void TakeLoad(std::size_t aUpstream, const upstream_load& aLoad);
   void Poll();
   void AskPeer();
   void PutInForce(const known_document& aDocument);
--- a/laburnumdyke/testing/soak/oracle.cc
+++ b/laburnumdyke/testing/soak/oracle.cc
@@ -184,7 +184,7 @@
 {
   learnt& known = mLeaving[{ aUpstream, aInstance.mIndex, aSign }];
   if (known.mIncarnation != aInstance.mIncarnation) {
-    known = { aInstance.mIncarnation, mSimulation.Now(), mSimulation.Now() };
+    known = { aInstance.mIncarnation, mSimulation.Now() };
   }
 }
 
@@ -194,7 +194,7 @@
   bool turned =
     mLeaving.erase({ aUpstream, aInstance.mIndex, leaving_sign::Document }) > 0;
   if (turned) {
-    mLeaving.erase({ aUpstream, aInstance.mIndex, leaving_sign::OwnAnswer });
+    mLeaving.erase({ aUpstream, aInstance.mIndex, leaving_sign::OwnWord });
   }
 }
 
@@ -202,29 +202,24 @@
 oracle::OnServingAgain(std::size_t aUpstream)
 {
   for (std::size_t i = 0; i < mSimulation.Processes(); ++i) {
-    mLeaving.erase({ aUpstream, i, leaving_sign::OwnAnswer });
+    mLeaving.erase({ aUpstream, i, leaving_sign::OwnWord });
   }
 }
 
 void
 oracle::OnWork(std::size_t aUpstream, process_address aSender)
 {
-  for (leaving_sign sign :
-       { leaving_sign::Document, leaving_sign::OwnAnswer }) {
+  for (leaving_sign sign : { leaving_sign::Document, leaving_sign::OwnWord }) {
     auto found = mLeaving.find({ aUpstream, aSender.mIndex, sign });
     bool knows = found != mLeaving.end() &&
                  found->second.mIncarnation == aSender.mIncarnation;
     duration since =
       knows ? mSimulation.Now() - found->second.mAt : duration(0);
-    bool trial = knows && sign == leaving_sign::OwnAnswer &&
-                 mSimulation.Now() - found->second.mLastTrial >= kTrialGap;
-    if (trial) {
-      found->second.mLastTrial = mSimulation.Now();
-    } else if (since > kLeavingGrace + kUnderWay) {
+    if (since > kLeavingGrace + kUnderWay) {
       Break(violation_kind::WorkToLeaving,
             "upstream=" + std::to_string(aUpstream) +
               " instance=" + std::to_string(aSender.mIndex) + " sign=" +
-              (sign == leaving_sign::Document ? "document" : "own_answer") +
+              (sign == leaving_sign::Document ? "document" : "own_word") +
               " after_ms=" +
               std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(since)
--- a/laburnumdyke/testing/soak/oracle.h
+++ b/laburnumdyke/testing/soak/oracle.h
@@ -60,7 +60,7 @@
 enum class leaving_sign
 {
   Document,
-  OwnAnswer,
+  OwnWord, // a refusal or its load page
 };
 
 // One try of a caller at a request.
@@ -75,9 +75,6 @@
 public:
   static constexpr std::chrono::seconds kLeavingGrace{ 3 };
   static constexpr std::chrono::seconds kSpreadWithin{ 5 };
-  // An upstream that leaves by its own word may be tried so often, to learn
-  // whether it serves again.
-  static constexpr std::chrono::seconds kTrialGap{ 4 };
   // A peer counts as dead after 2.5 s; the rest is for messages under way.
   static constexpr std::chrono::seconds kLookupGrace{ 4 };
   static constexpr std::size_t kMostKept = 50; // violations with their state
@@ -168,7 +165,6 @@
   {
     std::uint64_t mIncarnation = 0;
     instant mAt{};
-    instant mLastTrial{};
   };
 
   void Break(violation_kind aKind, std::string aState);
--- a/laburnumdyke/testing/soak/upstream_mock.cc
+++ b/laburnumdyke/testing/soak/upstream_mock.cc
@@ -15,6 +15,9 @@
 constexpr std::chrono::seconds kColdFor{ 5 };
 constexpr double kShed = 0.005;
 constexpr double kLoseAnswer = 0.005;
+constexpr double kLoadMissing = 0.05;
+constexpr double kLoadLies = 0.02; // of the work in progress
+constexpr std::chrono::seconds kLongestLoadLag{ 5 };
 constexpr double kStuck = 0.01; // answers late, past most deadlines
 
 } // namespace
@@ -69,6 +72,23 @@
                       [this, number, reply] { End(number, reply); });
 }
 
+std::optional<upstream_load>
+upstream_mock::Load()
+{
+  if (!mUp || mSimulation.Chance(kLoadMissing)) {
+    return std::nullopt;
+  }
+  duration lag =
+    mSimulation.Between(std::chrono::microseconds(0), kLongestLoadLag);
+  upstream_load load;
+  bool beforeTurn = mSimulation.Now() - lag < mTurned;
+  load.mDraining = beforeTurn ? !mLeaving : mLeaving;
+  load.mBusy = mSimulation.Chance(kLoadLies)
+                 ? 0
+                 : static_cast<std::uint32_t>(mRuns.size());
+  return load;
+}
+
 void
 upstream_mock::End(std::uint64_t aRun, upstream_reply aReply)
 {
@@ -121,12 +141,14 @@
 upstream_mock::Leave()
 {
   mLeaving = true;
+  mTurned = mSimulation.Now();
 }
 
 void
 upstream_mock::Return()
 {
   mLeaving = false;
+  mTurned = mSimulation.Now();
   mOracle.OnServingAgain(mIndex);
   mWarmAt = mSimulation.Now() + kColdFor;
 }
--- a/laburnumdyke/testing/soak/upstream_mock.h
+++ b/laburnumdyke/testing/soak/upstream_mock.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace laburnumdyke {
 
@@ -34,6 +35,13 @@
   instant mDeadline{};
 };
 
+// What an upstream's load page shows; it lags.
+struct upstream_load
+{
+  std::uint32_t mBusy = 0;
+  bool mDraining = false;
+};
+
 using upstream_callback = std::function<void(const upstream_answer&)>;
 
 class upstream_mock
@@ -45,6 +53,8 @@
   bool IsLeaving() const { return mLeaving; }
 
   void Arrive(const upstream_work& aWork, upstream_callback aAnswer);
+  // Nothing where the page does not answer.
+  std::optional<upstream_load> Load();
   // The sender closed the connection.
   void Close(process_address aFrom, std::uint64_t aConnection);
 
@@ -70,6 +80,7 @@
   bool mUp = true;
   bool mLeaving = false;
   bool mSlow = false;
+  instant mTurned{}; // when it last began or ceased to leave
   instant mWarmAt{};
   std::uint64_t mLastRun = 0;
   std::map<std::uint64_t, run> mRuns;
--- a/laburnumdyke/testing/soak_test.cc
+++ b/laburnumdyke/testing/soak_test.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t kEvents = 200000;
+constexpr std::uint64_t kEvents = 600000;
 
 soak_report
 Run(std::uint64_t aSeed, std::uint64_t aEvents)
@@ -158,6 +158,18 @@
   CHECK(Count(mOracle, violation_kind::WorkToLeaving) == 1);
 }
 
+TEST(Oracle, SeesWorkToAnUpstreamThatSaidThatItDrains)
+{
+  process_address instance{ 0, 1 };
+  mOracle.OnLeavingLearnt(0, instance, leaving_sign::OwnWord);
+  Pass(1min); // however long ago
+  mOracle.OnWork(0, instance);
+  CHECK(Count(mOracle, violation_kind::WorkToLeaving) == 1);
+  mOracle.OnServingAgain(0);
+  mOracle.OnWork(0, instance);
+  CHECK(Count(mOracle, violation_kind::WorkToLeaving) == 1);
+}
+
 TEST(Oracle, SeesVersionsGoBackOrStay)
 {
   mOracle.OnVersion({ 0, 1 }, 3);
--- a/laburnumdyke/testing/upstream_health_test.cc
+++ b/laburnumdyke/testing/upstream_health_test.cc
@@ -47,7 +47,50 @@
     mNow += 50ms;
     Judge(each.mLate);
     mNow += upstream_health::kDrainRest;
+    mHealth.Report(0, mNow);
     CHECK(mHealth.State(mNow) == health_state::Usable);
     LONGS_EQUAL_TEXT(1, mHealth.Allowed(kSlots, mNow), each.mName);
   }
 }
+
+TEST(UpstreamHealth, ADrainEndsByALaterReport)
+{
+  Judge(attempt_result::Draining);
+  instant word = mNow;
+  mNow = word + upstream_health::kDrainRest - 1ms;
+  mHealth.Report(0, mNow);
+  CHECK(mHealth.State(mNow) == health_state::Draining);
+  mNow += 20s;
+  CHECK(mHealth.State(mNow) == health_state::Draining);
+  mHealth.Report(0, mNow);
+  CHECK(mHealth.State(mNow) == health_state::Usable);
+  LONGS_EQUAL(1, mHealth.Allowed(kSlots, mNow));
+  Judge(attempt_result::Answered);
+  mNow += kWarmUp;
+  LONGS_EQUAL(kSlots, mHealth.Allowed(kSlots, mNow));
+}
+
+TEST(UpstreamHealth, ARepeatedWordProlongsTheDrain)
+{
+  Judge(attempt_result::Draining);
+  for (int second = 0; second < 120; ++second) {
+    mNow += 1s;
+    Judge(attempt_result::Draining);
+    CHECK(mHealth.State(mNow) == health_state::Draining);
+  }
+  mNow += upstream_health::kDrainRest - 1ms;
+  mHealth.Report(0, mNow);
+  CHECK(mHealth.State(mNow) == health_state::Draining);
+}
+
+TEST(UpstreamHealth, WithoutReportsTheWordLapses)
+{
+  Judge(attempt_result::Draining);
+  mNow += upstream_health::kDrainLife - 1ms;
+  CHECK(mHealth.State(mNow) == health_state::Draining);
+  mNow += 1ms;
+  CHECK(mHealth.State(mNow) == health_state::Usable);
+  LONGS_EQUAL(1, mHealth.Allowed(kSlots, mNow));
+  Judge(attempt_result::Draining);
+  CHECK(mHealth.State(mNow) == health_state::Draining);
+}
