Let requests in by the instance's limit before any work

Cause: instance_limit was written and tested, but nothing on the request path entered it: an instance held as many requests, and 128 KiB of buffers for each, as came, and the floors of its ranks never acted.

Every request, relayed ones too, now takes its place once its header is read. instance_entry counts it with two stream buffers and the part of its body that is kept for another attempt, and leaves in its destructor, so that no way out keeps a place. The wait of a refused caller comes from the limit, with jitter; the seed of admission's jitter is the instance's own.

Ruled out: counting bytes as they come, since a request that was let in would then fail halfway.

Conclusion: a full instance refuses with rank_over_floor or queue_full, sends nothing, and leaves the other ranks their floors.

--- a/laburnumdyke/decision/instance_limit.cc
+++ b/laburnumdyke/decision/instance_limit.cc
@@ -49,6 +49,7 @@
                    " max_bytes=" + std::to_string(aOptions.mMaxBytes));
   mRequests.mLimit = aOptions.mMaxRequests;
   mBytes.mLimit = aOptions.mMaxBytes;
+  mRandom.seed(aOptions.mSeed);
 }
 
 void
@@ -115,6 +116,9 @@
   CheckInvariant(mRequests.Total() <= mRequests.mLimit,
                  "instance_over_limit",
                  "requests=" + std::to_string(mRequests.Total()));
+  CheckInvariant(mBytes.Total() <= mBytes.mLimit,
+                 "instance_over_limit",
+                 "bytes=" + std::to_string(mBytes.Total()));
   return refusal_reason::None;
 }
 
@@ -130,10 +134,24 @@
   mBytes.mUsed.at(rank) -= aBytes;
 }
 
+std::chrono::milliseconds
+instance_limit::RetryAfter()
+{
+  std::uniform_int_distribution<std::int64_t> jitter(
+    kLeastRetryAfter.count(), kLongestRetryAfter.count());
+  return std::chrono::milliseconds(jitter(mRandom));
+}
+
 std::uint64_t
 instance_limit::Requests() const
 {
   return mRequests.Total();
 }
 
+std::uint64_t
+instance_limit::Bytes() const
+{
+  return mBytes.Total();
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/instance_limit.h
+++ b/laburnumdyke/decision/instance_limit.h
@@ -4,6 +4,7 @@
 // Usage:
 //   refusal_reason reason = limit.Enter(rank, bytes, now);
 //   if (reason == refusal_reason::None) ... limit.Leave(rank, bytes);
+//   ... otherwise refuse, to come back after limit.RetryAfter()
 //
 // Of each limit a share is kept for each rank in use: a flood of one rank
 // fills what the others' floors leave over. The share of a rank that has not
@@ -16,6 +17,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,10 @@
 public:
   static constexpr std::chrono::seconds kInUse{ 30 };
   static constexpr std::uint64_t kUrgentReservePercent = 10;
+  // Between these a refused caller is told to come back: places come free as
+  // requests end, so soon, but not all callers together.
+  static constexpr std::chrono::milliseconds kLeastRetryAfter{ 500 };
+  static constexpr std::chrono::milliseconds kLongestRetryAfter{ 3000 };
 
   // The options must be sound.
   void SetLimits(const admission_options& aOptions);
@@ -46,7 +52,11 @@
   refusal_reason Enter(work_rank aRank, std::uint64_t aBytes, instant aNow);
   void Leave(work_rank aRank, std::uint64_t aBytes);
 
+  // When a refused request may come back; jittered.
+  std::chrono::milliseconds RetryAfter();
+
   std::uint64_t Requests() const;
+  std::uint64_t Bytes() const;
 
 private:
   struct resource
@@ -67,6 +77,7 @@
   std::array<bool, kRankCount> mEverDemanded{};
   resource mRequests{ admission_options().mMaxRequests, {} };
   resource mBytes{ admission_options().mMaxBytes, {} };
+  std::mt19937_64 mRandom;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -104,11 +104,17 @@
     mMembership.With([&](membership& aMembership) {
       aMembership.Open(self, settings.mSeeds);
     });
-    // Instances with one seed would follow one another to the same peers.
+    // Instances with one seed would follow one another to the same peers, and
+    // send their refused callers back together.
+    std::uint64_t seed =
+      std::hash<std::string>()(self.mInstance.mValue) ^ self.mIncarnation;
     mRouter.With([&](router& aRouter) {
-      std::hash<std::string> hash;
-      aRouter = router(two_choices{
-        std::mt19937_64(hash(self.mInstance.mValue) ^ self.mIncarnation) });
+      aRouter = router(two_choices{ std::mt19937_64(seed) });
+    });
+    mAdmission.With([&](admission& aAdmission) {
+      admission_options options;
+      options.mSeed = seed;
+      aAdmission.Open(options);
     });
     mLedger.With([&](identity_ledger& aLedger) {
       aLedger.Open(self.mInstance, self.mIncarnation, now);
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -61,6 +61,8 @@
   // was cut short.
   bool mBegun = false;
   upstream_sign mSign = upstream_sign::None;
+  // Where the request was refused: when to come back; zero where nothing says.
+  std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
 asio::awaitable<forward_result>
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -1,6 +1,6 @@
 // The pipeline of one request through an entry instance.
 //
-//   identity -> route -> admit -> forward -> settle
+//   limit -> identity -> route -> admit -> forward -> settle
 //
 // Stages call the pure decisions under their table's lock and act on the
 // answers. The transport that carries a request to an upstream or to another
@@ -16,6 +16,7 @@
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/grant_waiters.h"
 #include "laburnumdyke/plugin/http_forward.h"
+#include "laburnumdyke/plugin/instance_entry.h"
 #include "laburnumdyke/plugin/request_facts.h"
 
 #include <atomic>
@@ -101,7 +102,15 @@
     }
     const request_facts& facts = *read.mFacts;
     instant deadline = aExchange.mReceived + facts.mAllowed;
-    forward_result result = co_await Run(aExchange, facts, deadline);
+    instance_entry entry(
+      mTables.Admission(), facts.mRank, HeldBytes(aExchange), Now());
+    forward_result result = NotRun(entry.Reason(), entry.RetryAfter());
+    if (entry.Reason() == refusal_reason::None) {
+      result = co_await Run(aExchange, facts, deadline);
+    } else {
+      mKernel.Counters().Add("instance_refused_total",
+                             ToString(entry.Reason()));
+    }
     if (!result.mBegun) {
       co_await WriteOutcome(mKernel, aExchange, result, "");
     }
@@ -126,9 +135,12 @@
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
-  static forward_result NotRun(refusal_reason aReason)
+  static forward_result NotRun(refusal_reason aReason,
+                               std::chrono::milliseconds aRetryAfter = {})
   {
-    return { outcome_kind::NotRun, aReason, false, upstream_sign::None };
+    return {
+      outcome_kind::NotRun, aReason, false, upstream_sign::None, aRetryAfter
+    };
   }
 
   asio::awaitable<void> Refuse(http_exchange& aExchange,
--- a/laburnumdyke/testing/admission_test.cc
+++ b/laburnumdyke/testing/admission_test.cc
@@ -437,6 +437,19 @@
   LONGS_EQUAL(91U, limit.Requests());
 }
 
+TEST(Admission, InstanceLimitSpreadsThoseItSendsAway)
+{
+  instance_limit limit;
+  std::set<std::chrono::milliseconds> waits;
+  for (int i = 0; i < 100; ++i) {
+    std::chrono::milliseconds wait = limit.RetryAfter();
+    CHECK(wait >= instance_limit::kLeastRetryAfter);
+    CHECK(wait <= instance_limit::kLongestRetryAfter);
+    waits.insert(wait);
+  }
+  CHECK(waits.size() > 50);
+}
+
 TEST(Admission, OptionsAreChecked)
 {
   CHECK(CheckOptions({}).empty());
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -6,6 +6,7 @@
 #include "laburnumdyke/testing/harness/one_kernel.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,9 @@
                                        const forward_request& aRequest)
   {
     ++mSends;
+    if (mDuring) {
+      mDuring();
+    }
     mLastBody = aPrefix.mBytes;
     mLastReuse = aRequest.mReuse;
     forward_result result{
@@ -42,6 +46,7 @@
   }
 
   std::deque<forward_result> mScript;
+  std::function<void()> mDuring; // called by each Send
   int mSends = 0;
   std::string mLastBody;
   bool mLastReuse = false;
@@ -120,6 +125,31 @@
     mKernel.reset();
   }
 
+  entry_tables Tables()
+  {
+    return entry_tables(*mKernel);
+  }
+
+  std::uint64_t Entered()
+  {
+    return Tables().Admission().With(
+      [](admission& aAdmission) { return aAdmission.Limit().Requests(); });
+  }
+
+  std::uint64_t HeldMemory()
+  {
+    return Tables().Admission().With(
+      [](admission& aAdmission) { return aAdmission.Limit().Bytes(); });
+  }
+
+  // A request ends after its answer was written.
+  bool WaitUntilNoneIsIn()
+  {
+    return WaitUntil([&]() { return Entered() == 0; },
+                     std::chrono::seconds(10)) &&
+           HeldMemory() == 0;
+  }
+
   std::string NewIdentity()
   {
     return entry_tables(*mKernel).Ledger().With([](identity_ledger& aLedger) {
@@ -185,6 +215,7 @@
       std::string(row.mReason), result.Field(kReasonHeader), row.mName);
     CHECK_EQUAL_TEXT(std::string("body"), mTransport.mLastBody, row.mName);
     CHECK_EQUAL_TEXT(!booking, mTransport.mLastReuse, row.mName);
+    CHECK_TEXT(WaitUntilNoneIsIn(), row.mName);
   }
 }
 
@@ -221,3 +252,64 @@
   CHECK(mTransport.mSends <=
         kRequests + static_cast<int>(retry_budget::kReserve));
 }
+
+TEST(RequestPipeline, ARequestIsInTheInstanceWhileItIsServed)
+{
+  std::uint64_t requests = 0;
+  std::uint64_t bytes = 0;
+  mTransport.mDuring = [&]() {
+    requests = Entered();
+    bytes = HeldMemory();
+  };
+  Send("report", "");
+  CHECK_EQUAL(1u, requests);
+  CHECK_EQUAL(2 * kStreamBuffer + std::string("body").size(), bytes);
+  CHECK(WaitUntilNoneIsIn());
+}
+
+TEST(RequestPipeline, NoWayOutOfARequestKeepsItsPlace)
+{
+  // Refused before its body is read, cut while it is read, refused by
+  // admission, and a repeated identity.
+  Send("booking", "");
+  CHECK(WaitUntilNoneIsIn());
+  SendRaw(mAddress,
+          "POST /v1/request/report/x HTTP/1.1\r\nHost: a\r\n"
+          "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+  CHECK(WaitUntilNoneIsIn());
+  SendRaw(mAddress,
+          "GET /v1/request/report/x HTTP/1.1\r\nHost: a\r\n"
+          "Laburnumdyke-Deadline-Ms: 0\r\nConnection: close\r\n\r\n");
+  CHECK(WaitUntilNoneIsIn());
+  std::string identity = NewIdentity();
+  Send("booking", identity);
+  Send("booking", identity);
+  CHECK(WaitUntilNoneIsIn());
+}
+
+TEST(RequestPipeline, AFullInstanceRefusesBeforeAnyWork)
+{
+  int filled = 0;
+  Tables().Admission().With([&](admission& aAdmission) {
+    instance_limit& limit = aAdmission.Limit();
+    instant now = std::chrono::steady_clock::now();
+    while (limit.Enter(work_rank::Bulk, 0, now) == refusal_reason::None) {
+      ++filled;
+    }
+  });
+  call_result refused = Send("report", "");
+  CHECK_EQUAL(503u, refused.mStatus);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("rank_over_floor"), refused.Field(kReasonHeader));
+  CHECK(!refused.Field("Retry-After").empty());
+  CHECK_EQUAL(0, mTransport.mSends);
+  counters& counts = mKernel->Counters();
+  CHECK_EQUAL(1u, counts.Value("instance_refused_total", "rank_over_floor"));
+  CHECK_EQUAL(1u, counts.Value("refused_total", "rank_over_floor"));
+  // The flood of bulk work leaves urgent work its floor.
+  call_result urgent = Send("booking", NewIdentity());
+  CHECK_EQUAL(std::string("answered"), urgent.Field(kOutcomeHeader));
+  CHECK(
+    WaitUntil([&]() { return Entered() == static_cast<std::uint64_t>(filled); },
+              std::chrono::seconds(10)));
+}
