Tell refused callers the wait that the decision gave

Cause: WriteOutcome drew 1 to 3 s for every refusal, whatever admission had worked out from its queue, and a relayed refusal lost the home's wait.

The header has whole seconds, so the wait is rounded up. Where nothing gave a wait, 1 to 3 s are drawn as before.

Ruled out: rounding to the nearest second, since a caller that is told less than the decision's wait is refused again.

--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -10,7 +10,9 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <memory>
 
 namespace laburnumdyke {
@@ -34,6 +36,8 @@
   http::field::upgrade,
 };
 
+constexpr std::chrono::seconds kLongestRetryAfter{ 30 };
+
 struct far_side
 {
   std::unique_ptr<tcp_stream> mStream;
@@ -204,6 +208,21 @@
                                            : refusal_reason::UpstreamLost;
 }
 
+// The wait that the far side asks for, in whole seconds; zero where it asks
+// for none. Bounded, since an upstream may say anything.
+std::chrono::milliseconds
+RetryAfterOf(const answer_head& aHead)
+{
+  std::string_view text = FromBeast(aHead[http::field::retry_after]);
+  std::uint32_t seconds = 0;
+  const char* end = text.data() + text.size();
+  std::from_chars_result parsed = std::from_chars(text.data(), end, seconds);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::min(std::chrono::seconds(seconds), kLongestRetryAfter);
+}
+
 // What the far side's header says of the request.
 forward_result
 Classify(const answer_head& aHead)
@@ -213,7 +232,8 @@
     return { outcome_kind::NotRun,
              refusal_reason::UpstreamRefused,
              false,
-             SignOf(aHead) };
+             SignOf(aHead),
+             RetryAfterOf(aHead) };
   }
   std::string_view outcome = FromBeast(aHead[ToBeast(kOutcomeHeader)]);
   if (outcome.empty()) {
@@ -227,7 +247,8 @@
   return { kind.value_or(outcome_kind::Unknown),
            reason.value_or(refusal_reason::None),
            false,
-           upstream_sign::None };
+           upstream_sign::None,
+           RetryAfterOf(aHead) };
 }
 
 bool
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -30,12 +30,25 @@
   }
 }
 
-// Whole seconds, jittered so that refused callers don't return together.
-std::string
-RetryAfter()
+// Where no decision gave a wait; jittered, so that refused callers don't
+// return together.
+std::chrono::milliseconds
+DefaultRetryAfter()
 {
   thread_local std::minstd_rand sRandom{ std::random_device{}() };
-  return std::to_string(std::uniform_int_distribution<int>(1, 3)(sRandom));
+  std::uniform_int_distribution<int> jitter(1000, 3000);
+  return std::chrono::milliseconds(jitter(sRandom));
+}
+
+// The header has whole seconds: rounded up, nobody returns too early.
+std::string
+RetryAfter(const forward_result& aResult)
+{
+  std::chrono::milliseconds wait = aResult.mRetryAfter;
+  if (wait <= std::chrono::milliseconds(0)) {
+    wait = DefaultRetryAfter();
+  }
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
 }
 
 } // namespace
@@ -53,7 +66,7 @@
   answer.set(ToBeast(kInstanceHeader), aKernel.Settings().mInstance);
   answer.set(http::field::content_type, "text/plain");
   if (answer.result() == http::status::service_unavailable) {
-    answer.set(http::field::retry_after, RetryAfter());
+    answer.set(http::field::retry_after, RetryAfter(aResult));
   }
   answer.body() = "outcome=" + std::string(ToString(aResult.mOutcome)) +
                   " reason=" + std::string(ToString(aResult.mReason)) + "\n" +
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -267,7 +267,7 @@
       // Another attempt goes elsewhere; after a failed upstream it may come
       // here again, where admission now prefers another upstream.
       aState.mTried.insert(mTables.Self().mInstance);
-      co_return NotRun(answer.mReason);
+      co_return NotRun(answer.mReason, answer.mRetryAfter);
     }
     if (answer.mStep == admission_step::Queued) {
       std::optional<wait_verdict> verdict =
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -5,6 +5,7 @@
 #include "laburnumdyke/testing/harness/http_call.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -313,3 +314,44 @@
     WaitUntil([&]() { return Entered() == static_cast<std::uint64_t>(filled); },
               std::chrono::seconds(10)));
 }
+
+TEST(RequestPipeline, TheWaitOfARefusalIsTheDecisionsOwn)
+{
+  // Three of three slots and two of two places in the queue are taken, and
+  // requests are known to hold a slot for 20 s.
+  Tables().Admission().With([&](admission& aAdmission) {
+    instant now = std::chrono::steady_clock::now();
+    instant later = now + std::chrono::hours(1);
+    service_id service{ "report" };
+    aAdmission.Ask({ 1001, service, work_rank::Bulk, later }, now);
+    aAdmission.Release(
+      1001, attempt_result::Answered, now + std::chrono::seconds(20));
+    for (request_number number = 1002; number < 1007; ++number) {
+      aAdmission.Ask({ number, service, work_rank::Urgent, later }, now);
+    }
+  });
+  int longest = 0;
+  for (int i = 0; i < 8; ++i) {
+    call_result refused = Send("report", "");
+    CHECK_EQUAL(503u, refused.mStatus);
+    int wait = std::stoi(refused.Field("Retry-After"));
+    // Half to one and a half times admission's longest wait of 5 s.
+    CHECK(wait >= 3);
+    CHECK(wait <= 8);
+    longest = std::max(longest, wait);
+  }
+  CHECK(longest > 3); // more than where no decision gave a wait
+  CHECK_EQUAL(0, mTransport.mSends);
+}
+
+TEST(RequestPipeline, TheWaitThatTheFarSideAskedForIsPassedOn)
+{
+  forward_result refused = kRefused;
+  refused.mRetryAfter = std::chrono::milliseconds(6100);
+  mTransport.mScript.assign(10, refused);
+  CHECK_EQUAL(std::string("7"), Send("report", "").Field("Retry-After"));
+  mTransport.mScript.assign(10, kRefused);
+  int wait = std::stoi(Send("report", "").Field("Retry-After"));
+  CHECK(wait >= 1);
+  CHECK(wait <= 3);
+}
