Hold each dispatch to the region's cap

Cause: region_load was written and tested, but nothing told it of the home claims and no dispatch asked it, so region_over_cap never acted.

RefreshHomes now gives region_load the claims that admission gets. A request with a slot takes a unit of the cap immediately before its dispatch; where there is none it is refused as region_over_cap and nothing is sent. The unit goes back with the slot, the delayed release included, and the refusal says nothing of the upstream's health.

A unit may be another upstream's. home_lease has two new calls, BeginLoan and EndLoan, that count it in that upstream's report, so that its next home holds it back; loans are checked against the lease like the slot itself. region_load takes the request's own upstream's units first. Before, a unit of another upstream of the same service was reported by none.

Ruled out: counting a loan as a dispatch in the lease's ledger, since the lease then refuses real slots of the lender. A co_await within a conditional expression is evaluated on either condition by g++ 12; the test of the cap found that, and it is an if statement now.

--- a/laburnumdyke/decision/home_lease.cc
+++ b/laburnumdyke/decision/home_lease.cc
@@ -171,6 +171,19 @@
   return true;
 }
 
+bool
+home_lease::BeginLoan(const upstream_id& aUpstream,
+                      std::uint64_t aNumber,
+                      instant aDeadline,
+                      instant aNow)
+{
+  bool held = MayDispatch(aUpstream, aNow);
+  if (held) {
+    mLoans.Begin(aNumber, aUpstream, aDeadline);
+  }
+  return held;
+}
+
 std::optional<instance_id>
 home_lease::HomeOf(const upstream_id& aUpstream, instant aNow) const
 {
@@ -460,20 +473,24 @@
 home_lease::AddReports(lease_message& aMessage, instant aNow) const
 {
   std::set<upstream_id> upstreams = mDispatched.Busy();
+  upstreams.merge(mLoans.Busy());
   upstreams.insert(mHomes.begin(), mHomes.end());
   for (const std::pair<const upstream_id, instant>& one : mCaptured) {
     upstreams.insert(one.first);
   }
   for (const upstream_id& upstream : upstreams) {
     residual silent = HeldBySilent(upstream, aNow);
-    std::uint32_t inFlight = mDispatched.InFlight(upstream);
+    std::uint32_t inFlight =
+      mDispatched.InFlight(upstream) + mLoans.InFlight(upstream);
     upstream_report report;
     report.mUpstream = upstream;
     report.mHolding = mHomes.count(upstream) != 0;
     report.mOccupied = inFlight + silent.mOccupied;
     instant until = silent.mUntil;
     if (inFlight != 0) {
-      until = std::max(until, mDispatched.LatestDeadline(upstream));
+      until = std::max({ until,
+                         mDispatched.LatestDeadline(upstream),
+                         mLoans.LatestDeadline(upstream) });
     }
     report.mBusyFor = RoundUp(std::max(until - aNow, duration(0)));
     aMessage.mReports.push_back(report);
--- a/laburnumdyke/decision/home_lease.h
+++ b/laburnumdyke/decision/home_lease.h
@@ -165,6 +165,15 @@
                      instant aNow);
   void EndDispatch(std::uint64_t aNumber) { mDispatched.End(aNumber); }
 
+  // Counts a request at another upstream that uses this one's share of the
+  // region's cap, until EndLoan: reports add it to the slots in use. False
+  // where this instance does not hold the upstream.
+  bool BeginLoan(const upstream_id& aUpstream,
+                 std::uint64_t aNumber,
+                 instant aDeadline,
+                 instant aNow);
+  void EndLoan(std::uint64_t aNumber) { mLoans.End(aNumber); }
+
   // Whom rendezvous hashing puts first among the eligible instances.
   std::optional<instance_id> HomeOf(const upstream_id& aUpstream,
                                     instant aNow) const;
@@ -255,6 +264,7 @@
   std::set<upstream_id> mHomes;
   std::optional<std::vector<instance_id>> mRivals; // that mHomes stands for
   dispatch_ledger mDispatched;
+  dispatch_ledger mLoans;
   lease_refusal mLastReason = lease_refusal::None;
 };
 
--- a/laburnumdyke/decision/region_load.cc
+++ b/laburnumdyke/decision/region_load.cc
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <queue>
+#include <tuple>
 
 namespace laburnumdyke {
 
@@ -213,21 +214,25 @@
 }
 
 std::optional<region_unit>
-region_load::Admit(const service_id& aService, instant aDeadline, instant aNow)
+region_load::Admit(const service_id& aService,
+                   instant aDeadline,
+                   instant aNow,
+                   const upstream_id& aUpstream)
 {
   const region_home* best = nullptr;
   bool isBestOwn = false;
-  std::uint32_t bestFree = 0;
+  std::tuple<bool, bool, std::uint32_t> bestOrder;
   for (const std::pair<const upstream_id, region_home>& entry : mHomes) {
     const region_home& home = entry.second;
     bool isOwn = home.mService == aService;
     std::uint32_t free = Free(home, aNow);
-    bool isBetter = isOwn != isBestOwn ? isOwn : free > bestFree;
-    if (free > 0 && aDeadline <= aNow + home.mHold && isBetter &&
+    std::tuple<bool, bool, std::uint32_t> order(
+      entry.first == aUpstream, isOwn, free);
+    if (free > 0 && aDeadline <= aNow + home.mHold && order > bestOrder &&
         (isOwn || MayLend(home))) {
       best = &home;
       isBestOwn = isOwn;
-      bestFree = free;
+      bestOrder = order;
     }
   }
   if (best == nullptr) {
--- a/laburnumdyke/decision/region_load.h
+++ b/laburnumdyke/decision/region_load.h
@@ -4,7 +4,8 @@
 //   load.Adopt(version, RegionQuotas(document, region), domains);
 //   load.SetHomes(homes);                 // whenever the claims change
 //   load.Settle(reports, longestHold, now);    // on each heartbeat
-//   std::optional<region_unit> unit = load.Admit(service, deadline, now);
+//   std::optional<region_unit> unit =
+//     load.Admit(service, deadline, now, upstream);
 //   ... dispatch, then load.Release(*unit)
 //   ... none: refuse the request as region_over_cap
 //
@@ -95,9 +96,13 @@
               std::chrono::milliseconds aLongestHold,
               instant aNow);
 
+  // aUpstream: where the request goes; its own units are taken first, then
+  // those of others of the service, then lent ones. A unit of another upstream
+  // must be reported with that one's slots in use while it is held.
   std::optional<region_unit> Admit(const service_id& aService,
                                    instant aDeadline,
-                                   instant aNow);
+                                   instant aNow,
+                                   const upstream_id& aUpstream = {});
   void Release(const region_unit& aUnit);
 
   // The least quota of the versions that have not settled.
@@ -106,8 +111,7 @@
   // The newest version adopted; 0 before the first.
   std::uint64_t Newest() const;
 
-  // Units of the upstream that other services use. The home claim's report of
-  // slots in use must add them.
+  // Units of the upstream that other services use.
   std::uint32_t Lent(const upstream_id& aUpstream) const;
 
   std::uint32_t InFlight() const;
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -344,19 +344,46 @@
   });
 }
 
-std::optional<region_unit>
+// The two tables are locked one after the other: a loan that is refused in
+// between gives its unit back.
+std::optional<region_permit>
 entry_tables::AdmitToRegion(const service_id& aService,
+                            const upstream_id& aUpstream,
                             instant aDeadline,
                             instant aNow)
 {
-  return mRegionLoad.With(
-    [&](region_load& aLoad) { return aLoad.Admit(aService, aDeadline, aNow); });
+  std::optional<region_unit> unit = mRegionLoad.With([&](region_load& aLoad) {
+    return aLoad.Admit(aService, aDeadline, aNow, aUpstream);
+  });
+  if (!unit) {
+    return std::nullopt;
+  }
+  region_permit permit{ *unit, std::nullopt };
+  if (unit->mUpstream == aUpstream) {
+    return permit;
+  }
+  request_number loan = NextNumber();
+  bool lent = mMembership.With([&](membership& aMembership) {
+    return aMembership.Lease().BeginLoan(
+      unit->mUpstream, loan, aDeadline, aNow);
+  });
+  if (!lent) {
+    ReleaseToRegion(permit);
+    return std::nullopt;
+  }
+  permit.mLoan = loan;
+  return permit;
 }
 
 void
-entry_tables::ReleaseToRegion(const region_unit& aUnit)
+entry_tables::ReleaseToRegion(const region_permit& aPermit)
 {
-  mRegionLoad.With([&](region_load& aLoad) { aLoad.Release(aUnit); });
+  if (aPermit.mLoan) {
+    mMembership.With([&](membership& aMembership) {
+      aMembership.Lease().EndLoan(*aPermit.mLoan);
+    });
+  }
+  mRegionLoad.With([&](region_load& aLoad) { aLoad.Release(aPermit.mUnit); });
 }
 
 link_answer
@@ -392,6 +419,7 @@
     mMembership.With([&](membership& aMembership) {
       return aMembership.Lease().Claims(terms, aNow);
     });
+  RefreshRegionLoad(claims, aNow);
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
     return aAdmission.Configure(*document, claims, aNow);
   });
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -32,6 +32,14 @@
   bool mOpened = false;
 };
 
+// The right to one request in flight in the region. Where the unit is another
+// upstream's, the loan tells that one's next home of it.
+struct region_permit
+{
+  region_unit mUnit;
+  std::optional<request_number> mLoan;
+};
+
 class entry_tables
 {
 public:
@@ -96,11 +104,12 @@
   void RefreshLinks(const std::vector<home_claim>& aClaims, instant aNow);
 
   // A unit of the region's cap, to be taken immediately before a dispatch and
-  // released when the request has ended. Nothing: refuse as RegionOverCap.
-  std::optional<region_unit> AdmitToRegion(const service_id& aService,
-                                           instant aDeadline,
-                                           instant aNow);
-  void ReleaseToRegion(const region_unit& aUnit);
+  // released with the slot. Nothing: refuse as RegionOverCap.
+  std::optional<region_permit> AdmitToRegion(const service_id& aService,
+                                             const upstream_id& aUpstream,
+                                             instant aDeadline,
+                                             instant aNow);
+  void ReleaseToRegion(const region_permit& aPermit);
 
   // How much of aBytes may be sent to another region now.
   link_answer TakeLink(const region_id& aTo,
@@ -111,8 +120,8 @@
   table<link_budget>& Links() { return mLinks; }
   table<link_lenders>& LinkLenders() { return mLinkLenders; }
 
-  // Sets admission's homes from the document and the live view, and wakes
-  // whom that gives a slot.
+  // Sets the homes of admission, region load and links from the document and
+  // the live view, and wakes whom that gives a slot.
   void RefreshHomes(instant aNow);
 
   // Refuses queued requests that are late and grants what has become free.
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -77,8 +77,10 @@
 attempt_result
 JudgeAttempt(const forward_result& aResult)
 {
+  // None of these says anything of the upstream.
   if (aResult.mReason == refusal_reason::CallerGone ||
-      aResult.mReason == refusal_reason::LeaseLapsed) {
+      aResult.mReason == refusal_reason::LeaseLapsed ||
+      aResult.mReason == refusal_reason::RegionOverCap) {
     return attempt_result::Abandoned;
   }
   switch (aResult.mSign) {
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -133,6 +133,13 @@
     std::set<instance_id> mTried;
   };
 
+  // What a dispatched request holds until it has ended.
+  struct dispatch_hold
+  {
+    grant mGrant;
+    std::optional<region_permit> mPermit;
+  };
+
   static instant Now() { return std::chrono::steady_clock::now(); }
 
   static forward_result NotRun(refusal_reason aReason,
@@ -298,52 +305,76 @@
                                            const grant& aGrant)
   {
     forward_result result = NotRun(refusal_reason::LeaseLapsed);
-    bool begun = mTables.BeginDispatch(aGrant, aState.mDeadline, Now());
-    if (begun) {
-      forward_request request;
-      request.mTo = aGrant.mAddress;
-      request.mTarget = aState.mFacts.mTarget;
-      AddCommonHeaders(aState, request);
-      if (aState.mFacts.mIdentity) {
-        request.mHeaders.emplace_back(kRequestIdHeader,
-                                      aState.mFacts.mIdentity->Text());
-      }
-      // An idle connection may be closing: what is written to it may or may
-      // not run. Non-idempotent requests pay for a new one instead.
-      request.mReuse = aState.mFacts.mIdempotent;
-      request.mMayBegin = [this, aGrant]() {
-        return mTables.MayDispatch(aGrant.mUpstream, Now());
-      };
-      result =
-        co_await mTransport.Send(aState.mExchange, aState.mPrefix, request);
+    dispatch_hold hold{ aGrant, std::nullopt };
+    if (mTables.BeginDispatch(aGrant, aState.mDeadline, Now())) {
+      hold.mPermit = mTables.AdmitToRegion(
+        aState.mFacts.mService, aGrant.mUpstream, aState.mDeadline, Now());
+      result = NotRun(refusal_reason::RegionOverCap);
+    }
+    if (hold.mPermit) {
+      result = co_await SendToUpstream(aState, hold);
     }
     if (LeavesWorkBehind(result)) {
       asio::co_spawn(aState.mExchange.mStream.get_executor(),
-                     ReleaseLater(aGrant, JudgeAttempt(result)),
+                     ReleaseLater(hold, JudgeAttempt(result)),
                      asio::detached);
     } else {
-      ReleaseSlot(aGrant, JudgeAttempt(result));
+      ReleaseSlot(hold, JudgeAttempt(result));
     }
     co_return result;
   }
 
-  void ReleaseSlot(const grant& aGrant, attempt_result aResult)
+  asio::awaitable<forward_result> SendToUpstream(attempt_state& aState,
+                                                 const dispatch_hold& aHold)
+  {
+    forward_request request;
+    request.mTo = aHold.mGrant.mAddress;
+    request.mTarget = aState.mFacts.mTarget;
+    AddCommonHeaders(aState, request);
+    if (aState.mFacts.mIdentity) {
+      request.mHeaders.emplace_back(kRequestIdHeader,
+                                    aState.mFacts.mIdentity->Text());
+    }
+    // An idle connection may be closing: what is written to it may or may
+    // not run. Non-idempotent requests pay for a new one instead.
+    request.mReuse = aState.mFacts.mIdempotent;
+    request.mMayBegin = [this, aHold]() { return MayBegin(aHold); };
+    co_return co_await mTransport.Send(
+      aState.mExchange, aState.mPrefix, request);
+  }
+
+  // The leases on the slot and on the unit of the region's cap.
+  bool MayBegin(const dispatch_hold& aHold)
   {
-    mTables.EndDispatch(aGrant.mNumber);
+    const upstream_id& lender = aHold.mPermit->mUnit.mUpstream;
+    instant now = Now();
+    return mTables.MayDispatch(aHold.mGrant.mUpstream, now) &&
+           (!aHold.mPermit->mLoan || mTables.MayDispatch(lender, now));
+  }
+
+  // The unit goes back before the slot, so that whoever gets the slot finds
+  // the unit.
+  void ReleaseSlot(const dispatch_hold& aHold, attempt_result aResult)
+  {
+    if (aHold.mPermit) {
+      mTables.ReleaseToRegion(*aHold.mPermit);
+    }
+    mTables.EndDispatch(aHold.mGrant.mNumber);
     admission_changes changes =
       mTables.Admission().With([&](admission& aAdmission) {
-        return aAdmission.Release(aGrant.mNumber, aResult, Now());
+        return aAdmission.Release(aHold.mGrant.mNumber, aResult, Now());
       });
     mTables.Waiters().Deliver(changes);
   }
 
-  asio::awaitable<void> ReleaseLater(grant aGrant, attempt_result aResult)
+  asio::awaitable<void> ReleaseLater(dispatch_hold aHold,
+                                     attempt_result aResult)
   {
     asio::steady_timer timer(co_await asio::this_coro::executor, kCancelSettle);
     error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
-    ReleaseSlot(aGrant, aResult);
+    ReleaseSlot(aHold, aResult);
   }
 
   asio::awaitable<forward_result> SendRelay(attempt_state& aState,
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -151,6 +151,41 @@
            HeldMemory() == 0;
   }
 
+  // Slots at upstreams and units of the region's cap in use.
+  bool WaitUntilNothingIsHeld()
+  {
+    return WaitUntil(
+      [&]() {
+        std::size_t slots = Tables().Admission().With(
+          [](admission& aAdmission) { return aAdmission.InFlight(); });
+        std::uint32_t units = mKernel->Table<region_load>().With(
+          [](region_load& aLoad) { return aLoad.InFlight(); });
+        return slots == 0 && units == 0;
+      },
+      std::chrono::seconds(10));
+  }
+
+  std::uint32_t UnitsInUse()
+  {
+    return mKernel->Table<region_load>().With(
+      [](region_load& aLoad) { return aLoad.InFlight(); });
+  }
+
+  // Puts a lower cap in force; smaller quotas hold at once.
+  void LowerCap(const std::string& aCap)
+  {
+    std::string text = SmallDocument({ "127.0.0.1", 1 });
+    text.replace(text.find("cap = 9"), 7, "cap = " + aCap);
+    ForceDocument(*mKernel, 2, text);
+  }
+
+  std::optional<region_permit> AdmitReport(std::chrono::milliseconds aFor)
+  {
+    instant now = std::chrono::steady_clock::now();
+    return Tables().AdmitToRegion(
+      { "report" }, { "report-1" }, now + aFor, now);
+  }
+
   std::string NewIdentity()
   {
     return entry_tables(*mKernel).Ledger().With([](identity_ledger& aLedger) {
@@ -217,6 +252,7 @@
     CHECK_EQUAL_TEXT(std::string("body"), mTransport.mLastBody, row.mName);
     CHECK_EQUAL_TEXT(!booking, mTransport.mLastReuse, row.mName);
     CHECK_TEXT(WaitUntilNoneIsIn(), row.mName);
+    CHECK_TEXT(WaitUntilNothingIsHeld(), row.mName);
   }
 }
 
@@ -355,3 +391,64 @@
   CHECK(wait >= 1);
   CHECK(wait <= 3);
 }
+
+TEST(RequestPipeline, ARegionAtItsCapGetsNoByteMore)
+{
+  LowerCap("3"); // a unit for each service, none to lend
+  std::optional<region_permit> held = AdmitReport(std::chrono::seconds(1));
+  CHECK(held.has_value());
+  call_result refused = Send("report", "");
+  CHECK_EQUAL(503u, refused.mStatus);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("region_over_cap"), refused.Field(kReasonHeader));
+  CHECK(!refused.Field("Retry-After").empty());
+  CHECK_EQUAL(0, mTransport.mSends);
+  CHECK_EQUAL(1u,
+              mKernel->Counters().Value("refused_total", "region_over_cap"));
+  call_result other = Send("booking", NewIdentity());
+  CHECK_EQUAL(std::string("answered"), other.Field(kOutcomeHeader));
+  Tables().ReleaseToRegion(*held);
+  CHECK_EQUAL(std::string("answered"),
+              Send("report", "").Field(kOutcomeHeader));
+  CHECK(WaitUntilNothingIsHeld());
+}
+
+TEST(RequestPipeline, ARequestHoldsItsUnitWhileItIsServed)
+{
+  std::uint32_t units = 0;
+  mTransport.mDuring = [&]() { units = UnitsInUse(); };
+  Send("report", "");
+  CHECK_EQUAL(1u, units);
+  CHECK(WaitUntilNothingIsHeld());
+}
+
+// What the next home of an upstream must hold back is in the report of the
+// present one, also where the unit serves a request at another upstream.
+TEST(RequestPipeline, LentUnitsAreReportedWithTheirUpstreamsSlots)
+{
+  LowerCap("6"); // two units for each service
+  std::optional<region_permit> first = AdmitReport(std::chrono::seconds(1));
+  std::optional<region_permit> second = AdmitReport(std::chrono::seconds(1));
+  CHECK(first.has_value() && !first->mLoan.has_value());
+  CHECK(second.has_value() && !second->mLoan.has_value());
+  std::vector<upstream_report> reports;
+  mTransport.mDuring = [&]() {
+    reports = Tables().Membership().With([](membership& aMembership) {
+      return aMembership.Compose(std::chrono::steady_clock::now())
+        .mLease.mReports;
+    });
+  };
+  CHECK_EQUAL(std::string("answered"),
+              Send("report", "").Field(kOutcomeHeader));
+  std::uint32_t lent = 0;
+  for (const upstream_report& report : reports) {
+    if (report.mUpstream.mValue != "report-1") {
+      lent += report.mOccupied;
+      CHECK_EQUAL(report.mOccupied > 0, report.mBusyFor.count() > 0);
+    }
+  }
+  CHECK_EQUAL(1u, lent);
+  Tables().ReleaseToRegion(*first);
+  Tables().ReleaseToRegion(*second);
+  CHECK(WaitUntilNothingIsHeld());
+}
