--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -104,11 +104,17 @@
     mMembership.With([&](membership& aMembership) {
       aMembership.Open(self, settings.mSeeds);
     });
-    // Instances with one seed would follow one another to the same peers.
+    // Instances with one seed would follow one another to the same peers, and
+    // send their refused callers back together.
+    std::uint64_t seed =
+      std::hash<std::string>()(self.mInstance.mValue) ^ self.mIncarnation;
     mRouter.With([&](router& aRouter) {
-      std::hash<std::string> hash;
-      aRouter = router(two_choices{
-        std::mt19937_64(hash(self.mInstance.mValue) ^ self.mIncarnation) });
+      aRouter = router(two_choices{ std::mt19937_64(seed) });
+    });
+    mAdmission.With([&](admission& aAdmission) {
+      admission_options options;
+      options.mSeed = seed;
+      aAdmission.Open(options);
     });
     mLedger.With([&](identity_ledger& aLedger) {
       aLedger.Open(self.mInstance, self.mIncarnation, now);
@@ -338,19 +344,46 @@
   });
 }
 
-std::optional<region_unit>
+// The two tables are locked one after the other: a loan that is refused in
+// between gives its unit back.
+std::optional<region_permit>
 entry_tables::AdmitToRegion(const service_id& aService,
+                            const upstream_id& aUpstream,
                             instant aDeadline,
                             instant aNow)
 {
-  return mRegionLoad.With(
-    [&](region_load& aLoad) { return aLoad.Admit(aService, aDeadline, aNow); });
+  std::optional<region_unit> unit = mRegionLoad.With([&](region_load& aLoad) {
+    return aLoad.Admit(aService, aDeadline, aNow, aUpstream);
+  });
+  if (!unit) {
+    return std::nullopt;
+  }
+  region_permit permit{ *unit, std::nullopt };
+  if (unit->mUpstream == aUpstream) {
+    return permit;
+  }
+  request_number loan = NextNumber();
+  bool lent = mMembership.With([&](membership& aMembership) {
+    return aMembership.Lease().BeginLoan(
+      unit->mUpstream, loan, aDeadline, aNow);
+  });
+  if (!lent) {
+    ReleaseToRegion(permit);
+    return std::nullopt;
+  }
+  permit.mLoan = loan;
+  return permit;
 }
 
 void
-entry_tables::ReleaseToRegion(const region_unit& aUnit)
+entry_tables::ReleaseToRegion(const region_permit& aPermit)
 {
-  mRegionLoad.With([&](region_load& aLoad) { aLoad.Release(aUnit); });
+  if (aPermit.mLoan) {
+    mMembership.With([&](membership& aMembership) {
+      aMembership.Lease().EndLoan(*aPermit.mLoan);
+    });
+  }
+  mRegionLoad.With([&](region_load& aLoad) { aLoad.Release(aPermit.mUnit); });
 }
 
 link_answer
@@ -386,6 +419,7 @@
     mMembership.With([&](membership& aMembership) {
       return aMembership.Lease().Claims(terms, aNow);
     });
+  RefreshRegionLoad(claims, aNow);
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
     return aAdmission.Configure(*document, claims, aNow);
   });
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -5,7 +5,9 @@
 #include "laburnumdyke/testing/harness/http_call.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
 
+#include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,6 +26,9 @@
                                        const forward_request& aRequest)
   {
     ++mSends;
+    if (mDuring) {
+      mDuring();
+    }
     mLastBody = aPrefix.mBytes;
     mLastReuse = aRequest.mReuse;
     forward_result result{
@@ -42,6 +47,7 @@
   }
 
   std::deque<forward_result> mScript;
+  std::function<void()> mDuring; // called by each Send
   int mSends = 0;
   std::string mLastBody;
   bool mLastReuse = false;
@@ -120,6 +126,66 @@
     mKernel.reset();
   }
 
+  entry_tables Tables()
+  {
+    return entry_tables(*mKernel);
+  }
+
+  std::uint64_t Entered()
+  {
+    return Tables().Admission().With(
+      [](admission& aAdmission) { return aAdmission.Limit().Requests(); });
+  }
+
+  std::uint64_t HeldMemory()
+  {
+    return Tables().Admission().With(
+      [](admission& aAdmission) { return aAdmission.Limit().Bytes(); });
+  }
+
+  // A request ends after its answer was written.
+  bool WaitUntilNoneIsIn()
+  {
+    return WaitUntil([&]() { return Entered() == 0; },
+                     std::chrono::seconds(10)) &&
+           HeldMemory() == 0;
+  }
+
+  // Slots at upstreams and units of the region's cap in use.
+  bool WaitUntilNothingIsHeld()
+  {
+    return WaitUntil(
+      [&]() {
+        std::size_t slots = Tables().Admission().With(
+          [](admission& aAdmission) { return aAdmission.InFlight(); });
+        std::uint32_t units = mKernel->Table<region_load>().With(
+          [](region_load& aLoad) { return aLoad.InFlight(); });
+        return slots == 0 && units == 0;
+      },
+      std::chrono::seconds(10));
+  }
+
+  std::uint32_t UnitsInUse()
+  {
+    return mKernel->Table<region_load>().With(
+      [](region_load& aLoad) { return aLoad.InFlight(); });
+  }
+
+  // Puts a lower cap in force; smaller quotas hold at once.
+  void LowerCap(const std::string& aCap)
+  {
+    std::string text = SmallDocument({ "127.0.0.1", 1 });
+    text.replace(text.find("cap = 9"), 7, "cap = " + aCap);
+    ForceDocument(*mKernel, 2, text);
+  }
+
+  std::optional<region_permit> AdmitReport(std::chrono::milliseconds aFor)
+  {
+    instant now = std::chrono::steady_clock::now();
+    return Tables().AdmitToRegion(
+      { "report" }, { "report-1" }, now + aFor, now);
+  }
+
   std::string NewIdentity()
   {
     return entry_tables(*mKernel).Ledger().With([](identity_ledger& aLedger) {
@@ -185,6 +251,8 @@
       std::string(row.mReason), result.Field(kReasonHeader), row.mName);
     CHECK_EQUAL_TEXT(std::string("body"), mTransport.mLastBody, row.mName);
     CHECK_EQUAL_TEXT(!booking, mTransport.mLastReuse, row.mName);
+    CHECK_TEXT(WaitUntilNoneIsIn(), row.mName);
+    CHECK_TEXT(WaitUntilNothingIsHeld(), row.mName);
   }
 }
 
@@ -221,3 +289,166 @@
   CHECK(mTransport.mSends <=
         kRequests + static_cast<int>(retry_budget::kReserve));
 }
+
+TEST(RequestPipeline, ARequestIsInTheInstanceWhileItIsServed)
+{
+  std::uint64_t requests = 0;
+  std::uint64_t bytes = 0;
+  mTransport.mDuring = [&]() {
+    requests = Entered();
+    bytes = HeldMemory();
+  };
+  Send("report", "");
+  CHECK_EQUAL(1u, requests);
+  CHECK_EQUAL(2 * kStreamBuffer + std::string("body").size(), bytes);
+  CHECK(WaitUntilNoneIsIn());
+}
+
+TEST(RequestPipeline, NoWayOutOfARequestKeepsItsPlace)
+{
+  // Refused before its body is read, cut while it is read, refused by
+  // admission, and a repeated identity.
+  Send("booking", "");
+  CHECK(WaitUntilNoneIsIn());
+  SendRaw(mAddress,
+          "POST /v1/request/report/x HTTP/1.1\r\nHost: a\r\n"
+          "Transfer-Encoding: chunked\r\n\r\nzz\r\n");
+  CHECK(WaitUntilNoneIsIn());
+  SendRaw(mAddress,
+          "GET /v1/request/report/x HTTP/1.1\r\nHost: a\r\n"
+          "Laburnumdyke-Deadline-Ms: 0\r\nConnection: close\r\n\r\n");
+  CHECK(WaitUntilNoneIsIn());
+  std::string identity = NewIdentity();
+  Send("booking", identity);
+  Send("booking", identity);
+  CHECK(WaitUntilNoneIsIn());
+}
+
+TEST(RequestPipeline, AFullInstanceRefusesBeforeAnyWork)
+{
+  int filled = 0;
+  Tables().Admission().With([&](admission& aAdmission) {
+    instance_limit& limit = aAdmission.Limit();
+    instant now = std::chrono::steady_clock::now();
+    while (limit.Enter(work_rank::Bulk, 0, now) == refusal_reason::None) {
+      ++filled;
+    }
+  });
+  call_result refused = Send("report", "");
+  CHECK_EQUAL(503u, refused.mStatus);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("rank_over_floor"), refused.Field(kReasonHeader));
+  CHECK(!refused.Field("Retry-After").empty());
+  CHECK_EQUAL(0, mTransport.mSends);
+  counters& counts = mKernel->Counters();
+  CHECK_EQUAL(1u, counts.Value("instance_refused_total", "rank_over_floor"));
+  CHECK_EQUAL(1u, counts.Value("refused_total", "rank_over_floor"));
+  // The flood of bulk work leaves urgent work its floor.
+  call_result urgent = Send("booking", NewIdentity());
+  CHECK_EQUAL(std::string("answered"), urgent.Field(kOutcomeHeader));
+  CHECK(
+    WaitUntil([&]() { return Entered() == static_cast<std::uint64_t>(filled); },
+              std::chrono::seconds(10)));
+}
+
+TEST(RequestPipeline, TheWaitOfARefusalIsTheDecisionsOwn)
+{
+  // Three of three slots and two of two places in the queue are taken, and
+  // requests are known to hold a slot for 20 s.
+  Tables().Admission().With([&](admission& aAdmission) {
+    instant now = std::chrono::steady_clock::now();
+    instant later = now + std::chrono::hours(1);
+    service_id service{ "report" };
+    aAdmission.Ask({ 1001, service, work_rank::Bulk, later }, now);
+    aAdmission.Release(
+      1001, attempt_result::Answered, now + std::chrono::seconds(20));
+    for (request_number number = 1002; number < 1007; ++number) {
+      aAdmission.Ask({ number, service, work_rank::Urgent, later }, now);
+    }
+  });
+  int longest = 0;
+  for (int i = 0; i < 8; ++i) {
+    call_result refused = Send("report", "");
+    CHECK_EQUAL(503u, refused.mStatus);
+    int wait = std::stoi(refused.Field("Retry-After"));
+    // Half to one and a half times admission's longest wait of 5 s.
+    CHECK(wait >= 3);
+    CHECK(wait <= 8);
+    longest = std::max(longest, wait);
+  }
+  CHECK(longest > 3); // more than where no decision gave a wait
+  CHECK_EQUAL(0, mTransport.mSends);
+}
+
+TEST(RequestPipeline, TheWaitThatTheFarSideAskedForIsPassedOn)
+{
+  forward_result refused = kRefused;
+  refused.mRetryAfter = std::chrono::milliseconds(6100);
+  mTransport.mScript.assign(10, refused);
+  CHECK_EQUAL(std::string("7"), Send("report", "").Field("Retry-After"));
+  mTransport.mScript.assign(10, kRefused);
+  int wait = std::stoi(Send("report", "").Field("Retry-After"));
+  CHECK(wait >= 1);
+  CHECK(wait <= 3);
+}
+
+TEST(RequestPipeline, ARegionAtItsCapGetsNoByteMore)
+{
+  LowerCap("3"); // a unit for each service, none to lend
+  std::optional<region_permit> held = AdmitReport(std::chrono::seconds(1));
+  CHECK(held.has_value());
+  call_result refused = Send("report", "");
+  CHECK_EQUAL(503u, refused.mStatus);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("region_over_cap"), refused.Field(kReasonHeader));
+  CHECK(!refused.Field("Retry-After").empty());
+  CHECK_EQUAL(0, mTransport.mSends);
+  CHECK_EQUAL(1u,
+              mKernel->Counters().Value("refused_total", "region_over_cap"));
+  call_result other = Send("booking", NewIdentity());
+  CHECK_EQUAL(std::string("answered"), other.Field(kOutcomeHeader));
+  Tables().ReleaseToRegion(*held);
+  CHECK_EQUAL(std::string("answered"),
+              Send("report", "").Field(kOutcomeHeader));
+  CHECK(WaitUntilNothingIsHeld());
+}
+
+TEST(RequestPipeline, ARequestHoldsItsUnitWhileItIsServed)
+{
+  std::uint32_t units = 0;
+  mTransport.mDuring = [&]() { units = UnitsInUse(); };
+  Send("report", "");
+  CHECK_EQUAL(1u, units);
+  CHECK(WaitUntilNothingIsHeld());
+}
+
+// What the next home of an upstream must hold back is in the report of the
+// present one, also where the unit serves a request at another upstream.
+TEST(RequestPipeline, LentUnitsAreReportedWithTheirUpstreamsSlots)
+{
+  LowerCap("6"); // two units for each service
+  std::optional<region_permit> first = AdmitReport(std::chrono::seconds(1));
+  std::optional<region_permit> second = AdmitReport(std::chrono::seconds(1));
+  CHECK(first.has_value() && !first->mLoan.has_value());
+  CHECK(second.has_value() && !second->mLoan.has_value());
+  std::vector<upstream_report> reports;
+  mTransport.mDuring = [&]() {
+    reports = Tables().Membership().With([](membership& aMembership) {
+      return aMembership.Compose(std::chrono::steady_clock::now())
+        .mLease.mReports;
+    });
+  };
+  CHECK_EQUAL(std::string("answered"),
+              Send("report", "").Field(kOutcomeHeader));
+  std::uint32_t lent = 0;
+  for (const upstream_report& report : reports) {
+    if (report.mUpstream.mValue != "report-1") {
+      lent += report.mOccupied;
+      CHECK_EQUAL(report.mOccupied > 0, report.mBusyFor.count() > 0);
+    }
+  }
+  CHECK_EQUAL(1u, lent);
+  Tables().ReleaseToRegion(*first);
+  Tables().ReleaseToRegion(*second);
+  CHECK(WaitUntilNothingIsHeld());
+}
