Give the bench's small deployment a second region

Cause of bench_test ending on a division by zero after the scenario of a dead region came in: the test's deployment had one region, and no domain is left to lead look-ups to. Look-ups now stay where there is no other region, and the test's deployment has two, so that "region dead" and "region cut" mean something there: with one, every request of the measured time is lost.

--- a/laburnumdyke/testing/bench/world.cc
+++ b/laburnumdyke/testing/bench/world.cc
@@ -130,16 +130,16 @@
   return !cut && !Dead(aFrom) && !Dead(aTo);
 }
 
-// Look-ups lead away from a dead region once the answers given before have
-// expired.
+// Look-ups lead away from a dead region, where there is another, once the
+// answers given before have expired.
 domain_id
 world::CallerDomain(std::uint64_t aRandom, duration aAt) const
 {
   std::vector<domain_id> domains = mDeployment.Domains();
   domain_id chosen = domains.at(aRandom % domains.size());
-  bool leave = mScenario.mRegionDead && aAt >= kMeasureFrom + kAnswerLife &&
-               InFaultyRegion(chosen);
   std::size_t others = domains.size() - mDeployment.mDomainsPerRegion;
+  bool leave = mScenario.mRegionDead && others > 0 &&
+               aAt >= kMeasureFrom + kAnswerLife && InFaultyRegion(chosen);
   return leave ? domains.at(aRandom / domains.size() % others) : chosen;
 }
 
--- a/laburnumdyke/testing/bench_test.cc
+++ b/laburnumdyke/testing/bench_test.cc
@@ -13,12 +13,12 @@
 
 constexpr std::chrono::seconds kLength = kMeasureFrom + 10s;
 
-// One region with a third of the upstreams.
+// Two regions, so that one can fail, with a third of the upstreams.
 deployment
 SmallDeployment()
 {
   deployment made = Brackwater();
-  made.mRegions.resize(1);
+  made.mRegions.resize(2);
   for (service_load& load : made.mLoads) {
     load.mUpstreams /= 3;
   }
