Heed the platform's list of instances

Cause: the list was written and never read. An upstream that the platform listed as leaving went on getting work, and instances without a live seed never met, although membership took hints.

list_watch reads the leaving instances every 1.5 s (less with jitter) and the whole list for addresses of entry instances at the start, while no peer is known and each minute. The home claims of upstreams listed as leaving are kept from admission, so that nothing new goes there and what is in flight ends. Entry instances are listed under the prefix "entry.", so that heartbeats don't go to upstreams. peers.platform_list = no leaves the hints out.

Weighed: the whole list each time (75 B an instance, over 11 KB/s at 430 nodes from paper); a state of upstream_health, which its load report would end.

Before, the list had no reader.

--- /dev/null
+++ b/laburnumdyke/decision/instance_list.cc
@@ -0,0 +1,45 @@
+// Each list replaces the one before as a whole: an upstream that is no longer
+// listed as leaving may take work again.
+#include "laburnumdyke/decision/instance_list.h"
+
+#include <utility>
+
+namespace laburnumdyke {
+
+std::vector<endpoint>
+EntryAddresses(const std::vector<list_entry>& aEntries)
+{
+  std::vector<endpoint> addresses;
+  for (const list_entry& entry : aEntries) {
+    bool isEntry =
+      std::string_view(entry.mName).substr(0, kEntryPrefix.size()) ==
+      kEntryPrefix;
+    if (isEntry && !entry.mLeaving) {
+      addresses.push_back(entry.mAddress);
+    }
+  }
+  return addresses;
+}
+
+bool
+instance_list::TakeLeaving(const std::vector<list_entry>& aEntries,
+                           instant aNow)
+{
+  std::set<endpoint> leaving;
+  for (const list_entry& entry : aEntries) {
+    if (entry.mLeaving) {
+      leaving.insert(entry.mAddress);
+    }
+  }
+  mRead = aNow;
+  std::swap(mLeaving, leaving);
+  return mLeaving != leaving;
+}
+
+bool
+instance_list::IsLeaving(const endpoint& aAddress, instant aNow) const
+{
+  return aNow - mRead < kLife && mLeaving.count(aAddress) != 0;
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/kernel/lock_rank.h
+++ b/laburnumdyke/kernel/lock_rank.h
@@ -19,6 +19,7 @@
   Kernel = 0,       // the kernel's directory of tables
   Lifecycle = 5,    // starting, running, leaving, stopped
   Document = 10,    // document in force
+  Listed = 15,      // the platform's list of instances
   Membership = 20,  // peers, incarnations, leases
   Adverts = 25,     // what was handed to peers since their adverts
   Placement = 30,   // client blocks to failure domains
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -71,6 +71,13 @@
   return true;
 }
 
+bool
+TakeYesOrNo(bool& aTarget, std::string_view aText)
+{
+  aTarget = aText == "yes";
+  return aTarget || aText == "no";
+}
+
 const std::vector<setting_key>&
 Keys()
 {
@@ -130,6 +137,13 @@
       false,
       "IP addresses and ports, separated by commas",
       [](settings& aS, text aT) { return TakeEndpoints(aS.mSeeds, aT); } },
+    { "peers",
+      "platform_list",
+      false,
+      "yes or no",
+      [](settings& aS, text aT) {
+        return TakeYesOrNo(aS.mUsePlatformList, aT);
+      } },
   };
   return kKeys;
 }
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -14,6 +14,7 @@
 //   address = 127.0.0.1:7000
 //   [peers]
 //   seeds = 127.0.0.1:7013, 127.0.0.1:7023
+//   platform_list = yes
 //
 // Every faulty setting is reported with its line, its key and what was
 // expected, all at once. An unknown key or section is a fault.
@@ -45,6 +46,8 @@
   endpoint mOperator; // status, counters, console
   endpoint mPlatform; // table service and object store
   std::vector<endpoint> mSeeds;
+  // Whether to send heartbeats to entry instances that the platform lists too.
+  bool mUsePlatformList = true;
 };
 
 struct settings_result
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -73,6 +73,7 @@
 entry_tables::entry_tables(kernel& aKernel)
   : mKernel(aKernel)
   , mDocumentState(aKernel.Table<document_state>())
+  , mInstanceList(aKernel.Table<instance_list>())
   , mMembership(aKernel.Table<membership>())
   , mLedger(aKernel.Table<identity_ledger>())
   , mAdmission(aKernel.Table<admission>())
@@ -398,6 +399,21 @@
   });
 }
 
+std::vector<home_claim>
+entry_tables::OpenToWork(const document& aDocument,
+                         std::vector<home_claim> aClaims,
+                         instant aNow)
+{
+  mInstanceList.With([&](instance_list& aList) {
+    std::erase_if(aClaims, [&](const home_claim& aClaim) {
+      auto found = aDocument.mUpstreams.find(aClaim.mUpstream);
+      return found != aDocument.mUpstreams.end() &&
+             aList.IsLeaving(found->second.mAddress, aNow);
+    });
+  });
+  return aClaims;
+}
+
 void
 entry_tables::RefreshHomes(instant aNow)
 {
@@ -420,8 +436,9 @@
       return aMembership.Lease().Claims(terms, aNow);
     });
   RefreshRegionLoad(claims, aNow);
+  std::vector<home_claim> open = OpenToWork(*document, std::move(claims), aNow);
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
-    return aAdmission.Configure(*document, claims, aNow);
+    return aAdmission.Configure(*document, open, aNow);
   });
   mWaiters->Deliver(changes);
 }
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -6,6 +6,7 @@
 #include "laburnumdyke/decision/admission.h"
 #include "laburnumdyke/decision/document_state.h"
 #include "laburnumdyke/decision/identity_ledger.h"
+#include "laburnumdyke/decision/instance_list.h"
 #include "laburnumdyke/decision/link_budget.h"
 #include "laburnumdyke/decision/link_lender.h"
 #include "laburnumdyke/decision/membership.h"
@@ -54,6 +55,7 @@
   table<retry_budget>& RetryBudget() { return mRetryBudget; }
   table<document_state>& DocumentState() { return mDocumentState; }
   table<identity_ledger>& Ledger() { return mLedger; }
+  table<instance_list>& InstanceList() { return mInstanceList; }
   grant_waiters& Waiters() { return *mWaiters; }
 
   request_number NextNumber() { return ++*mNumbers; }
@@ -129,7 +131,13 @@
 
 private:
   kernel& mKernel;
+  // Without those whose upstream the platform lists as leaving.
+  std::vector<home_claim> OpenToWork(const document& aDocument,
+                                     std::vector<home_claim> aClaims,
+                                     instant aNow);
+
   table<document_state>& mDocumentState;
+  table<instance_list>& mInstanceList;
   table<membership>& mMembership;
   table<identity_ledger>& mLedger;
   table<admission>& mAdmission;
--- /dev/null
+++ b/laburnumdyke/plugin/list_watch.cc
@@ -0,0 +1,125 @@
+// Reads the platform's list of instances.
+//
+// The leaving ones are read every kPeriod: few at any time, so that the answer
+// stays small whatever the size of the fleet. The whole list is read for the
+// addresses of entry instances alone: at the start, while no peer is known,
+// and every kHintEvery.
+#include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/platform_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <random>
+
+namespace laburnumdyke {
+
+namespace {
+
+// With the jitter and an answer's timeout, an upstream that is listed as
+// leaving gets no new work after three seconds.
+constexpr std::chrono::milliseconds kPeriod{ 1500 };
+constexpr std::chrono::milliseconds kTimeout{ 1000 };
+constexpr std::chrono::seconds kHintEvery{ 60 };
+
+class list_watch
+{
+public:
+  static constexpr std::string_view kName = "list_watch";
+  static constexpr plugin_stage kStage = plugin_stage::Platform;
+
+  explicit list_watch(kernel& aKernel)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mStrand(asio::make_strand(aKernel.Context()))
+    , mPlatform(mHttp,
+                aKernel.Settings().mPlatform,
+                platform_options{ kTimeout, kTimeout })
+    , mRandom(aKernel.Settings().mIncarnation)
+  {
+  }
+
+  std::optional<std::string> Start(instant)
+  {
+    asio::co_spawn(mStrand, Watch(), asio::detached);
+    return std::nullopt;
+  }
+
+  void Leave(instant) {}
+  std::string Waiting(instant) { return {}; }
+  void Stop() {}
+
+private:
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
+  asio::awaitable<void> Watch()
+  {
+    asio::steady_timer timer(mStrand);
+    std::uniform_real_distribution<double> jitter(0.8, 1.0);
+    while (true) {
+      co_await ReadLeaving();
+      if (mKernel.Settings().mUsePlatformList && IsHintDue(Now())) {
+        co_await ReadEntries();
+      }
+      timer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
+        kPeriod * jitter(mRandom)));
+      error_code ignored;
+      co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+
+  asio::awaitable<void> ReadLeaving()
+  {
+    std::optional<std::vector<list_entry>> entries =
+      co_await mPlatform.ReadInstances(listed_instances::Leaving);
+    if (!entries) {
+      mKernel.Counters().Add("instance_list_unavailable_total");
+      co_return;
+    }
+    instant now = Now();
+    bool changed = mTables.InstanceList().With(
+      [&](instance_list& aList) { return aList.TakeLeaving(*entries, now); });
+    if (changed) {
+      mTables.RefreshHomes(now);
+    }
+  }
+
+  bool IsHintDue(instant aNow)
+  {
+    return !mHinted || aNow - *mHinted >= kHintEvery ||
+           mTables.LivePeers(aNow).empty();
+  }
+
+  asio::awaitable<void> ReadEntries()
+  {
+    std::optional<std::vector<list_entry>> entries =
+      co_await mPlatform.ReadInstances(listed_instances::All);
+    if (entries) {
+      instant now = Now();
+      mTables.Membership().With([&](membership& aMembership) {
+        aMembership.Hint(EntryAddresses(*entries), now);
+      });
+      mHinted = now;
+    }
+  }
+
+  kernel& mKernel;
+  entry_tables mTables;
+  asio::strand<asio::io_context::executor_type> mStrand;
+  asio_http mHttp;
+  platform_client<asio_http> mPlatform;
+  std::mt19937_64 mRandom;
+  std::optional<instant> mHinted;
+};
+
+const registered<list_watch> kRegistered;
+
+} // namespace
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/platform_client.cc
+++ b/laburnumdyke/plugin/platform_client.cc
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <array>
+
 namespace laburnumdyke {
 
 namespace {
@@ -27,6 +29,30 @@
                       std::string(FromBeast(value->get_string())) };
 }
 
+// Nothing where a part is missing or malformed.
+std::optional<list_entry>
+ParseListEntry(const boost::json::value& aValue)
+{
+  if (!aValue.is_object()) {
+    return std::nullopt;
+  }
+  std::array<std::string, 3> parts;
+  constexpr std::array<std::string_view, 3> kKeys{ "name", "address", "state" };
+  for (std::size_t i = 0; i < kKeys.size(); ++i) {
+    const boost::json::value* part =
+      aValue.get_object().if_contains(ToBeast(kKeys.at(i)));
+    if (part == nullptr || !part->is_string()) {
+      return std::nullopt;
+    }
+    parts.at(i) = FromBeast(part->get_string());
+  }
+  std::optional<endpoint> address = ParseEndpoint(parts.at(1));
+  if (!address) {
+    return std::nullopt;
+  }
+  return list_entry{ parts.at(0), *address, parts.at(2) == "leaving" };
+}
+
 } // namespace
 
 std::optional<row_reading>
@@ -64,6 +90,32 @@
                                             : write_answer::NoAnswer;
 }
 
+// One malformed entry hides no other.
+std::optional<std::vector<list_entry>>
+ReadListAnswer(const std::optional<client_answer>& aAnswer)
+{
+  if (!aAnswer || aAnswer->mStatus != 200) {
+    return std::nullopt;
+  }
+  error_code failure;
+  boost::json::value parsed = boost::json::parse(aAnswer->mBody, failure);
+  const boost::json::value* list =
+    !failure && parsed.is_object()
+      ? parsed.get_object().if_contains("instances")
+      : nullptr;
+  if (list == nullptr || !list->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<list_entry> entries;
+  for (const boost::json::value& value : list->get_array()) {
+    std::optional<list_entry> entry = ParseListEntry(value);
+    if (entry) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  return entries;
+}
+
 std::string
 InstanceBody(const endpoint& aAddress, std::string_view aState)
 {
--- a/laburnumdyke/plugin/platform_client.h
+++ b/laburnumdyke/plugin/platform_client.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/document_chunks.h"
+#include "laburnumdyke/decision/instance_list.h"
 #include "laburnumdyke/decision/submission.h"
 #include "laburnumdyke/plugin/http_client.h"
 
@@ -75,6 +76,17 @@
 write_answer
 ReadWriteAnswer(const std::optional<client_answer>& aAnswer);
 
+// Which part of the platform's list to read.
+enum class listed_instances
+{
+  All,
+  Leaving,
+};
+
+// Nothing where the answer is not a list.
+std::optional<std::vector<list_entry>>
+ReadListAnswer(const std::optional<client_answer>& aAnswer);
+
 // An instance's row in the platform's list.
 std::string
 InstanceBody(const endpoint& aAddress, std::string_view aState);
@@ -167,13 +179,27 @@
     co_return assembly.Text();
   }
 
-  // Puts an instance on the platform's list; no answer is needed.
+  // Nothing where the platform gave no list.
+  asio::awaitable<std::optional<std::vector<list_entry>>> ReadInstances(
+    listed_instances aPart)
+  {
+    std::string target = "/v1/instances";
+    if (aPart == listed_instances::Leaving) {
+      target += "?state=leaving";
+    }
+    std::optional<client_answer> answer =
+      co_await mHttp.Exchange(Request(http::verb::get, std::move(target)));
+    co_return ReadListAnswer(answer);
+  }
+
+  // Puts an entry instance on the platform's list; no answer is needed.
   asio::awaitable<void> PutInstance(std::string aInstance,
                                     endpoint aAddress,
                                     std::string aState)
   {
     client_request request =
-      Request(http::verb::put, std::string(kInstancesTarget) + aInstance);
+      Request(http::verb::put,
+              std::string(kInstancesTarget).append(kEntryPrefix) + aInstance);
     request.mBody = InstanceBody(aAddress, aState);
     co_await mHttp.Exchange(std::move(request));
   }
--- a/laburnumdyke/testing/harness/deployment.cc
+++ b/laburnumdyke/testing/harness/deployment.cc
@@ -151,7 +151,9 @@
          "\nrelay = " + own.mRelay.Text() + "\npeer = " + own.mPeer.Text() +
          "\noperator = " + own.mOperator.Text() +
          "\n[platform]\naddress = " + platform.Text() +
-         "\n[peers]\nseeds = " + Seeds(domain) + "\n";
+         "\n[peers]\nseeds = " + Seeds(domain) + "\n" +
+         // Listed addresses lead round the links between failure domains.
+         (mOptions.mDomainLinks ? "platform_list = no\n" : "");
 }
 
 const std::string&
@@ -168,6 +170,9 @@
 std::string
 deployment::Seeds(const std::string& aDomain) const
 {
+  if (!mOptions.mSeeds) {
+    return {};
+  }
   if (!mOptions.mDomainLinks) {
     return mAddresses.at(mNames.front()).mPeer.Text();
   }
--- a/laburnumdyke/testing/harness/deployment.h
+++ b/laburnumdyke/testing/harness/deployment.h
@@ -47,6 +47,7 @@
   bool mPlatformLinks = false; // one for each daemon, named PlatformLink
   bool mDomainLinks = false;   // between failure domains; see CutDomains
   bool mUpstreamLinks = false; // one for each upstream, under its name
+  bool mSeeds = true;          // daemons are given the address of another
 };
 
 std::string
--- a/laburnumdyke/testing/platform_client_test.cc
+++ b/laburnumdyke/testing/platform_client_test.cc
@@ -43,6 +43,15 @@
   return SplitDocument(text);
 }
 
+asio::awaitable<bool>
+ListLive(platform_client<mock_http>& aPlatform, std::string aInstance)
+{
+  endpoint address{ "127.0.0.1", 7 };
+  std::string state = "live";
+  co_await aPlatform.PutInstance(aInstance, address, state);
+  co_return true;
+}
+
 } // namespace
 
 TEST_GROUP(PlatformClient)
@@ -139,6 +148,47 @@
   }
 }
 
+TEST(PlatformClient, AListIsReadBesideItsMalformedEntries)
+{
+  struct row
+  {
+    std::optional<client_answer> mAnswer;
+    std::optional<std::size_t> mEntries; // nothing: no list
+  };
+  const std::vector<row> kRows = {
+    { std::nullopt, std::nullopt },
+    { client_answer{ 503, "" }, std::nullopt },
+    { client_answer{ 200, "{" }, std::nullopt },
+    { client_answer{ 200, "{}" }, std::nullopt },
+    { client_answer{ 200, R"({"instances":{}})" }, std::nullopt },
+    { client_answer{ 200, R"({"instances":[]})" }, 0 },
+    { client_answer{ 200,
+                     R"({"instances":[7,{"name":"a"},)"
+                     R"({"name":"a","address":"x","state":"live"},)"
+                     R"({"name":"a","address":"127.0.0.1:1","state":3},)"
+                     R"({"name":"b","address":"127.0.0.1:2",)"
+                     R"("state":"leaving"}]})" },
+      1 },
+  };
+  for (const row& one : kRows) {
+    mHttp.mAnswers = { one.mAnswer };
+    std::optional<std::vector<list_entry>> entries =
+      Wait(mPlatform.ReadInstances(listed_instances::Leaving));
+    CHECK(one.mEntries.has_value() == entries.has_value());
+    CHECK(!entries || entries->size() == *one.mEntries);
+    CHECK(!entries || entries->empty() || entries->front().mLeaving);
+    CHECK_EQUAL(std::string("/v1/instances?state=leaving"),
+                mHttp.mRequests.back().mTarget);
+  }
+}
+
+TEST(PlatformClient, AnEntryInstanceIsListedUnderItsPrefix)
+{
+  CHECK(Wait(ListLive(mPlatform, "leinster-a-1")));
+  CHECK_EQUAL(std::string("/v1/instances/entry.leinster-a-1"),
+              mHttp.mRequests.back().mTarget);
+}
+
 TEST(PlatformClient, ExchangesTakeTheirTimeoutsFromTheOptions)
 {
   platform_options options{ std::chrono::milliseconds(3),
--- a/laburnumdyke/testing/standin/platform_exchange.cc
+++ b/laburnumdyke/testing/standin/platform_exchange.cc
@@ -223,8 +223,20 @@
   if (aRequest.method() != http::verb::get) {
     return WrongMethod(aModel, aRequest);
   }
+  boost::beast::string_view target = aRequest.target();
+  std::vector<query_parameter> query =
+    SplitTarget({ target.data(), target.size() }).mQuery;
+  bool isKnown =
+    query.empty() || (query.size() == 1 && query.front().mName == "state" &&
+                      query.front().mValue == "leaving");
+  if (!isKnown) {
+    return Malformed(aModel, aRequest, "expected state=leaving or no query");
+  }
   json::array list;
   for (const listed_instance& each : aModel.Instances(aNow)) {
+    if (!query.empty() && each.mState != listed_state::Leaving) {
+      continue;
+    }
     std::string_view state = ToString(each.mState);
     json::object entry;
     entry["name"] = each.mName;
--- a/laburnumdyke/testing/standin/platform_standin.h
+++ b/laburnumdyke/testing/standin/platform_standin.h
@@ -20,6 +20,7 @@
 //                                       "state":"live" or "leaving"}
 //   DELETE same                         200
 //   GET /v1/instances                   200 {"instances":[...]}
+//   GET /v1/instances?state=leaving     the same, leaving ones alone
 //   GET /control, POST /control         platform_counters, platform_faults
 //
 // Names of tables, rows and instances are 1 to 128 letters, digits, dots,
