--- a/laburnumdyke/plugin/console_html.h
+++ b/laburnumdyke/plugin/console_html.h
@@ -21,9 +21,6 @@
 // Rows of blocks are not shown as fields over this size.
 inline constexpr std::size_t kMostShownBlocks = 20000;
 
-std::string
-EscapeHtml(std::string_view aText);
-
 // What the pages of one draft share.
 struct draft_view
 {
--- a/laburnumdyke/testing/console_test.cc
+++ b/laburnumdyke/testing/console_test.cc
@@ -3,6 +3,7 @@
 // platform's stand-in, beside the same changes by laburnumctl's path.
 #include "ctl/wait.h"
 #include "laburnumdyke/plugin/console_html.h"
+#include "laburnumdyke/plugin/console_page.h"
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/submission_driver.h"
 #include "laburnumdyke/testing/harness/deployment.h"
