Name no instance in look-ups before it has a document

Cause: an instance that has just started is heard at once, and look-ups named it while it refused every request with no_document. Its heartbeats say so: version 0. A region whose instances have none doesn't count as live either.

Ruled out: hearing such instances later (they would learn of versions and homes later too).

Conclusion: what is left is the time until a dead region's silence is noticed.

--- a/laburnumdyke/decision/placement.cc
+++ b/laburnumdyke/decision/placement.cc
@@ -89,7 +89,7 @@
     live.insert(aSelf.mRegion);
   }
   for (const peer& one : aLivePeers) {
-    if (!one.mLast.mSender.mLeaving) {
+    if (!one.mLast.mSender.mLeaving && HasDocument(one)) {
       live.insert(one.mLast.mSender.mRegion);
     }
   }
--- a/laburnumdyke/decision/placement.h
+++ b/laburnumdyke/decision/placement.h
@@ -85,7 +85,14 @@
 
 static_assert(placement_rooms<report_rooms>);
 
-// Regions with a live entry instance that isn't leaving.
+// Whether a peer has a document in force; until then it refuses every request.
+inline bool
+HasDocument(const peer& aPeer)
+{
+  return aPeer.mLast.mVersion > 0;
+}
+
+// Regions with a live entry instance that has a document and isn't leaving.
 std::set<region_id>
 LiveRegions(const member& aSelf, const std::vector<peer>& aLivePeers);
 
@@ -137,7 +144,9 @@
   };
   consider(aView.mSelf);
   for (const peer& one : aView.mLivePeers) {
-    consider(one.mLast.mSender);
+    if (HasDocument(one)) {
+      consider(one.mLast.mSender);
+    }
   }
   std::sort(candidates.begin(),
             candidates.end(),
--- a/laburnumdyke/testing/placement_bench_main.cc
+++ b/laburnumdyke/testing/placement_bench_main.cc
@@ -180,6 +180,7 @@
   for (std::size_t i = 1; i < kEntries; ++i) {
     peer one;
     one.mLast.mSender = Member(i);
+    one.mLast.mVersion = 1;
     one.mLast.mCredits = { { service, 6, 3 } };
     one.mHeard = now;
     peers.push_back(one);
--- a/laburnumdyke/testing/placement_test.cc
+++ b/laburnumdyke/testing/placement_test.cc
@@ -32,6 +32,7 @@
 {
   peer made;
   made.mLast.mSender = aMember;
+  made.mLast.mVersion = 1;
   made.mLast.mCredits = { { kService, 6, aFree } };
   made.mHeard = kNow - aAge;
   return made;
@@ -140,6 +141,20 @@
   CHECK_EQUAL(std::string("a2 a2 a1 a1 "), one.Domains("10.2.0.1"));
 }
 
+TEST(Placement, InstancesWithoutADocumentAreNotNamed)
+{
+  fixture one;
+  one.Find("a1-y").mLast.mVersion = 0;
+  CHECK_EQUAL(std::string("a1 a2 a2 "), one.Domains("10.1.0.1"));
+  for (const char* name : { "b1-x", "b1-y" }) {
+    one.Find(name).mLast.mVersion = 0;
+  }
+  CHECK_EQUAL(0U, LiveRegions(one.mSelf, one.mPeers).count({ "b" }));
+  one.Find("b1-x").mLast.mVersion = 1;
+  CHECK_EQUAL(1U, LiveRegions(one.mSelf, one.mPeers).count({ "b" }));
+  CHECK_EQUAL(std::string("b1 "), one.Domains("10.3.0.1"));
+}
+
 TEST(Placement, LeavingAndDeadInstancesVanish)
 {
   fixture one;
