Assert in the program that the version in force grows

Cost: one comparison for each version. Ruled out: hashing the document again (its objects are checked by hash before). Conclusion: version_in_force_grows stops a program that would go back.

--- a/laburnumdyke/decision/document_state.h
+++ b/laburnumdyke/decision/document_state.h
@@ -1,15 +1,17 @@
 // The document in force at one instance.
 //
-// The version in force only grows.
+// The version in force only grows; the program stops where it does not.
 #pragma once
 
 #include "laburnumdyke/decision/document.h"
 #include "laburnumdyke/decision/document_chunks.h"
+#include "laburnumdyke/kernel/invariant.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace laburnumdyke {
 
@@ -28,7 +30,11 @@
     if (aVersion <= mVersion) {
       return false;
     }
-    mVersion = aVersion;
+    std::uint64_t before = std::exchange(mVersion, aVersion);
+    CheckInvariant(before < mVersion && aDocument != nullptr,
+                   "version_in_force_grows",
+                   "before=" + std::to_string(before) +
+                     " version=" + std::to_string(mVersion));
     mContentHash = std::move(aContentHash);
     mObjects = std::move(aObjects);
     mDocument = std::move(aDocument);
