Relay to no peer that has refused a connection since it was heard

Cause: a killed instance stays live for its peers until its silence is noticed, and its last advert counts for 2 s. Each request of a service that had its homes there tried it first, was told relay_connect, and spent the retry budget; when that was spent, callers got the refusal although others had free slots.

Now the router leaves such a peer out until its next heartbeat arrives.

Ruled out: a larger retry budget (it multiplies failures); shorter silence (the lease depends on it).

--- a/laburnumdyke/decision/relay_ledger.cc
+++ b/laburnumdyke/decision/relay_ledger.cc
@@ -18,6 +18,23 @@
   times.push_back(aNow);
 }
 
+void
+relay_ledger::Refused(const instance_id& aPeer, instant aNow)
+{
+  std::erase_if(mRefused,
+                [&](const std::pair<const instance_id, instant>& aEntry) {
+                  return aNow - aEntry.second >= kMemory;
+                });
+  mRefused[aPeer] = aNow;
+}
+
+bool
+relay_ledger::IsRefusing(const instance_id& aPeer, instant aHeard) const
+{
+  auto found = mRefused.find(aPeer);
+  return found != mRefused.end() && aHeard <= found->second;
+}
+
 std::uint32_t
 relay_ledger::Spent(const instance_id& aPeer,
                     const service_id& aService,
--- a/laburnumdyke/decision/relay_ledger.h
+++ b/laburnumdyke/decision/relay_ledger.h
@@ -3,6 +3,7 @@
 // Usage:
 //   uint32_t spent = ledger.Spent(peer, service, heard);
 //   ledger.Count(peer, service, now); // with each hand-over
+//   ledger.Refused(peer, now);        // where no connection could be made
 //
 // A hand-over counts until an advert arrives that was composed after the
 // request did: kInTransit is added to the time of the hand-over for that.
@@ -30,6 +31,12 @@
              const service_id& aService,
              instant aNow);
 
+  // The peer's relay port refused a connection.
+  void Refused(const instance_id& aPeer, instant aNow);
+
+  // Whether it did since its latest advert arrived, at aHeard.
+  bool IsRefusing(const instance_id& aPeer, instant aHeard) const;
+
   // aHeard is when the peer's latest advert arrived.
   std::uint32_t Spent(const instance_id& aPeer,
                       const service_id& aService,
@@ -38,6 +45,7 @@
 private:
   using key = std::pair<instance_id, service_id>;
   std::map<key, std::deque<instant>> mHandedOver; // oldest first
+  std::map<instance_id, instant> mRefused;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/routing.cc
+++ b/laburnumdyke/decision/routing.cc
@@ -46,6 +46,7 @@
   duration age = aNow - aPeer.mHeard;
   bool usable = credit != nullptr && !sender.mLeaving &&
                 aRequest.mTried.count(sender.mInstance) == 0 &&
+                !aLedger.IsRefusing(sender.mInstance, aPeer.mHeard) &&
                 age < kAdvertLife;
   if (!usable) {
     return std::nullopt;
--- a/laburnumdyke/decision/routing.h
+++ b/laburnumdyke/decision/routing.h
@@ -7,7 +7,8 @@
 // In order: this instance where it is the home of an upstream of the service
 // with a free slot; then a live peer with credit left, of this failure domain,
 // else of this region, else of others; then this instance's own queue; then a
-// peer's. A peer that is leaving, silent or already tried is never chosen.
+// peer's. A peer that is leaving, silent or already tried is never chosen, nor
+// one that has refused a connection since it was last heard.
 //
 // Credit left is what the peer's latest advert says, less what was handed over
 // since, and shrinks to nothing as the advert ages to kAdvertLife. Which of
@@ -124,6 +125,12 @@
   // Counts the hand-over where it chooses one.
   route Choose(const route_request& aRequest, instant aNow);
 
+  // A connection to the peer's relay port was refused.
+  void NoteRefused(const instance_id& aPeer, instant aNow)
+  {
+    mLedger.Refused(aPeer, aNow);
+  }
+
 private:
   Choice mChoice;
   relay_ledger mLedger;
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -189,6 +189,12 @@
     [&](router& aRouter) { return aRouter.Choose(request, aNow); });
 }
 
+void
+entry_tables::NoteRelayRefused(const instance_id& aInstance, instant aNow)
+{
+  mRouter.With([&](router& aRouter) { aRouter.NoteRefused(aInstance, aNow); });
+}
+
 bool
 entry_tables::MayDispatch(const upstream_id& aUpstream, instant aNow)
 {
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -63,6 +63,9 @@
               const std::set<instance_id>& aTried,
               instant aNow);
 
+  // No connection to the instance could be made to relay to it.
+  void NoteRelayRefused(const instance_id& aInstance, instant aNow);
+
   // The right to dispatch to an upstream, checked immediately before it.
   bool MayDispatch(const upstream_id& aUpstream, instant aNow);
 
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -351,6 +351,7 @@
     if (result.mReason == refusal_reason::UpstreamConnect &&
         result.mOutcome == outcome_kind::NotRun) {
       result.mReason = refusal_reason::RelayConnect;
+      mTables.NoteRelayRefused(aTarget.mInstance, Now());
     } else if (result.mReason == refusal_reason::UpstreamLost) {
       result.mReason = refusal_reason::RelayLost;
     }
--- a/laburnumdyke/testing/routing_test.cc
+++ b/laburnumdyke/testing/routing_test.cc
@@ -154,3 +154,22 @@
     }
   }
 }
+
+TEST(Routing, APeerThatRefusedAConnectionIsLeftOutUntilItIsHeard)
+{
+  router router;
+  member self = MemberOf("self", "d1", "r1");
+  std::vector<service_credit> own;
+  std::vector<peer> peers{ PeerOf({ "near", "d1", "r1", 6 }),
+                           PeerOf({ "far", "d2", "r1", 6 }) };
+  auto next = [&](instant aNow) {
+    return Describe(router.Choose({ kService, self, own, peers, {} }, aNow));
+  };
+  STRCMP_EQUAL("near", next(kStart).c_str());
+  router.NoteRefused({ "near" }, kStart);
+  for (int i = 0; i < 20; ++i) {
+    STRCMP_EQUAL("far", next(kStart + milliseconds(i)).c_str());
+  }
+  peers.front().mHeard = kStart + milliseconds(500);
+  STRCMP_EQUAL("near", next(kStart + milliseconds(500)).c_str());
+}
--- a/laburnumdyke/testing/soak/entry_decisions.h
+++ b/laburnumdyke/testing/soak/entry_decisions.h
@@ -77,6 +77,11 @@
     return mAdmission.Upstreams();
   }
 
+  void NoteRelayRefused(const instance_id& aInstance, instant aNow)
+  {
+    mRouter.NoteRefused(aInstance, aNow);
+  }
+
   bool MayDispatch(const upstream_id& aUpstream, instant aNow);
   void EndDispatch(request_number aNumber);
 
--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -544,11 +544,17 @@
       }
     };
   mWorld.mSimulation.AtWorld(
-    delay * 3, event_kind::Message, [world, near, far, target, passed, home] {
+    delay * 3,
+    event_kind::Message,
+    [this, world, self, delay, near, far, target, passed, home] {
       if (!world.mNetwork.IsOpen(near, far)) {
         return; // the sender's deadline ends it
       }
       if (!world.mSimulation.Process(target).mRunning) {
+        world.mSimulation.AtProcess(
+          self, delay, event_kind::Message, [this, target] {
+            mDecisions.NoteRelayRefused(SoakMember(target, 0).mInstance, Now());
+          });
         home(NotRun(refusal_reason::RelayConnect));
         return;
       }
