Let relay answers carry credits, and guess at free slots near by

Cause: of the requests queued at load 0.7, 99.9 % waited while a slot of their service was free at another home. The router went by adverts of up to 500 ms, in which a slot serves several requests of 50 to 80 ms, counted a hand-over as under way for 100 ms also where a round trip takes 2, and never compared queues.

Now the answer of a relay carries the credits of the answering instance, for all services, with the length of its queues; a hand-over within the region is under way for 10 ms; a peer in the region without credit or queue counts as having one slot again 20 ms after the latest news of it; and a request goes to a queue in the region that is shorter than the own by a turn.

The plug-in must carry the credits in relay answers and the queue length in adverts for the product to do the same.

--- a/laburnumdyke/decision/admission.cc
+++ b/laburnumdyke/decision/admission.cc
@@ -496,7 +496,10 @@
     pool_state state = Survey(entry.second, aNow);
     if (state.mAnyServes) {
       bool open = !state.mDistrust && entry.second.mQueue.Size() == 0;
-      result.push_back({ entry.first, state.mSlots, open ? state.mFree : 0 });
+      std::uint32_t waiting =
+        static_cast<std::uint32_t>(entry.second.mQueue.Size());
+      result.push_back(
+        { entry.first, state.mSlots, open ? state.mFree : 0, waiting });
     }
   }
   return result;
--- a/laburnumdyke/decision/admission.h
+++ b/laburnumdyke/decision/admission.h
@@ -84,6 +84,7 @@
   service_id mService;
   std::uint32_t mSlots = 0; // of live upstreams with this home
   std::uint32_t mFree = 0;
+  std::uint32_t mWaiting = 0; // requests queued for one
 };
 
 // One upstream as admission sees it.
--- a/laburnumdyke/decision/routing.cc
+++ b/laburnumdyke/decision/routing.cc
@@ -10,13 +10,21 @@
 
 namespace {
 
+constexpr int kFar = 2; // the distance to other regions
+
 int
 Distance(const member& aFrom, const member& aTo)
 {
   if (aFrom.mDomain == aTo.mDomain) {
     return 0;
   }
-  return aFrom.mRegion == aTo.mRegion ? 1 : 2;
+  return aFrom.mRegion == aTo.mRegion ? 1 : kFar;
+}
+
+double
+Turns(std::uint32_t aAhead, std::uint32_t aSlots)
+{
+  return static_cast<double>(aAhead) / std::max(aSlots, 1U);
 }
 
 // Credit by the age of the advert: whole at first, then down to nothing.
@@ -34,6 +42,55 @@
   return static_cast<std::uint32_t>(scaled);
 }
 
+// The newest that is known of a peer's slots for a service.
+heard_credit
+NewestCredit(const peer& aPeer,
+             const service_credit& aAdvert,
+             const relay_ledger& aLedger)
+{
+  std::optional<heard_credit> answered =
+    aLedger.Heard(aPeer.mLast.mSender.mInstance, aAdvert.mService);
+  bool newer = answered && answered->mHeard > aPeer.mHeard;
+  return newer ? *answered : heard_credit{ aAdvert, aPeer.mHeard };
+}
+
+// Whether a slot of a peer that had none left may be free again. Old news is
+// no ground to believe it.
+bool
+MayHaveRegrown(const heard_credit& aKnown, instant aHandedOver, instant aNow)
+{
+  instant news = std::max(aKnown.mHeard, aHandedOver);
+  return aKnown.mCredit.mWaiting == 0 && aNow - news >= kRegrowth &&
+         aNow - aKnown.mHeard < kAdvertFull;
+}
+
+// What the known credit leaves for one more request.
+relay_candidate
+Estimate(const route_request& aRequest,
+         const peer& aPeer,
+         const heard_credit& aKnown,
+         const relay_ledger& aLedger,
+         instant aNow)
+{
+  const instance_id& name = aPeer.mLast.mSender.mInstance;
+  relay_candidate made{ &aPeer, Distance(aRequest.mSelf, aPeer.mLast.mSender) };
+  bool far = made.mDistance == kFar;
+  duration inTransit = far ? kInTransitFar : kInTransitNear;
+  std::uint32_t free = Decayed(aKnown.mCredit.mFree, aNow - aKnown.mHeard);
+  std::uint32_t spent =
+    aLedger.Spent(name, aRequest.mService, aKnown.mHeard - inTransit);
+  instant handedOver = aLedger.LastHandOver(name, aRequest.mService);
+  if (free > spent) {
+    made.mLeft = free - spent;
+  } else if (!far && MayHaveRegrown(aKnown, handedOver, aNow)) {
+    made.mLeft = 1;
+  } else {
+    made.mTurns =
+      Turns(aKnown.mCredit.mWaiting + spent - free, aKnown.mCredit.mSlots);
+  }
+  return made;
+}
+
 std::optional<relay_candidate>
 Consider(const route_request& aRequest,
          const peer& aPeer,
@@ -43,19 +100,14 @@
   const member& sender = aPeer.mLast.mSender;
   const service_credit* credit =
     FindCredit(aPeer.mLast.mCredits, aRequest.mService);
-  duration age = aNow - aPeer.mHeard;
   bool usable = credit != nullptr && !sender.mLeaving &&
                 aRequest.mTried.count(sender.mInstance) == 0 &&
-                age < kAdvertLife;
+                aNow - aPeer.mHeard < kAdvertLife;
   if (!usable) {
     return std::nullopt;
   }
-  std::uint32_t free = Decayed(credit->mFree, age);
-  std::uint32_t spent =
-    aLedger.Spent(sender.mInstance, aRequest.mService, aPeer.mHeard);
-  return relay_candidate{ &aPeer,
-                          Distance(aRequest.mSelf, sender),
-                          free - std::min(free, spent) };
+  heard_credit known = NewestCredit(aPeer, *credit, aLedger);
+  return Estimate(aRequest, aPeer, known, aLedger, aNow);
 }
 
 } // namespace
@@ -97,15 +149,24 @@
   return nearest;
 }
 
+bool
+HasMoreRoom(const relay_candidate& aFirst, const relay_candidate& aSecond)
+{
+  return aFirst.mLeft != aSecond.mLeft ? aFirst.mLeft > aSecond.mLeft
+                                       : aFirst.mTurns < aSecond.mTurns;
+}
+
+bool
+SavesTurns(const service_credit& aOwn, const relay_candidate& aPeer)
+{
+  return aPeer.mDistance != kFar &&
+         Turns(aOwn.mWaiting, aOwn.mSlots) >= aPeer.mTurns + kLeastTurnsSaved;
+}
+
 std::size_t
 most_credit::Pick(const std::vector<relay_candidate>& aNear)
 {
-  auto best = std::max_element(
-    aNear.begin(),
-    aNear.end(),
-    [](const relay_candidate& aLeft, const relay_candidate& aRight) {
-      return aLeft.mLeft < aRight.mLeft;
-    });
+  auto best = std::min_element(aNear.begin(), aNear.end(), HasMoreRoom);
   return static_cast<std::size_t>(best - aNear.begin());
 }
 
@@ -114,7 +175,7 @@
 {
   std::size_t first = mRandom() % aNear.size();
   std::size_t second = mRandom() % aNear.size();
-  return aNear[second].mLeft > aNear[first].mLeft ? second : first;
+  return HasMoreRoom(aNear[second], aNear[first]) ? second : first;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/routing.h
+++ b/laburnumdyke/decision/routing.h
@@ -3,15 +3,19 @@
 // Usage:
 //   router router;
 //   route next = router.Choose(request, now);
+//   router.HearCredits(peer, credits, now); // with each answer of a relay
 //
 // In order: this instance where it is the home of an upstream of the service
 // with a free slot; then a live peer with credit left, of this failure domain,
-// else of this region, else of others; then this instance's own queue; then a
-// peer's. A peer that is leaving, silent or already tried is never chosen.
+// else of this region, else of others; then this instance's own queue, or that
+// of a peer in the region where it is shorter by a turn; then a farther peer's.
+// A peer that is leaving, silent or already tried is never chosen.
 //
-// Credit left is what the peer's latest advert says, less what was handed over
-// since, and shrinks to nothing as the advert ages to kAdvertLife. Which of
-// several near peers is chosen is the policy's: most_credit or two_choices.
+// Credit left is what the peer's latest advert or answer says, less what was
+// handed over since, and shrinks to nothing as that ages to kAdvertLife. A
+// peer in the region without credit or queue counts as having one slot free
+// again after kRegrowth. Which of several near peers is chosen is the
+// policy's: most_credit or two_choices.
 #pragma once
 
 #include "laburnumdyke/decision/admission.h"
@@ -54,6 +58,13 @@
 inline constexpr std::chrono::milliseconds kAdvertLife{ 2000 };
 // Up to this age an advert counts in full.
 inline constexpr std::chrono::milliseconds kAdvertFull{ 1000 };
+// A request out and a credit back, within a region and between regions.
+inline constexpr std::chrono::milliseconds kInTransitNear{ 10 };
+inline constexpr std::chrono::milliseconds kInTransitFar{ 100 };
+// After the latest news of a peer, until one of its slots may be free again.
+inline constexpr std::chrono::milliseconds kRegrowth{ 20 };
+// By how many turns a peer's queue must be shorter than the own.
+inline constexpr double kLeastTurnsSaved = 1;
 
 // A peer that may be relayed to.
 struct relay_candidate
@@ -61,6 +72,7 @@
   const peer* mPeer = nullptr;
   int mDistance = 0;
   std::uint32_t mLeft = 0; // credit
+  double mTurns = 0;       // requests ahead of a new one, for each slot
 };
 
 // Picks one of at least one equally near candidates.
@@ -73,7 +85,11 @@
     } -> std::same_as<std::size_t>;
 };
 
-// The candidate with the most credit.
+// Whether the first has more credit left or, with equal credit, less ahead.
+bool
+HasMoreRoom(const relay_candidate& aFirst, const relay_candidate& aSecond);
+
+// The candidate with the most room.
 struct most_credit
 {
   std::size_t Pick(const std::vector<relay_candidate>& aNear);
@@ -109,6 +125,10 @@
 FindCredit(const std::vector<service_credit>& aCredits,
            const service_id& aService);
 
+// Whether a request waits less in the peer's queue than in the own.
+bool
+SavesTurns(const service_credit& aOwn, const relay_candidate& aPeer);
+
 template<relay_choice Choice>
 class basic_router
 {
@@ -124,6 +144,14 @@
   // Counts the hand-over where it chooses one.
   route Choose(const route_request& aRequest, instant aNow);
 
+  // Takes in what a peer had free when it answered a relay.
+  void HearCredits(const instance_id& aPeer,
+                   const std::vector<service_credit>& aCredits,
+                   instant aNow)
+  {
+    mLedger.Hear(aPeer, aCredits, aNow);
+  }
+
 private:
   Choice mChoice;
   relay_ledger mLedger;
@@ -145,14 +173,15 @@
   }
   std::vector<relay_candidate> nearest =
     NearestCandidates(aRequest, mLedger, aNow);
-  bool creditLeft = !nearest.empty() && nearest.front().mLeft > 0;
-  if (hereIsOpen && !creditLeft) {
-    return here;
-  }
   if (nearest.empty()) {
-    return { route_step::Refuse, {}, refusal_reason::NoUpstream };
+    route refused{ route_step::Refuse, {}, refusal_reason::NoUpstream };
+    return hereIsOpen ? here : refused;
+  }
+  const relay_candidate& picked = nearest[mChoice.Pick(nearest)];
+  if (hereIsOpen && picked.mLeft == 0 && !SavesTurns(*own, picked)) {
+    return here;
   }
-  const peer& chosen = *nearest[mChoice.Pick(nearest)].mPeer;
+  const peer& chosen = *picked.mPeer;
   const member& target = chosen.mLast.mSender;
   mLedger.Count(target.mInstance, aRequest.mService, aNow);
   return { route_step::Relay,
--- a/laburnumdyke/testing/bench/steered.cc
+++ b/laburnumdyke/testing/bench/steered.cc
@@ -295,6 +295,8 @@
     return;
   }
   on_end back = [this, aExchange, &home, delay](attempt_end aEnd) {
+    aEnd.mHome = home.mSelf.mInstance;
+    aEnd.mCredits = home.mAdmission.Credits(mWorld.Now());
     bool refused = aEnd.mOutcome == outcome_kind::NotRun;
     mWorld.Figures().mRelaysRefused += refused ? 1 : 0;
     if (!Reaches(home, *aExchange->mEntry)) {
@@ -336,6 +338,7 @@
 {
   entry& self = *aExchange->mEntry;
   instant now = mWorld.Now();
+  self.mRouter.HearCredits(aEnd.mHome, aEnd.mCredits, now);
   bool again = aRelayed && aEnd.mOutcome == outcome_kind::NotRun &&
                !aExchange->mSettled &&
                now < mWorld.Request(aExchange->mRequest).mDeadline;
--- a/laburnumdyke/testing/bench/steered.h
+++ b/laburnumdyke/testing/bench/steered.h
@@ -27,6 +27,9 @@
   {
     outcome_kind mOutcome = outcome_kind::NotRun;
     refusal_reason mReason = refusal_reason::None;
+    // What a relay's answer carries of the instance that ran it.
+    instance_id mHome{};
+    std::vector<service_credit> mCredits{};
   };
 
   using on_end = std::function<void(attempt_end)>;
