--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -1,6 +1,6 @@
 // The pipeline of one request through an entry instance.
 //
-//   identity -> route -> admit -> forward -> settle
+//   limit -> identity -> route -> admit -> forward -> settle
 //
 // Stages call the pure decisions under their table's lock and act on the
 // answers. The transport that carries a request to an upstream or to another
@@ -16,6 +16,7 @@
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/grant_waiters.h"
 #include "laburnumdyke/plugin/http_forward.h"
+#include "laburnumdyke/plugin/instance_entry.h"
 #include "laburnumdyke/plugin/request_facts.h"
 
 #include <atomic>
@@ -101,7 +102,15 @@
     }
     const request_facts& facts = *read.mFacts;
     instant deadline = aExchange.mReceived + facts.mAllowed;
-    forward_result result = co_await Run(aExchange, facts, deadline);
+    instance_entry entry(
+      mTables.Admission(), facts.mRank, HeldBytes(aExchange), Now());
+    forward_result result = NotRun(entry.Reason(), entry.RetryAfter());
+    if (entry.Reason() == refusal_reason::None) {
+      result = co_await Run(aExchange, facts, deadline);
+    } else {
+      mKernel.Counters().Add("instance_refused_total",
+                             ToString(entry.Reason()));
+    }
     if (!result.mBegun) {
       co_await WriteOutcome(mKernel, aExchange, result, "");
     }
@@ -124,11 +133,21 @@
     std::set<instance_id> mTried;
   };
 
+  // What a dispatched request holds until it has ended.
+  struct dispatch_hold
+  {
+    grant mGrant;
+    std::optional<region_permit> mPermit;
+  };
+
   static instant Now() { return std::chrono::steady_clock::now(); }
 
-  static forward_result NotRun(refusal_reason aReason)
+  static forward_result NotRun(refusal_reason aReason,
+                               std::chrono::milliseconds aRetryAfter = {})
   {
-    return { outcome_kind::NotRun, aReason, false, upstream_sign::None };
+    return {
+      outcome_kind::NotRun, aReason, false, upstream_sign::None, aRetryAfter
+    };
   }
 
   asio::awaitable<void> Refuse(http_exchange& aExchange,
@@ -255,7 +274,7 @@
       // Another attempt goes elsewhere; after a failed upstream it may come
       // here again, where admission now prefers another upstream.
       aState.mTried.insert(mTables.Self().mInstance);
-      co_return NotRun(answer.mReason);
+      co_return NotRun(answer.mReason, answer.mRetryAfter);
     }
     if (answer.mStep == admission_step::Queued) {
       std::optional<wait_verdict> verdict =
@@ -286,52 +305,76 @@
                                            const grant& aGrant)
   {
     forward_result result = NotRun(refusal_reason::LeaseLapsed);
-    bool begun = mTables.BeginDispatch(aGrant, aState.mDeadline, Now());
-    if (begun) {
-      forward_request request;
-      request.mTo = aGrant.mAddress;
-      request.mTarget = aState.mFacts.mTarget;
-      AddCommonHeaders(aState, request);
-      if (aState.mFacts.mIdentity) {
-        request.mHeaders.emplace_back(kRequestIdHeader,
-                                      aState.mFacts.mIdentity->Text());
-      }
-      // An idle connection may be closing: what is written to it may or may
-      // not run. Non-idempotent requests pay for a new one instead.
-      request.mReuse = aState.mFacts.mIdempotent;
-      request.mMayBegin = [this, aGrant]() {
-        return mTables.MayDispatch(aGrant.mUpstream, Now());
-      };
-      result =
-        co_await mTransport.Send(aState.mExchange, aState.mPrefix, request);
+    dispatch_hold hold{ aGrant, std::nullopt };
+    if (mTables.BeginDispatch(aGrant, aState.mDeadline, Now())) {
+      hold.mPermit = mTables.AdmitToRegion(
+        aState.mFacts.mService, aGrant.mUpstream, aState.mDeadline, Now());
+      result = NotRun(refusal_reason::RegionOverCap);
+    }
+    if (hold.mPermit) {
+      result = co_await SendToUpstream(aState, hold);
     }
     if (LeavesWorkBehind(result)) {
       asio::co_spawn(aState.mExchange.mStream.get_executor(),
-                     ReleaseLater(aGrant, JudgeAttempt(result)),
+                     ReleaseLater(hold, JudgeAttempt(result)),
                      asio::detached);
     } else {
-      ReleaseSlot(aGrant, JudgeAttempt(result));
+      ReleaseSlot(hold, JudgeAttempt(result));
     }
     co_return result;
   }
 
-  void ReleaseSlot(const grant& aGrant, attempt_result aResult)
+  asio::awaitable<forward_result> SendToUpstream(attempt_state& aState,
+                                                 const dispatch_hold& aHold)
+  {
+    forward_request request;
+    request.mTo = aHold.mGrant.mAddress;
+    request.mTarget = aState.mFacts.mTarget;
+    AddCommonHeaders(aState, request);
+    if (aState.mFacts.mIdentity) {
+      request.mHeaders.emplace_back(kRequestIdHeader,
+                                    aState.mFacts.mIdentity->Text());
+    }
+    // An idle connection may be closing: what is written to it may or may
+    // not run. Non-idempotent requests pay for a new one instead.
+    request.mReuse = aState.mFacts.mIdempotent;
+    request.mMayBegin = [this, aHold]() { return MayBegin(aHold); };
+    co_return co_await mTransport.Send(
+      aState.mExchange, aState.mPrefix, request);
+  }
+
+  // The leases on the slot and on the unit of the region's cap.
+  bool MayBegin(const dispatch_hold& aHold)
   {
-    mTables.EndDispatch(aGrant.mNumber);
+    const upstream_id& lender = aHold.mPermit->mUnit.mUpstream;
+    instant now = Now();
+    return mTables.MayDispatch(aHold.mGrant.mUpstream, now) &&
+           (!aHold.mPermit->mLoan || mTables.MayDispatch(lender, now));
+  }
+
+  // The unit goes back before the slot, so that whoever gets the slot finds
+  // the unit.
+  void ReleaseSlot(const dispatch_hold& aHold, attempt_result aResult)
+  {
+    if (aHold.mPermit) {
+      mTables.ReleaseToRegion(*aHold.mPermit);
+    }
+    mTables.EndDispatch(aHold.mGrant.mNumber);
     admission_changes changes =
       mTables.Admission().With([&](admission& aAdmission) {
-        return aAdmission.Release(aGrant.mNumber, aResult, Now());
+        return aAdmission.Release(aHold.mGrant.mNumber, aResult, Now());
       });
     mTables.Waiters().Deliver(changes);
   }
 
-  asio::awaitable<void> ReleaseLater(grant aGrant, attempt_result aResult)
+  asio::awaitable<void> ReleaseLater(dispatch_hold aHold,
+                                     attempt_result aResult)
   {
     asio::steady_timer timer(co_await asio::this_coro::executor, kCancelSettle);
     error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
-    ReleaseSlot(aGrant, aResult);
+    ReleaseSlot(aHold, aResult);
   }
 
   asio::awaitable<forward_result> SendRelay(attempt_state& aState,
--- a/laburnumdyke/testing/admission_test.cc
+++ b/laburnumdyke/testing/admission_test.cc
@@ -166,7 +166,7 @@
   }
 }
 
-TEST(Admission, DrainingAnswerStopsNewWorkUntilTheRestEnds)
+TEST(Admission, DrainingAnswerStopsNewWorkUntilAReportEndsIt)
 {
   fixture one(MakeDocument(2, 2));
   upstream_id drains = one.Run(attempt_result::Draining);
@@ -178,6 +178,10 @@
   }
   CHECK(others > 900);
   one.mNow = end;
+  for (int i = 0; i < 2; ++i) {
+    CHECK(one.Run(attempt_result::Answered) != drains);
+  }
+  one.mAdmission.Report(drains, 0, one.mNow);
   CHECK(one.Run(attempt_result::Draining) == drains ||
         one.Run(attempt_result::Draining) == drains);
 }
@@ -437,6 +441,19 @@
   LONGS_EQUAL(91U, limit.Requests());
 }
 
+TEST(Admission, InstanceLimitSpreadsThoseItSendsAway)
+{
+  instance_limit limit;
+  std::set<std::chrono::milliseconds> waits;
+  for (int i = 0; i < 100; ++i) {
+    std::chrono::milliseconds wait = limit.RetryAfter();
+    CHECK(wait >= instance_limit::kLeastRetryAfter);
+    CHECK(wait <= instance_limit::kLongestRetryAfter);
+    waits.insert(wait);
+  }
+  CHECK(waits.size() > 50);
+}
+
 TEST(Admission, OptionsAreChecked)
 {
   CHECK(CheckOptions({}).empty());
