Build the state of an invariant on violation alone

Cause: CheckInvariant took a built string, so each grant, release and retry made one or two strings that nobody reads, in every build.

The state may now be a function that is called on violation; callers that build a string pass one. Conditions, names and states are as before.

--- a/laburnumdyke/decision/admission.cc
+++ b/laburnumdyke/decision/admission.cc
@@ -203,10 +203,12 @@
   upstream_use& use = aEntry.second;
   ++use.mInFlight;
   use.mPicked = aNow;
-  std::string state = "upstream=" + aEntry.first.mValue +
-                      " in_flight=" + std::to_string(use.mInFlight) +
-                      " used=" + std::to_string(use.Used(aNow)) +
-                      " slots=" + std::to_string(use.mSpec.mSlots);
+  auto state = [&]() {
+    return "upstream=" + aEntry.first.mValue +
+           " in_flight=" + std::to_string(use.mInFlight) +
+           " used=" + std::to_string(use.Used(aNow)) +
+           " slots=" + std::to_string(use.mSpec.mSlots);
+  };
   CheckInvariant(use.Used(aNow) <= use.mSpec.mSlots, "slots_overshot", state);
   CheckInvariant(use.Serves() &&
                    use.mHealth.State(aNow) != health_state::Draining,
@@ -406,9 +408,9 @@
                                 instant aNow)
 {
   auto found = mInFlight.find(aNumber);
-  CheckInvariant(found != mInFlight.end(),
-                 "released_twice",
-                 "number=" + std::to_string(aNumber));
+  CheckInvariant(found != mInFlight.end(), "released_twice", [&]() {
+    return "number=" + std::to_string(aNumber);
+  });
   dispatched ended = found->second;
   mInFlight.erase(found);
   upstream_use& use = mUpstreams[ended.mUpstream];
--- a/laburnumdyke/decision/block_table.cc
+++ b/laburnumdyke/decision/block_table.cc
@@ -431,9 +431,9 @@
 block_table
 block_table::Build(const block_map& aBlocks)
 {
-  CheckInvariant(aBlocks.size() <= kMostSites,
-                 "block_table_sites",
-                 "sites=" + std::to_string(aBlocks.size()));
+  CheckInvariant(aBlocks.size() <= kMostSites, "block_table_sites", [&]() {
+    return "sites=" + std::to_string(aBlocks.size());
+  });
   block_table built;
   std::vector<domain_id> sites;
   for (const block_map::value_type& domain : aBlocks) {
@@ -522,9 +522,9 @@
         break;
     }
   }
-  CheckInvariant(sites.size() <= kMostSites,
-                 "block_table_sites",
-                 "sites=" + std::to_string(sites.size()));
+  CheckInvariant(sites.size() <= kMostSites, "block_table_sites", [&]() {
+    return "sites=" + std::to_string(sites.size());
+  });
   SortEntries(v4);
   SortEntries(v6);
   SortEntries(v6Long);
--- a/laburnumdyke/decision/dispatch_ledger.cc
+++ b/laburnumdyke/decision/dispatch_ledger.cc
@@ -12,8 +12,9 @@
                        instant aDeadline)
 {
   bool isNew = mEntries.emplace(aNumber, entry{ aUpstream, aDeadline }).second;
-  CheckInvariant(
-    isNew, "dispatched_twice", "number=" + std::to_string(aNumber));
+  CheckInvariant(isNew, "dispatched_twice", [&]() {
+    return "number=" + std::to_string(aNumber);
+  });
   mDeadlines[aUpstream].insert(aDeadline);
 }
 
--- a/laburnumdyke/decision/document_chunks.cc
+++ b/laburnumdyke/decision/document_chunks.cc
@@ -143,8 +143,9 @@
   std::string text;
   for (const std::string& hash : mOrder) {
     auto found = mObjects.find(hash);
-    CheckInvariant(
-      found != mObjects.end(), "document_chunk_missing", "hash=" + hash);
+    CheckInvariant(found != mObjects.end(), "document_chunk_missing", [&]() {
+      return "hash=" + hash;
+    });
     text += *found->second;
   }
   return text;
--- a/laburnumdyke/decision/identity_ledger.cc
+++ b/laburnumdyke/decision/identity_ledger.cc
@@ -147,8 +147,9 @@
   auto found = mEntries.find(aIdentity.mNumber);
   bool running = IsOwn(aIdentity) && found != mEntries.end() &&
                  found->second.mProgress == progress::Running;
-  CheckInvariant(
-    running, "identity_finished_twice", "identity=" + aIdentity.Text());
+  CheckInvariant(running, "identity_finished_twice", [&]() {
+    return "identity=" + aIdentity.Text();
+  });
   switch (aOutcome) {
     case outcome_kind::Answered:
       found->second.mProgress = progress::Answered;
--- a/laburnumdyke/decision/instance_limit.cc
+++ b/laburnumdyke/decision/instance_limit.cc
@@ -43,10 +43,11 @@
 void
 instance_limit::SetLimits(const admission_options& aOptions)
 {
-  CheckInvariant(CheckOptions(aOptions).empty(),
-                 "admission_options_unsound",
-                 "max_requests=" + std::to_string(aOptions.mMaxRequests) +
-                   " max_bytes=" + std::to_string(aOptions.mMaxBytes));
+  CheckInvariant(
+    CheckOptions(aOptions).empty(), "admission_options_unsound", [&]() {
+      return "max_requests=" + std::to_string(aOptions.mMaxRequests) +
+             " max_bytes=" + std::to_string(aOptions.mMaxBytes);
+    });
   mRequests.mLimit = aOptions.mMaxRequests;
   mBytes.mLimit = aOptions.mMaxBytes;
   mRandom.seed(aOptions.mSeed);
@@ -113,12 +114,13 @@
   }
   ++mRequests.mUsed.at(rank);
   mBytes.mUsed.at(rank) += aBytes;
-  CheckInvariant(mRequests.Total() <= mRequests.mLimit,
-                 "instance_over_limit",
-                 "requests=" + std::to_string(mRequests.Total()));
-  CheckInvariant(mBytes.Total() <= mBytes.mLimit,
-                 "instance_over_limit",
-                 "bytes=" + std::to_string(mBytes.Total()));
+  CheckInvariant(
+    mRequests.Total() <= mRequests.mLimit, "instance_over_limit", [&]() {
+      return "requests=" + std::to_string(mRequests.Total());
+    });
+  CheckInvariant(mBytes.Total() <= mBytes.mLimit, "instance_over_limit", [&]() {
+    return "bytes=" + std::to_string(mBytes.Total());
+  });
   return refusal_reason::None;
 }
 
@@ -129,7 +131,7 @@
   CheckInvariant(mRequests.mUsed.at(rank) > 0 &&
                    mBytes.mUsed.at(rank) >= aBytes,
                  "instance_left_twice",
-                 "rank=" + std::string(ToString(aRank)));
+                 [&]() { return "rank=" + std::string(ToString(aRank)); });
   --mRequests.mUsed.at(rank);
   mBytes.mUsed.at(rank) -= aBytes;
 }
--- a/laburnumdyke/decision/link_lender.cc
+++ b/laburnumdyke/decision/link_lender.cc
@@ -89,10 +89,10 @@
   byte_rate rate = std::min(FairShare(aDemand), mLendable - others);
   asking.mGrants.push_back({ rate, aNow + kRateLife });
   byte_rate lent = Lent(aNow);
-  CheckInvariant(lent <= mLendable,
-                 "link_rate_lent_twice",
-                 "lent=" + std::to_string(lent) +
-                   " lendable=" + std::to_string(mLendable));
+  CheckInvariant(lent <= mLendable, "link_rate_lent_twice", [&]() {
+    return "lent=" + std::to_string(lent) +
+           " lendable=" + std::to_string(mLendable);
+  });
   return { rate, kRateLife - kRateMargin };
 }
 
--- a/laburnumdyke/decision/rank_buckets.cc
+++ b/laburnumdyke/decision/rank_buckets.cc
@@ -110,10 +110,11 @@
   floor -= fromFloor;
   mRestTokens -= granted - fromFloor;
   mTaken += granted;
-  CheckInvariant(mTaken <= mAllowed + kRounding,
-                 "link_over_budget",
-                 "taken=" + std::to_string(mTaken) + " allowed=" +
-                   std::to_string(mAllowed) + " rate=" + std::to_string(mRate));
+  CheckInvariant(mTaken <= mAllowed + kRounding, "link_over_budget", [&]() {
+    return "taken=" + std::to_string(mTaken) +
+           " allowed=" + std::to_string(mAllowed) +
+           " rate=" + std::to_string(mRate);
+  });
   link_answer answer{ static_cast<std::uint64_t>(granted), {} };
   if (granted < wanted) {
     answer.mAskAgain = WaitFor(aRank, std::min(wanted - granted, kLeastBytes));
--- a/laburnumdyke/decision/rank_share.cc
+++ b/laburnumdyke/decision/rank_share.cc
@@ -115,9 +115,9 @@
 void
 rank_share::Return(work_rank aRank, instant aNow)
 {
-  CheckInvariant(Use(aRank).mOccupied > 0,
-                 "rank_share_returned_twice",
-                 "rank=" + std::string(ToString(aRank)));
+  CheckInvariant(Use(aRank).mOccupied > 0, "rank_share_returned_twice", [&]() {
+    return "rank=" + std::string(ToString(aRank));
+  });
   Settle(Use(aRank), aNow);
   --Use(aRank).mOccupied;
 }
--- a/laburnumdyke/decision/region_load.cc
+++ b/laburnumdyke/decision/region_load.cc
@@ -117,7 +117,7 @@
 {
   CheckInvariant(mVersions.empty() || mVersions.rbegin()->first < aVersion,
                  "region_version_back",
-                 "version=" + std::to_string(aVersion));
+                 [&]() { return "version=" + std::to_string(aVersion); });
   mVersions[aVersion] = { std::move(aQuotas), std::move(aDomains), {}, {} };
   mRanks = aRanks;
 }
@@ -243,11 +243,10 @@
   if (!isBestOwn) {
     ++mLent[upstream];
   }
-  CheckInvariant(used <= Quota(upstream),
-                 "region_over_cap",
-                 "upstream=" + upstream.mValue +
-                   " used=" + std::to_string(used) +
-                   " quota=" + std::to_string(Quota(upstream)));
+  CheckInvariant(used <= Quota(upstream), "region_over_cap", [&]() {
+    return "upstream=" + upstream.mValue + " used=" + std::to_string(used) +
+           " quota=" + std::to_string(Quota(upstream));
+  });
   return region_unit{ upstream, !isBestOwn };
 }
 
@@ -255,9 +254,9 @@
 region_load::Release(const region_unit& aUnit)
 {
   auto used = mUsed.find(aUnit.mUpstream);
-  CheckInvariant(used != mUsed.end(),
-                 "region_unit_released_twice",
-                 "upstream=" + aUnit.mUpstream.mValue);
+  CheckInvariant(used != mUsed.end(), "region_unit_released_twice", [&]() {
+    return "upstream=" + aUnit.mUpstream.mValue;
+  });
   if (--used->second == 0) {
     mUsed.erase(used);
   }
--- a/laburnumdyke/decision/retry_budget.cc
+++ b/laburnumdyke/decision/retry_budget.cc
@@ -57,10 +57,10 @@
   }
   ++At(aNow).mRetries;
   step spent = SumOfWindow(aNow);
-  CheckInvariant(spent.mRetries <= budget,
-                 "retry_budget_overspent",
-                 "retries=" + std::to_string(spent.mRetries) +
-                   " budget=" + std::to_string(budget));
+  CheckInvariant(spent.mRetries <= budget, "retry_budget_overspent", [&]() {
+    return "retries=" + std::to_string(spent.mRetries) +
+           " budget=" + std::to_string(budget);
+  });
   return true;
 }
 
--- a/laburnumdyke/decision/shift.cc
+++ b/laburnumdyke/decision/shift.cc
@@ -303,13 +303,16 @@
     std::uint64_t moved = mAnswers.Moved(key, aNow);
     std::uint64_t total =
       std::max(aDecision.mBaseline, mAnswers.Total(key, aNow));
-    CheckInvariant(
-      moved * kWholeTraffic <= aDecision.mShare * total,
-      "shift_over_cap",
-      "service=" + key.mService.mValue + " from=" + key.mFrom.mValue +
-        " to=" + aDecision.mRegion->mValue + " moved=" + std::to_string(moved) +
-        " total=" + std::to_string(total) +
-        " share_bp=" + std::to_string(aDecision.mShare));
+    CheckInvariant(moved * kWholeTraffic <= aDecision.mShare * total,
+                   "shift_over_cap",
+                   [&]() {
+                     return "service=" + key.mService.mValue +
+                            " from=" + key.mFrom.mValue +
+                            " to=" + aDecision.mRegion->mValue +
+                            " moved=" + std::to_string(moved) +
+                            " total=" + std::to_string(total) +
+                            " share_bp=" + std::to_string(aDecision.mShare);
+                   });
   }
 }
 
--- a/laburnumdyke/decision/submission.cc
+++ b/laburnumdyke/decision/submission.cc
@@ -99,9 +99,9 @@
     return Conflict(aState);
   }
   config_row next = aState.Next(mHash, mRequest.mChangeId, mRequest.mSubmitter);
-  CheckInvariant(next.mVersion > version,
-                 "config_version_grows",
-                 "version=" + std::to_string(version));
+  CheckInvariant(next.mVersion > version, "config_version_grows", [&]() {
+    return "version=" + std::to_string(version);
+  });
   mBaseVersion = version;
   mWrite = write_row_action{ aRow.mRevision, EncodeConfigRow(next) };
   return put_object_action{ mHash, mCanonical };
--- a/laburnumdyke/testing/harness/one_kernel.cc
+++ b/laburnumdyke/testing/harness/one_kernel.cc
@@ -63,8 +63,9 @@
       });
     },
     std::chrono::seconds(60));
-  CheckInvariant(
-    home, "test_homes", "instance=" + tables.Self().mInstance.mValue);
+  CheckInvariant(home, "test_homes", [&]() {
+    return "instance=" + tables.Self().mInstance.mValue;
+  });
 }
 
 std::string
