Judge whether a link can carry a body before its deadline

Cause: a relay whose body can't cross its link in time was to be refused early, but link_budget could only hand out bytes one piece at a time.

CanCarry compares the body with the rate that the rank can have until the deadline: all of it, or its floor while a more urgent rank is short. A direction that has just come into use is judged by the domain's rate for two asking periods, since the lender has not heard of it; later by what it has. What is refused counts as wanted, so that a larger rate is asked for.

LinkClaimName is a hash now: the names of two regions with a slash are no name, and a peer would have dropped every heartbeat that reported the claim.

Not covered: several bodies of one rank at the same time are each judged as if alone; those that don't fit wait, and the last are cut.

--- a/laburnumdyke/decision/link_budget.cc
+++ b/laburnumdyke/decision/link_budget.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kNoLinkWait{ 1000 };
+// From the first use of an idle direction to the lender's answer.
+constexpr std::chrono::milliseconds kAnswerTime = 2 * kAskPeriod;
 // What was wanted in the last period, with room to grow.
 constexpr byte_rate kGrowth = 2;
 
@@ -26,6 +28,22 @@
   return mReserve + (aNow < mLentUntil ? mLent : 0);
 }
 
+byte_rate
+link_budget::direction_use::ExpectedRate(instant aNow) const
+{
+  bool unanswered = !mBusySince || aNow - *mBusySince < kAnswerTime;
+  return unanswered ? mDomainRate : Rate(aNow);
+}
+
+void
+link_budget::direction_use::Want(std::uint64_t aBytes, instant aNow)
+{
+  mWanted += aBytes;
+  if (!mBusySince) {
+    mBusySince = aNow;
+  }
+}
+
 // A grant that has ended counts up to its end.
 void
 link_budget::direction_use::Advance(instant aNow)
@@ -58,6 +76,7 @@
       use.mWantedSince = aNow;
       use.mBuckets.SetRate(0, aNow); // starts without tokens
     }
+    use.mDomainRate = rate;
     use.mReserve = ReserveRate(rate);
     use.mLent = std::min(use.mLent, rate);
     use.mBuckets.SetRate(use.Rate(aNow), aNow);
@@ -83,11 +102,38 @@
   use.Advance(aNow);
   link_answer answer = use.mBuckets.Take(aRank, aBytes, aNow);
   // What was not granted is asked for again.
-  use.mWanted +=
-    std::max(answer.mGranted, std::min<std::uint64_t>(aBytes, use.Rate(aNow)));
+  use.Want(
+    std::max(answer.mGranted, std::min<std::uint64_t>(aBytes, use.Rate(aNow))),
+    aNow);
   return answer;
 }
 
+bool
+link_budget::CanCarry(const link_direction& aDirection,
+                      work_rank aRank,
+                      std::uint64_t aBytes,
+                      instant aDeadline,
+                      instant aNow)
+{
+  if (mUnlimited || aDirection.mFrom == aDirection.mTo) {
+    return true;
+  }
+  auto found = mUses.find(aDirection);
+  if (found == mUses.end()) {
+    return false;
+  }
+  direction_use& use = found->second;
+  use.Advance(aNow);
+  double percent = use.mBuckets.MostPercent(aRank, aNow);
+  double rate = static_cast<double>(use.ExpectedRate(aNow)) * percent / 100;
+  double left = Seconds(std::max(aDeadline - aNow, duration(0)));
+  bool can = static_cast<double>(aBytes) <= rate * left;
+  if (!can) {
+    use.Want(std::min<std::uint64_t>(aBytes, use.mDomainRate), aNow);
+  }
+  return can;
+}
+
 rate_ask
 link_budget::Ask(const link_direction& aDirection, instant aNow)
 {
@@ -99,6 +145,9 @@
   double seconds = std::max(0.001, Seconds(aNow - use.mWantedSince));
   byte_rate wanted =
     static_cast<byte_rate>(static_cast<double>(use.mWanted) / seconds);
+  if (use.mWanted == 0) {
+    use.mBusySince.reset();
+  }
   use.mWanted = 0;
   use.mWantedSince = aNow;
   return { wanted * kGrowth };
--- a/laburnumdyke/decision/link_budget.h
+++ b/laburnumdyke/decision/link_budget.h
@@ -5,6 +5,7 @@
 //   budget.Configure(document, region, now);
 //   link_answer answer = budget.Take(direction, rank, bytes, now);
 //   ... send answer.mGranted bytes; ask for the rest after answer.mAskAgain
+//   budget.CanCarry(direction, rank, bytes, deadline, now); // before a relay
 //   rate_ask ask = budget.Ask(direction, now);     // every kAskPeriod
 //   budget.Granted(direction, grant, askedAt, now);    // the lender's answer
 //   // at the lender (link_lender.h):
@@ -21,6 +22,10 @@
 // Ranks: every rank has its floor of the rate; what the floors leave, or don't
 // use, goes to the most urgent rank that wants it.
 //
+// A relay that the link can't carry by its deadline is refused before a byte
+// is sent. A direction that has just come into use is judged by the domain's
+// rate, until the lender has had the time to answer.
+//
 // Invariant: bytes granted never exceed the rate's integral over time.
 #pragma once
 
@@ -48,6 +53,15 @@
                    std::uint64_t aBytes,
                    instant aNow);
 
+  // Whether aBytes could be sent by the deadline if nobody else of the rank
+  // sent any. Counts as wanted what can't be, so that a larger rate is asked
+  // for.
+  bool CanCarry(const link_direction& aDirection,
+                work_rank aRank,
+                std::uint64_t aBytes,
+                instant aDeadline,
+                instant aNow);
+
   // The rate that this instance has wanted since the last asking, with room to
   // grow.
   rate_ask Ask(const link_direction& aDirection, instant aNow);
@@ -67,15 +81,19 @@
 private:
   struct direction_use
   {
+    byte_rate mDomainRate = 0;
     byte_rate mReserve = 0;
     byte_rate mLent = 0;
     instant mLentUntil{};
     instant mAskedAt{}; // of the grant in use
     std::uint64_t mWanted = 0;
     instant mWantedSince{};
+    std::optional<instant> mBusySince; // nothing while idle
     rank_buckets<> mBuckets;
 
     byte_rate Rate(instant aNow) const;
+    byte_rate ExpectedRate(instant aNow) const;
+    void Want(std::uint64_t aBytes, instant aNow);
     void Advance(instant aNow);
   };
 
--- a/laburnumdyke/decision/link_lender.cc
+++ b/laburnumdyke/decision/link_lender.cc
@@ -4,6 +4,7 @@
 // use. Leased rates do neither; docs/DESIGN.md has the figures.
 #include "laburnumdyke/decision/link_lender.h"
 
+#include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/kernel/invariant.h"
 
 #include <algorithm>
@@ -96,10 +97,28 @@
   return { rate, kRateLife - kRateMargin };
 }
 
+// A hash, since two names of regions together may be longer than a name, and
+// heartbeats carry names alone.
 upstream_id
 LinkClaimName(const link_direction& aDirection)
 {
-  return { "link/" + aDirection.mFrom.mValue + "/" + aDirection.mTo.mValue };
+  std::uint64_t hash =
+    RendezvousWeight(aDirection.mFrom.mValue, aDirection.mTo.mValue);
+  return { "link-" + std::to_string(hash) };
+}
+
+std::vector<upstream_id>
+LinkClaimNames(const document& aDocument, const region_id& aRegion)
+{
+  std::vector<upstream_id> names;
+  for (const region_map::value_type& region : aDocument.mRegions) {
+    link_direction direction{ aRegion, region.first };
+    bool isLinked = DomainRate(aDocument, direction).value_or(0) > 0;
+    if (isLinked && region.first != aRegion) {
+      names.push_back(LinkClaimName(direction));
+    }
+  }
+  return names;
 }
 
 // A change of the rate opens the lender anew, so that no grant of the earlier
--- a/laburnumdyke/decision/link_lender.h
+++ b/laburnumdyke/decision/link_lender.h
@@ -68,6 +68,10 @@
 upstream_id
 LinkClaimName(const link_direction& aDirection);
 
+// Of all directions that leave a region.
+std::vector<upstream_id>
+LinkClaimNames(const document& aDocument, const region_id& aRegion);
+
 // The lenders that this instance is.
 class link_lenders
 {
--- a/laburnumdyke/decision/rank_buckets.cc
+++ b/laburnumdyke/decision/rank_buckets.cc
@@ -121,6 +121,15 @@
   return answer;
 }
 
+template<token_order Order>
+std::uint32_t
+rank_buckets<Order>::MostPercent(work_rank aRank, instant aNow) const
+{
+  return mOrder.MayShare(aRank, aNow)
+           ? 100
+           : mFloors.at(static_cast<std::size_t>(aRank));
+}
+
 template class rank_buckets<urgent_first>;
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/rank_buckets.h
+++ b/laburnumdyke/decision/rank_buckets.h
@@ -75,6 +75,10 @@
 
   link_answer Take(work_rank aRank, std::uint64_t aBytes, instant aNow);
 
+  // The part of the rate that the rank can have as things are, in percent: its
+  // floor while a more urgent rank is short, else all that nobody else takes.
+  std::uint32_t MostPercent(work_rank aRank, instant aNow) const;
+
 private:
   void Fill(instant aNow);
   double Depth(std::uint32_t aPercent) const;
--- a/laburnumdyke/testing/link_budget_test.cc
+++ b/laburnumdyke/testing/link_budget_test.cc
@@ -2,6 +2,7 @@
 // of several instances that never exceeds the link.
 #include "laburnumdyke/decision/link_budget.h"
 #include "laburnumdyke/decision/link_lender.h"
+#include "laburnumdyke/kernel/settings.h"
 
 #include <algorithm>
 #include <deque>
@@ -197,6 +198,57 @@
   CHECK(granted <= 2 * ReserveRate(kLink) * buckets::kDepth / 1s);
 }
 
+TEST(LinkBudget, ARelayIsJudgedByWhatTheLinkCarriesUntilItsDeadline)
+{
+  link_budget budget;
+  document document = Document(1);
+  budget.Configure(document, kHere, kNow);
+  auto can = [&](work_rank aRank, std::uint64_t aBytes, instant aNow) {
+    return budget.CanCarry(kDirection, aRank, aBytes, aNow + 2s, aNow);
+  };
+  // Just come into use: the lender has not answered yet.
+  CHECK(can(work_rank::Bulk, 2 * kLink, kNow));
+  CHECK_FALSE(can(work_rank::Bulk, 2 * kLink + 1, kNow));
+  // What was refused is asked for.
+  CHECK(budget.Ask(kDirection, kNow + 500ms).mDemand > kLink);
+  // No lender answered.
+  byte_rate reserve = ReserveRate(kLink);
+  instant later = kNow + 2 * kAskPeriod;
+  CHECK(can(work_rank::Bulk, 2 * reserve, later));
+  CHECK_FALSE(can(work_rank::Bulk, 2 * reserve + 1, later));
+  budget.Granted(kDirection, { 9 * reserve, 1900ms }, later, later);
+  CHECK(can(work_rank::Bulk, 20 * reserve, later));
+  // While urgent work is short the others have their floors: 50, 20 and 10.
+  budget.Take(kDirection, work_rank::Urgent, kLink, later);
+  CHECK(can(work_rank::Urgent, 20 * reserve, later));
+  CHECK_FALSE(can(work_rank::Bulk, 20 * reserve, later));
+  CHECK(can(work_rank::Bulk, 2 * reserve, later));
+  CHECK_FALSE(can(work_rank::Bulk, 2 * reserve + 1, later));
+}
+
+TEST(LinkBudget, OnlyLinkedRegionsAreReached)
+{
+  document document = Document(1);
+  link_budget budget;
+  budget.Configure(document, kHere, kNow);
+  link_direction unlinked{ kHere, { "connacht" } };
+  CHECK_FALSE(budget.CanCarry(unlinked, work_rank::Urgent, 0, kNow + 2s, kNow));
+  CHECK(budget.CanCarry({ kHere, kHere }, work_rank::Bulk, 9, kNow, kNow));
+  document.mLinks.clear();
+  budget.Configure(document, kHere, kNow);
+  CHECK(budget.CanCarry(unlinked, work_rank::Bulk, kLink, kNow, kNow));
+}
+
+TEST(LinkBudget, ClaimsOfLinksAreNamesThatHeartbeatsCarry)
+{
+  std::vector<upstream_id> names = LinkClaimNames(Document(1), kHere);
+  CHECK_EQUAL(1u, names.size());
+  CHECK(names.front() == LinkClaimName(kDirection));
+  CHECK(names.front() != LinkClaimName({ kThere, kHere }));
+  region_id longest{ "a" + std::string(47, 'b') };
+  CHECK(IsName(LinkClaimName({ longest, longest }).mValue));
+}
+
 TEST(LinkBudget, OnlyTheClaimsHolderLends)
 {
   document document = Document(1);
