Hold bodies between regions to the links' budgets

Cause: link_budget and link_lender were written and tested, but no body took of a budget and nobody asked the lender, so link_over_budget never acted.

The sending side spends: the relaying entry for the request's body, the home (or the issuer) for the answer's, where the relay says that it came from another region (Laburnumdyke-Region). Each piece of a body passes a gate in http_forward; link_pacer waits on a timer for the budget. A relay whose link can't carry its body in time, and one whose answer has no link back, is refused before it is sent or run. An answer that is cut says nothing of the upstream's health.

link_rates asks the lender each 0.5 s for the directions that were used since, by POST /v1/link-rate on the relay address; who lends is a claim among the terms asked of home_lease, and is checked at each grant. Without a lender an instance keeps its reserve.

Ruled out: rates in heartbeats, since they would go to every peer each period and be needed by one.

Not covered: headers and refusals are not counted; the size of an answer is not known before it is run.

--- a/laburnumdyke/plugin/caller_http.cc
+++ b/laburnumdyke/plugin/caller_http.cc
@@ -7,8 +7,10 @@
 //   *    /v1/request/S/...                 a request to service S
 //   GET  /v1/objects/HASH                  an object of the document in force
 //                                          (peers alone)
+//   POST /v1/link-rate                     a rate of a link (peers alone)
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/http_server.h"
+#include "laburnumdyke/plugin/link_rates.h"
 #include "laburnumdyke/plugin/lookup.h"
 #include "laburnumdyke/plugin/request_pipeline.h"
 
@@ -97,6 +99,8 @@
                target.substr(0, kObjectPath.size()) == kObjectPath) {
       co_await WriteAnswer(aExchange,
                            AnswerObject(target.substr(kObjectPath.size())));
+    } else if (aFromPeer && target == kLinkRatePath) {
+      co_await LendRate(aExchange);
     } else {
       mKernel.Counters().Add("refused_total", "malformed_request");
       string_answer answer(http::status::not_found, 11);
@@ -115,6 +119,15 @@
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
+  asio::awaitable<void> LendRate(http_exchange& aExchange)
+  {
+    std::optional<std::string> question =
+      co_await ReadBody(aExchange, kLongestRateMessage);
+    string_answer answer =
+      AnswerLinkRate(mTables, question.value_or(""), Now());
+    co_await WriteAnswer(aExchange, std::move(answer));
+  }
+
   // A part of the document in force, for a peer that has lost the platform.
   string_answer AnswerObject(std::string_view aHash)
   {
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A link's claim stands for the right to lend and takes no requests.
+constexpr std::uint32_t kNoSlots = 0;
+
 member
 SelfFrom(const settings& aSettings)
 {
@@ -400,6 +403,35 @@
   });
 }
 
+bool
+entry_tables::CanCarry(const region_id& aTo,
+                       work_rank aRank,
+                       std::uint64_t aBytes,
+                       instant aDeadline,
+                       instant aNow)
+{
+  link_direction direction{ Self().mRegion, aTo };
+  return mLinks.With([&](link_budget& aLinks) {
+    return aLinks.CanCarry(direction, aRank, aBytes, aDeadline, aNow);
+  });
+}
+
+// The lease is checked at the time that the grant is counted from, so a pause
+// between the two locks can't let a grant outlive the next lender's wait.
+std::optional<rate_grant>
+entry_tables::LendLink(const link_direction& aDirection,
+                       const instance_id& aInstance,
+                       byte_rate aDemand,
+                       instant aNow)
+{
+  if (!MayDispatch(LinkClaimName(aDirection), aNow)) {
+    return std::nullopt;
+  }
+  return mLinkLenders.With([&](link_lenders& aLenders) {
+    return aLenders.Lend(aDirection, aInstance, aDemand, aNow);
+  });
+}
+
 void
 entry_tables::RefreshHomes(instant aNow)
 {
@@ -409,19 +441,23 @@
   }
   RefreshBlocks(document);
   RefreshShifts(*document, aNow);
-  domain_id own = Self().mDomain;
+  member self = Self();
   std::map<upstream_id, upstream_terms> terms;
   for (const std::pair<const upstream_id, upstream_spec>& entry :
        document->mUpstreams) {
-    if (entry.second.mDomain == own) {
+    if (entry.second.mDomain == self.mDomain) {
       terms[entry.first] = TermsOf(*document, entry.second);
     }
   }
+  for (const upstream_id& link : LinkClaimNames(*document, self.mRegion)) {
+    terms[link] = { kNoSlots, kRateLife };
+  }
   std::vector<home_claim> claims =
     mMembership.With([&](membership& aMembership) {
       return aMembership.Lease().Claims(terms, aNow);
     });
   RefreshRegionLoad(claims, aNow);
+  RefreshLinks(claims, aNow);
   admission_changes changes = mAdmission.With([&](admission& aAdmission) {
     return aAdmission.Configure(*document, claims, aNow);
   });
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -117,8 +117,21 @@
                        std::uint64_t aBytes,
                        instant aNow);
 
+  // Whether aBytes could be sent to another region by the deadline.
+  bool CanCarry(const region_id& aTo,
+                work_rank aRank,
+                std::uint64_t aBytes,
+                instant aDeadline,
+                instant aNow);
+
+  // Lends a rate of the domain's. Nothing where this instance is not the
+  // lender, by its lease at aNow.
+  std::optional<rate_grant> LendLink(const link_direction& aDirection,
+                                     const instance_id& aInstance,
+                                     byte_rate aDemand,
+                                     instant aNow);
+
   table<link_budget>& Links() { return mLinks; }
-  table<link_lenders>& LinkLenders() { return mLinkLenders; }
 
   // Sets the homes of admission, region load and links from the document and
   // the live view, and wakes whom that gives a slot.
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -116,6 +116,16 @@
   return head;
 }
 
+asio::awaitable<bool>
+PassGate(const body_gate& aGate, std::size_t aBytes)
+{
+  bool open = !aGate || aBytes == 0;
+  if (!open) {
+    open = co_await aGate(aBytes);
+  }
+  co_return open;
+}
+
 // Sends the header, the prefix and what the caller still sends.
 asio::awaitable<error_code>
 SendRequest(http_exchange& aExchange,
@@ -163,6 +173,9 @@
     head.body().data = chunk.data();
     head.body().size = chunk.size() - source.get().body().size;
     head.body().more = !source.is_done();
+    if (!co_await PassGate(aRequest.mRequestGate, head.body().size)) {
+      co_return beast::error::timeout;
+    }
   }
 }
 
@@ -288,8 +301,8 @@
   return head;
 }
 
-// Streams the answer to the caller. True where all of it was passed on.
-asio::awaitable<bool>
+// Streams the answer to the caller. None where all of it was passed on.
+asio::awaitable<refusal_reason>
 StreamAnswer(http_exchange& aExchange,
              const forward_request& aRequest,
              far_side& aFar)
@@ -304,7 +317,7 @@
     serializer,
     asio::redirect_error(asio::use_awaitable, failure));
   if (failure || HasNoBody(aExchange, aFar.mParser->get())) {
-    co_return !failure;
+    co_return failure ? refusal_reason::UpstreamLost : refusal_reason::None;
   }
   while (!serializer.is_done()) {
     if (!aFar.mParser->is_done()) {
@@ -317,7 +330,7 @@
         *aFar.mParser,
         asio::redirect_error(asio::use_awaitable, failure));
       if (failure && failure != http::error::need_buffer) {
-        co_return false;
+        co_return refusal_reason::UpstreamLost;
       }
       head.body().data = chunk.data();
       head.body().size = chunk.size() - aFar.mParser->get().body().size;
@@ -327,16 +340,19 @@
       head.body().size = 0;
       head.body().more = false;
     }
+    if (!co_await PassGate(aRequest.mAnswerGate, head.body().size)) {
+      co_return refusal_reason::LinkOverBudget;
+    }
     aExchange.mStream.expires_at(aRequest.mDeadline);
     co_await http::async_write(
       aExchange.mStream,
       serializer,
       asio::redirect_error(asio::use_awaitable, failure));
     if (failure && failure != http::error::need_buffer) {
-      co_return false;
+      co_return refusal_reason::UpstreamLost;
     }
   }
-  co_return true;
+  co_return refusal_reason::None;
 }
 
 void
@@ -400,6 +416,9 @@
   if (failure) {
     co_return Fail(outcome_kind::NotRun, refusal_reason::UpstreamConnect);
   }
+  if (!co_await PassGate(aRequest.mRequestGate, aPrefix.mBytes.size())) {
+    co_return Fail(outcome_kind::NotRun, refusal_reason::LinkOverBudget);
+  }
   if (aRequest.mMayBegin && !aRequest.mMayBegin()) {
     co_return Fail(outcome_kind::NotRun, refusal_reason::LeaseLapsed);
   }
@@ -434,10 +453,10 @@
     co_return result;
   }
   result.mBegun = true;
-  bool whole = co_await StreamAnswer(aExchange, aRequest, far);
-  if (!whole) {
+  refusal_reason cut = co_await StreamAnswer(aExchange, aRequest, far);
+  if (cut != refusal_reason::None) {
     aExchange.mKeepAlive = false;
-    co_return Fail(outcome_kind::Unknown, refusal_reason::UpstreamLost, true);
+    co_return Fail(outcome_kind::Unknown, cut, true);
   }
   KeepConnection(aPool, aRequest, far);
   co_return result;
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -30,6 +30,9 @@
 
 using header_list = std::vector<std::pair<std::string_view, std::string>>;
 
+// Ends once so many bytes may be sent; false where they may not be in time.
+using body_gate = std::function<asio::awaitable<bool>(std::size_t aBytes)>;
+
 struct forward_request
 {
   endpoint mTo;
@@ -42,6 +45,10 @@
   // Asked once a connection is there, immediately before the first byte is
   // written; false ends the attempt as LeaseLapsed. Empty: always true.
   std::function<bool()> mMayBegin;
+  // Awaited before each piece of a body is sent on; false ends the attempt.
+  // Empty: none is held back.
+  body_gate mRequestGate;
+  body_gate mAnswerGate;
 };
 
 // What an upstream's answer says of the upstream itself.
--- a/laburnumdyke/plugin/request_facts.cc
+++ b/laburnumdyke/plugin/request_facts.cc
@@ -104,6 +104,7 @@
     return Malformed("expected relay headers from an entry instance");
   }
   facts.mOrigin = *origin;
+  facts.mFromRegion.mValue = FromBeast(aHead[ToBeast(kRegionHeader)]);
   return { facts, refusal_reason::None, {} };
 }
 
--- a/laburnumdyke/plugin/request_facts.h
+++ b/laburnumdyke/plugin/request_facts.h
@@ -28,6 +28,7 @@
   std::optional<request_identity> mIdentity;
   request_origin mOrigin = request_origin::Caller;
   std::chrono::milliseconds mStamp{ 0 }; // of the advert a relay relied on
+  region_id mFromRegion; // of the relaying instance; empty: not told
 };
 
 struct facts_result
@@ -38,6 +39,8 @@
 };
 
 inline constexpr std::string_view kRequestPath = "/v1/request/";
+// Between entry instances: the region that the answer's body goes to.
+inline constexpr std::string_view kRegionHeader = "Laburnumdyke-Region";
 
 // aFromPeer: the request came to the relay address, where relay headers count.
 facts_result
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -80,7 +80,8 @@
   // None of these says anything of the upstream.
   if (aResult.mReason == refusal_reason::CallerGone ||
       aResult.mReason == refusal_reason::LeaseLapsed ||
-      aResult.mReason == refusal_reason::RegionOverCap) {
+      aResult.mReason == refusal_reason::RegionOverCap ||
+      aResult.mReason == refusal_reason::LinkOverBudget) {
     return attempt_result::Abandoned;
   }
   switch (aResult.mSign) {
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -17,6 +17,7 @@
 #include "laburnumdyke/plugin/grant_waiters.h"
 #include "laburnumdyke/plugin/http_forward.h"
 #include "laburnumdyke/plugin/instance_entry.h"
+#include "laburnumdyke/plugin/link_pacer.h"
 #include "laburnumdyke/plugin/request_facts.h"
 
 #include <atomic>
@@ -84,6 +85,7 @@
     : mKernel(aKernel)
     , mTransport(aTransport)
     , mTables(aKernel)
+    , mPacer(aKernel, mTables)
   {
   }
 
@@ -123,6 +125,9 @@
   // the request still has its slot there.
   static constexpr std::chrono::milliseconds kCancelSettle{ 250 };
 
+  // An answer whose body is shorter is not worth a refusal.
+  static constexpr std::uint64_t kLeastAnswer = 1400; // bytes
+
   // Keeps what the stages of one request share.
   struct attempt_state
   {
@@ -240,6 +245,10 @@
   asio::awaitable<forward_result> Attempt(attempt_state& aState, bool& aRelayed)
   {
     instant now = Now();
+    if (IsFromAfar(aState.mFacts) &&
+        !mPacer.CanCarry(AnswerLink(aState), kLeastAnswer, now)) {
+      co_return NotRun(refusal_reason::LinkOverBudget);
+    }
     if (aState.mFacts.mOrigin == request_origin::HomeRelay) {
       bool fresh = mTables.IsFresh(aState.mFacts.mStamp, now);
       if (!fresh) {
@@ -381,7 +390,22 @@
                                             const relay_target& aTarget,
                                             std::string aMode)
   {
+    std::optional<peer> target = mTables.FindPeer(aTarget.mInstance, Now());
+    if (!target) {
+      co_return NotRun(refusal_reason::RelayConnect);
+    }
+    link_use link{ target->mLast.mSender.mRegion,
+                   aState.mFacts.mRank,
+                   aState.mDeadline };
+    region_id own = mTables.Self().mRegion;
+    if (!mPacer.CanCarry(link, BodyBytes(aState), Now())) {
+      co_return NotRun(refusal_reason::LinkOverBudget);
+    }
     forward_request request;
+    if (link.mTo != own) {
+      request.mRequestGate = Gate(link);
+    }
+    request.mHeaders.emplace_back(kRegionHeader, own.mValue);
     request.mTo = aTarget.mRelay;
     request.mTarget = std::string(FromBeast(aState.mExchange.Head().target()));
     AddCommonHeaders(aState, request);
@@ -400,6 +424,33 @@
     co_return result;
   }
 
+  // Of the request's body, as far as its length is known.
+  static std::uint64_t BodyBytes(const attempt_state& aState)
+  {
+    std::uint64_t read = aState.mPrefix.mBytes.size();
+    return aState.mPrefix.mComplete
+             ? read
+             : aState.mExchange.mParser.content_length().value_or(read);
+  }
+
+  // Whether the answer's body leaves this region.
+  bool IsFromAfar(const request_facts& aFacts)
+  {
+    return !aFacts.mFromRegion.mValue.empty() &&
+           aFacts.mFromRegion != mTables.Self().mRegion;
+  }
+
+  static link_use AnswerLink(const attempt_state& aState)
+  {
+    return { aState.mFacts.mFromRegion, aState.mFacts.mRank, aState.mDeadline };
+  }
+
+  body_gate Gate(const link_use& aLink)
+  {
+    return
+      [this, aLink](std::size_t aBytes) { return mPacer.Pace(aLink, aBytes); };
+  }
+
   void AddCommonHeaders(const attempt_state& aState, forward_request& aRequest)
   {
     std::chrono::milliseconds left =
@@ -407,6 +458,9 @@
                                                             Now());
     aRequest.mDeadline = aState.mDeadline;
     aRequest.mCancel = aState.mFacts.mIdempotent;
+    if (IsFromAfar(aState.mFacts)) {
+      aRequest.mAnswerGate = Gate(AnswerLink(aState));
+    }
     aRequest.mHeaders.emplace_back(
       kDeadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
     aRequest.mHeaders.emplace_back(kRankHeader, ToString(aState.mFacts.mRank));
@@ -438,6 +492,7 @@
   kernel& mKernel;
   Transport& mTransport;
   entry_tables mTables;
+  link_pacer mPacer;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -3,6 +3,7 @@
 #include "laburnumdyke/plugin/request_pipeline.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/http_call.h"
+#include "laburnumdyke/testing/harness/linked_regions.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
 
 #include <algorithm>
@@ -30,6 +31,12 @@
       mDuring();
     }
     mLastBody = aPrefix.mBytes;
+    mLastHeaders = aRequest.mHeaders;
+    mRequestPaced = static_cast<bool>(aRequest.mRequestGate);
+    mAnswerPaced = static_cast<bool>(aRequest.mAnswerGate);
+    if (aRequest.mAnswerGate) {
+      mGateOpened = co_await aRequest.mAnswerGate(mAnswerBytes);
+    }
     mLastReuse = aRequest.mReuse;
     forward_result result{
       outcome_kind::Answered, refusal_reason::None, true, upstream_sign::None
@@ -50,6 +57,11 @@
   std::function<void()> mDuring; // called by each Send
   int mSends = 0;
   std::string mLastBody;
+  header_list mLastHeaders;
+  bool mRequestPaced = false;
+  bool mAnswerPaced = false;
+  std::size_t mAnswerBytes = 100; // of each answer, where it is paced
+  bool mGateOpened = false;
   bool mLastReuse = false;
 };
 
@@ -58,10 +70,11 @@
 struct pipeline_handler
 {
   request_pipeline<mock_transport>& mPipeline;
+  bool mFromPeer = false;
 
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
-    return mPipeline.Serve(aExchange, false);
+    return mPipeline.Serve(aExchange, mFromPeer);
   }
 };
 
@@ -108,7 +121,7 @@
     mPipeline =
       std::make_unique<request_pipeline<mock_transport>>(*mKernel, mTransport);
     mHandler =
-      std::make_unique<pipeline_handler>(pipeline_handler{ *mPipeline });
+      std::make_unique<pipeline_handler>(pipeline_handler{ *mPipeline, false });
     mServer =
       std::make_unique<http_server<pipeline_handler>>(*mKernel, *mHandler);
     mServer->Listen(mAddress);
@@ -452,3 +465,84 @@
   Tables().ReleaseToRegion(*second);
   CHECK(WaitUntilNothingIsHeld());
 }
+
+TEST(RequestPipeline, ARelayThatTheLinkCantCarryInTimeIsRefusedUnsent)
+{
+  ForceDocument(*mKernel, 2, LinkedDocument(1)); // 125000 bytes a second
+  HearOfHome(*mKernel,
+             "two",
+             "munster-a",
+             "munster",
+             "scan",
+             std::chrono::steady_clock::now());
+  call_request request;
+  request.mTo = mAddress;
+  request.mMethod = http::verb::post;
+  request.mTarget = "/v1/request/scan/x";
+  request.mBody = std::string(400000, 'x'); // the deadline is in 2 s
+  call_result refused = CallNow(request);
+  CHECK_EQUAL(503u, refused.mStatus);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("link_over_budget"), refused.Field(kReasonHeader));
+  CHECK_EQUAL(0, mTransport.mSends);
+  CHECK_EQUAL(1u, mKernel->Counters().Value("link_refused_total", "bulk"));
+  request.mBody = "body";
+  CHECK_EQUAL(std::string("answered"), CallNow(request).Field(kOutcomeHeader));
+  CHECK_EQUAL(1, mTransport.mSends);
+  CHECK(mTransport.mRequestPaced);
+  CHECK_FALSE(mTransport.mAnswerPaced);
+  bool told = std::any_of(
+    mTransport.mLastHeaders.begin(),
+    mTransport.mLastHeaders.end(),
+    [](const std::pair<std::string_view, std::string>& aHeader) {
+      return aHeader.first == kRegionHeader && aHeader.second == "leinster";
+    });
+  CHECK(told);
+}
+
+TEST(RequestPipeline, OnlyAnswersToAnotherRegionTakeOfTheLink)
+{
+  ForceDocument(*mKernel, 2, LinkedDocument(300));
+  mHandler->mFromPeer = true;
+  for (const char* region : { "munster", "leinster", "" }) {
+    call_request request;
+    request.mTo = mAddress;
+    request.mTarget = "/v1/request/report/x";
+    instant now = std::chrono::steady_clock::now();
+    request.mHeaders = {
+      { std::string(kRelayHeader), "home" },
+      { std::string(kStampHeader),
+        std::to_string(Tables().Stamp(now).count()) },
+      { std::string(kRegionHeader), region },
+    };
+    CHECK_EQUAL_TEXT(
+      std::string("answered"), CallNow(request).Field(kOutcomeHeader), region);
+    bool afar = std::string(region) == "munster";
+    CHECK_EQUAL_TEXT(afar, mTransport.mAnswerPaced, region);
+    CHECK_EQUAL_TEXT(
+      100u, mKernel->Counters().Value("link_bytes_total", "bulk"), region);
+  }
+  CHECK(mTransport.mGateOpened);
+  CHECK(WaitUntilNothingIsHeld());
+  CHECK(WaitUntilNoneIsIn());
+}
+
+// Munster is linked, connacht is not: nothing may be sent there.
+TEST(RequestPipeline, AnAnswerThatHasNoLinkIsRefusedBeforeItIsRun)
+{
+  ForceDocument(*mKernel, 2, LinkedDocument(300));
+  mHandler->mFromPeer = true;
+  call_request request;
+  request.mTo = mAddress;
+  request.mTarget = "/v1/request/report/x";
+  instant now = std::chrono::steady_clock::now();
+  request.mHeaders = {
+    { std::string(kRelayHeader), "home" },
+    { std::string(kStampHeader), std::to_string(Tables().Stamp(now).count()) },
+    { std::string(kRegionHeader), "connacht" },
+  };
+  call_result refused = CallNow(request);
+  CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
+  CHECK_EQUAL(std::string("link_over_budget"), refused.Field(kReasonHeader));
+  CHECK_EQUAL(0, mTransport.mSends);
+}
