Test what brief heartbeats leave out; measure homes by size

Cause: of seven faults planted on a scratch copy two went unseen by membership_test and home_lease_test: a brief heartbeat taken that names the predecessor of a process which knows the sender, and holdings left out before they were acknowledged.

--- a/laburnumdyke/testing/membership_bench_main.cc
+++ b/laburnumdyke/testing/membership_bench_main.cc
@@ -2,7 +2,8 @@
 // rest and with every advert changing each period, and routing by most credit
 // against the better of two at random.
 //
-// Usage: membership_bench
+// Usage: membership_bench [--homes]
+//   --homes  leaves heartbeats out
 #include "laburnumdyke/decision/routing.h"
 #include "laburnumdyke/plugin/heartbeat_codec.h"
 
@@ -14,7 +15,7 @@
 
 namespace {
 
-constexpr int kUpstreamsPerMember = 3;
+constexpr std::size_t kUpstreamsPerMember = 3;
 constexpr int kServices = 3;
 
 member
@@ -193,6 +194,50 @@
     core);
 }
 
+// The document's upstreams of all domains, of which the first domain's come
+// first.
+document
+DocumentFor(std::size_t aMembers, std::size_t aDomains)
+{
+  document result;
+  for (int i = 0; i < kServices; ++i) {
+    result.mServices[{ "service-" + std::to_string(i) }] = {};
+  }
+  std::size_t count = aMembers * aDomains * kUpstreamsPerMember;
+  for (std::size_t i = 0; i < count; ++i) {
+    upstream_spec one;
+    one.mService = { "service-" + std::to_string(i % kServices) };
+    one.mDomain = MemberOf(0, i / (aMembers * kUpstreamsPerMember)).mDomain;
+    one.mSlots = 3;
+    one.mConnections = 650;
+    result.mUpstreams[{ "report-" + std::to_string(i) }] = one;
+  }
+  return result;
+}
+
+// What a period costs beside heartbeats and claims: admission is set to the
+// document and to the homes, three for each instance.
+void
+MeasureConfigure(std::size_t aMembers, std::size_t aDomains)
+{
+  document declared = DocumentFor(aMembers, aDomains);
+  std::vector<home_claim> homes;
+  for (std::size_t i = 0; i < kUpstreamsPerMember; ++i) {
+    homes.push_back({ { "report-" + std::to_string(i) }, 0, {} });
+  }
+  admission configured;
+  instant now{ std::chrono::hours(1) };
+  constexpr int kPeriods = 50;
+  duration begun = CpuTime();
+  for (int i = 0; i < kPeriods; ++i) {
+    now += membership::kPeriod;
+    configured.Configure(declared, homes, now);
+  }
+  std::printf("upstreams=%zu configure_us=%.1f\n",
+              declared.mUpstreams.size(),
+              Micros(CpuTime() - begun) / kPeriods);
+}
+
 constexpr std::size_t kRelays = 6;
 constexpr std::uint32_t kPeerSlots = 9;
 
@@ -273,10 +318,8 @@
               share(better));
 }
 
-} // namespace
-
-int
-main()
+void
+MeasureMeshes()
 {
   for (bool busy : { false, true }) {
     for (std::size_t members : { 4, 8, 25, 54 }) {
@@ -286,6 +329,19 @@
       MeasureMesh({ 54, domains, busy });
     }
   }
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  if (argc < 2 || std::string_view(argv[1]) != "--homes") {
+    MeasureMeshes();
+  }
+  for (std::size_t members : { 8, 25, 54 }) {
+    MeasureConfigure(members, 8);
+  }
   for (double load : { 0.5, 0.7, 0.95 }) {
     CompareRouting(load);
   }
--- a/laburnumdyke/testing/membership_test.cc
+++ b/laburnumdyke/testing/membership_test.cc
@@ -226,6 +226,54 @@
   }
 }
 
+TEST(Membership, IgnoresABriefHeartbeatForAnEarlierProcessOfAKnownSender)
+{
+  pair_of_instances pair("d");
+  heartbeat whole = pair.FromNear(); // delivered late, to the replacement
+  pair.Exchange();
+  membership replaced;
+  replaced.Open(MemberAt("far", 6, kFarPort, "d"), {});
+  CHECK(replaced.Hear(whole, pair.mNow));
+  heartbeat brief = pair.FromNear();
+  CHECK(brief.mBriefSender.has_value());
+  CHECK(!replaced.Hear(brief, pair.mNow));
+}
+
+TEST(Membership, TellsHoldingsUntilAcknowledgedAndWorkInFlightOnceItLeaves)
+{
+  pair_of_instances pair("d");
+  std::map<upstream_id, upstream_terms> terms;
+  for (const char* name : { "u1", "u2", "u3", "u4" }) {
+    terms[{ name }] = { 3, milliseconds(1000) };
+  }
+  std::vector<home_claim> homes;
+  for (int i = 0; i < 20 && homes.empty(); ++i) {
+    pair.Exchange();
+    homes = pair.mNear.Lease().Claims(terms, pair.mNow);
+  }
+  CHECK(!homes.empty());
+  for (int lost = 0; lost < 2; ++lost) {
+    heartbeat brief = pair.FromNear();
+    CHECK(brief.mBriefSender.has_value());
+    CHECK(!brief.mLease.mSameHoldings);
+    CHECK_EQUAL(homes.size(), brief.mLease.mReports.size());
+    CHECK(brief.mLease.mReports.front().mHolding);
+  }
+  pair.Exchange();
+  CHECK(pair.mNear.Lease().MayDispatch(homes.front().mUpstream, pair.mNow));
+  CHECK(pair.FromNear().mLease.mSameHoldings);
+  CHECK(pair.FromNear().mLease.mReports.empty());
+  CHECK(pair.mNear.Lease().BeginDispatch(
+    homes.front().mUpstream, 1, pair.mNow + milliseconds(900), pair.mNow));
+  CHECK(pair.FromNear().mLease.mReports.empty());
+  pair.mNear.BeginLeaving(pair.mNow);
+  heartbeat leaving = pair.FromNear();
+  CHECK(leaving.mSender.mLeaving);
+  CHECK_EQUAL(1u, leaving.mLease.mReports.size());
+  CHECK_EQUAL(1u, leaving.mLease.mReports.front().mOccupied);
+  CHECK(!leaving.mLease.mReports.front().mHolding);
+}
+
 TEST(Membership, SendsWholeOnesToTheLatestProcessAtAnAddress)
 {
   pair_of_instances pair("d");
