Test the asking for rates without heartbeats between kernels

Cause: the test of two instances let their heartbeats go over ZeroMQ within one process. The thread sanitizer reported six races within libzmq there, which isn't built with it; no other test sends heartbeats to itself. The asking by hand could also meet the plug-in's own.

The lender is still a kernel of its own that answers on its relay address, by the real client; its heartbeat is given to the borrower by hand, and the borrower has no link_rates plug-in.

Ruled out: a suppression for libzmq, which would hide races of ours that pass through it.

--- a/laburnumdyke/testing/harness/linked_regions.cc
+++ b/laburnumdyke/testing/harness/linked_regions.cc
@@ -62,11 +62,15 @@
 }
 
 void
-HearOfPeer(kernel& aKernel, const std::string& aName, instant aNow)
+HearOfPeer(kernel& aKernel,
+           const std::string& aName,
+           const endpoint& aRelay,
+           instant aNow)
 {
   const settings& settings = aKernel.Settings();
   heartbeat message =
     Heartbeat(aName, settings.mFailureDomain, settings.mRegion);
+  message.mSender.mRelay = aRelay;
   message.mLease.mEligible = true;
   Hear(aKernel, message, aNow);
 }
--- a/laburnumdyke/testing/harness/linked_regions.h
+++ b/laburnumdyke/testing/harness/linked_regions.h
@@ -21,9 +21,13 @@
 OutrankingName(const std::string& aName, const std::string& aKey);
 
 // Gives the kernel a heartbeat of an eligible instance of its own failure
-// domain, or of another domain with free slots for the service.
+// domain with this relay address, or of another domain with free slots for the
+// service.
 void
-HearOfPeer(kernel& aKernel, const std::string& aName, instant aNow);
+HearOfPeer(kernel& aKernel,
+           const std::string& aName,
+           const endpoint& aRelay,
+           instant aNow);
 
 void
 HearOfHome(kernel& aKernel,
