Split the bench's test into loads and faults

Cause: bench_test ran sixteen scenarios in one program, the longest of the tests under the address sanitizer, while ctest runs four programs at a time.

bench_test keeps the scenarios without a fault, bench_fault_test has those with one; a scenario is in one of them by its own fields, so none is left out.

--- a/laburnumdyke/testing/bench/deployment.h
+++ b/laburnumdyke/testing/bench/deployment.h
@@ -61,6 +61,12 @@
   bool mFreeze = false;     // an entry instance stops for kFreeze
   bool mRegionDead = false; // the last region, for good
   bool mRegionCut = false;  // the last region from the others, for kCut
+
+  bool HasFault() const
+  {
+    return mHalfCold || mReportLag > duration::zero() || !mReports || mFreeze ||
+           mRegionDead || mRegionCut;
+  }
 };
 
 // Times from the start of a run. Instances listen first, and a slot counts as
