--- a/laburnumdyke/testing/process_stop_test.cc
+++ b/laburnumdyke/testing/process_stop_test.cc
@@ -20,6 +20,7 @@
 
 TEST_GROUP(ProcessStop){};
 
+// The homes of upstreams move with each stop and start: the slots hold as well.
 TEST(ProcessStop, PlannedStopsUnderLoadCutNothing)
 {
   stop_report report = RunPlannedStops(kStops, 1);
@@ -31,17 +32,8 @@
   CHECK_EQUAL(0, report.mWrong);
   CHECK_EQUAL(0, report.mRunTwice);
   CHECK_EQUAL(0, report.mFalseNotRun);
-  CHECK(report.mAnswered > 0);
-}
-
-// The homes of upstreams move with each stop and start.
-TEST(ProcessStop, PlannedStopsUnderLoadKeepTheSlots)
-{
-  stop_report report = RunPlannedStops(kStops, 1);
-  PrintStops(report);
-  CHECK(report.mStarted);
-  CHECK_EQUAL(kStops, report.mStops);
   CHECK_EQUAL(0, report.mOvershot);
+  CHECK(report.mAnswered > 0);
 }
 
 TEST(ProcessStop, SecondSignalSaysWhatTheStopWaitsFor)
