--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -1,9 +1,9 @@
 // The command-line tool: options, and each command against a mock of HTTP.
 #include "ctl/commands.h"
 #include "laburnumdyke/decision/document_chunks.h"
+#include "laburnumdyke/testing/mock_http.h"
 
 #include <cstdio>
-#include <deque>
 #include <map>
 #include <sstream>
 #include <string>
@@ -36,28 +36,6 @@
   return ParseOptions(static_cast<int>(aWords.size()), arguments.data());
 }
 
-// Answers in the order given, and none when they run out.
-struct mock_http
-{
-  std::deque<std::optional<client_answer>> mAnswers;
-  std::vector<client_request> mRequests;
-
-  asio::awaitable<std::optional<client_answer>> Exchange(
-    client_request aRequest)
-  {
-    mock()
-      .actualCall("Exchange")
-      .withParameter("target", aRequest.mTarget.c_str());
-    mRequests.push_back(std::move(aRequest));
-    if (mAnswers.empty()) {
-      co_return std::nullopt;
-    }
-    std::optional<client_answer> answer = std::move(mAnswers.front());
-    mAnswers.pop_front();
-    co_return answer;
-  }
-};
-
 struct virtual_clock
 {
   instant mNow;
--- a/laburnumdyke/testing/platform_client_test.cc
+++ b/laburnumdyke/testing/platform_client_test.cc
@@ -2,6 +2,7 @@
 // objects are asked for, and how long each exchange may take.
 #include "ctl/wait.h"
 #include "laburnumdyke/plugin/platform_client.h"
+#include "laburnumdyke/testing/mock_http.h"
 
 #include <deque>
 #include <string>
@@ -13,25 +14,6 @@
 
 namespace {
 
-// Answers in the order given, and none when they run out.
-struct mock_http
-{
-  std::deque<std::optional<client_answer>> mAnswers;
-  std::vector<client_request> mRequests;
-
-  asio::awaitable<std::optional<client_answer>> Exchange(
-    client_request aRequest)
-  {
-    mRequests.push_back(std::move(aRequest));
-    if (mAnswers.empty()) {
-      co_return std::nullopt;
-    }
-    std::optional<client_answer> answer = std::move(mAnswers.front());
-    mAnswers.pop_front();
-    co_return answer;
-  }
-};
-
 // Three objects: two chunks and the manifest.
 document_objects
 TwoChunks()
@@ -49,6 +31,15 @@
 {
   mock_http mHttp;
   platform_client<mock_http> mPlatform{ mHttp, { "127.0.0.1", 1 } };
+
+  void setup() override
+  {
+    mock().ignoreOtherCalls();
+  }
+  void teardown() override
+  {
+    mock().clear();
+  }
 };
 
 TEST(PlatformClient, AReadOfTheRowTellsAbsenceFromSilence)
