Keep a change of most blocks from listing every change first

Cause: in a daemon that went from a small document to 1.9 million blocks, the resident memory rose to 368 MB: the difference of the block maps was listed, 72 bytes a block, before it was found too large to apply. It is counted first. The lists of a first reading get their room beforehand instead of growing.

Ruled out: reading by chunk as the cause; document_bench had 106.9 MB at most for a first version, before and after.

--- a/laburnumdyke/decision/block_list.cc
+++ b/laburnumdyke/decision/block_list.cc
@@ -40,7 +40,7 @@
   };
   std::priority_queue<position, std::vector<position>, later> heads;
   for (const block_map::value_type& entry : aBlocks) {
-    const block_list& list = entry.second;
+    const block_list::container& list = entry.second.Items();
     if (!list.empty()) {
       heads.emplace(list.data(), list.data() + list.size());
     }
--- a/laburnumdyke/decision/block_list.h
+++ b/laburnumdyke/decision/block_list.h
@@ -2,6 +2,7 @@
 //
 // Usage:
 //   block_list blocks = { *ParsePrefix("10.0.0.0/8") };
+//   for (const client_prefix& block : blocks.Items()) { ... }
 //   blocks.Edit().push_back(prefix);   // copies what another list shares
 //
 // Copies of a list share its blocks until one of them is edited, so that the
@@ -27,8 +28,6 @@
 {
 public:
   using container = std::vector<client_prefix>;
-  using value_type = client_prefix;
-  using const_iterator = container::const_iterator;
 
   block_list() = default;
   // Implicit, as for other containers.
@@ -41,11 +40,7 @@
   {
   }
 
-  const_iterator begin() const { return Items().begin(); }
-  const_iterator end() const { return Items().end(); }
-  std::size_t size() const { return Items().size(); }
-  bool empty() const { return Items().empty(); }
-  const client_prefix* data() const { return Items().data(); }
+  const container& Items() const;
 
   bool Shares(const block_list& aOther) const
   {
@@ -62,8 +57,6 @@
   }
 
 private:
-  const container& Items() const;
-
   std::shared_ptr<container> mBlocks; // null: none
 };
 
@@ -89,10 +82,10 @@
       continue;
     }
     std::vector<client_prefix> lost;
-    std::set_difference(entry.second.begin(),
-                        entry.second.end(),
-                        other.begin(),
-                        other.end(),
+    std::set_difference(entry.second.Items().begin(),
+                        entry.second.Items().end(),
+                        other.Items().begin(),
+                        other.Items().end(),
                         std::back_inserter(lost));
     for (const client_prefix& block : lost) {
       aVisitor(entry.first, block);
--- a/laburnumdyke/decision/block_table.cc
+++ b/laburnumdyke/decision/block_table.cc
@@ -384,8 +384,8 @@
   std::size_t count = 0;
   for (const block_map::value_type& domain : aBlocks) {
     count += static_cast<std::size_t>(
-      std::count_if(domain.second.begin(),
-                    domain.second.end(),
+      std::count_if(domain.second.Items().begin(),
+                    domain.second.Items().end(),
                     [aKind](const client_prefix& aPrefix) {
                       return KindOf(aPrefix) == aKind;
                     }));
@@ -394,7 +394,7 @@
   entries.reserve(count);
   site_index site = 0;
   for (const block_map::value_type& domain : aBlocks) {
-    for (const client_prefix& prefix : domain.second) {
+    for (const client_prefix& prefix : domain.second.Items()) {
       if (KindOf(prefix) == aKind) {
         entries.push_back(EntryOf<Bits>(prefix, site));
       }
--- a/laburnumdyke/decision/document.cc
+++ b/laburnumdyke/decision/document.cc
@@ -46,7 +46,7 @@
 {
   std::size_t lineStart = aOut.size();
   bool full = true;
-  for (const client_prefix& block : aBlocks) {
+  for (const client_prefix& block : aBlocks.Items()) {
     std::string text = block.Text();
     std::size_t length = aOut.size() - lineStart + 2 + text.size();
     if (!full && length <= kLongestBlockLine) {
--- a/laburnumdyke/decision/document_version.cc
+++ b/laburnumdyke/decision/document_version.cc
@@ -118,12 +118,46 @@
   return true;
 }
 
+// Adds the blocks of each failure domain, at most.
+void
+CountBlocks(std::string_view aText, std::map<domain_id, std::size_t>& aCounts)
+{
+  while (!aText.empty()) {
+    std::size_t end = aText.find('\n');
+    std::string_view line = aText.substr(0, end);
+    std::size_t assign = line.find(kAssign);
+    if (assign != std::string_view::npos) {
+      aCounts[domain_id{ std::string(line.substr(0, assign)) }] +=
+        1 + static_cast<std::size_t>(std::count(line.begin(), line.end(), ','));
+    }
+    aText.remove_prefix(end + 1);
+  }
+}
+
+// Lists with their room beforehand: lists that grow would need the double for a
+// moment.
+prefix_lists
+ReserveBeyond(const segment_map& aSegments, const segment_map& aOther)
+{
+  std::map<domain_id, std::size_t> counts;
+  for (const segment_map::value_type& segment : aSegments) {
+    if (aOther.count(segment.first) == 0) {
+      CountBlocks(segment.second, counts);
+    }
+  }
+  prefix_lists lists;
+  for (const std::map<domain_id, std::size_t>::value_type& entry : counts) {
+    lists[entry.first].reserve(entry.second);
+  }
+  return lists;
+}
+
 // The blocks of the segments that aOther lacks, sorted; nothing where a line
 // is in another form or a block stands twice in a list.
 std::optional<prefix_lists>
 BlocksBeyond(const segment_map& aSegments, const segment_map& aOther)
 {
-  prefix_lists lists;
+  prefix_lists lists = ReserveBeyond(aSegments, aOther);
   for (const segment_map::value_type& segment : aSegments) {
     if (aOther.count(segment.first) == 0 && !TakeLines(segment.second, lists)) {
       return std::nullopt;
@@ -132,7 +166,6 @@
   for (prefix_lists::value_type& entry : lists) {
     std::vector<client_prefix>& list = entry.second;
     std::sort(list.begin(), list.end());
-    list.shrink_to_fit();
     if (std::adjacent_find(list.begin(), list.end()) != list.end()) {
       return std::nullopt;
     }
@@ -175,9 +208,10 @@
       continue;
     }
     std::vector<client_prefix> kept;
-    kept.reserve(list->second.size());
-    std::set_difference(list->second.begin(),
-                        list->second.end(),
+    const block_list::container& blocks = list->second.Items();
+    kept.reserve(blocks.size());
+    std::set_difference(blocks.begin(),
+                        blocks.end(),
                         entry.second.begin(),
                         entry.second.end(),
                         std::back_inserter(kept));
@@ -190,15 +224,17 @@
 {
   for (const block_map::value_type& entry : aFresh) {
     block_list& list = aBlocks[entry.first];
-    if (list.empty()) {
+    const block_list::container& had = list.Items();
+    const block_list::container& fresh = entry.second.Items();
+    if (had.empty()) {
       list = entry.second;
-    } else if (!entry.second.empty()) {
+    } else if (!fresh.empty()) {
       std::vector<client_prefix> merged;
-      merged.reserve(list.size() + entry.second.size());
-      std::merge(list.begin(),
-                 list.end(),
-                 entry.second.begin(),
-                 entry.second.end(),
+      merged.reserve(had.size() + fresh.size());
+      std::merge(had.begin(),
+                 had.end(),
+                 fresh.begin(),
+                 fresh.end(),
                  std::back_inserter(merged));
       list = block_list(std::move(merged));
     }
@@ -210,8 +246,8 @@
 {
   std::size_t count = 0;
   for (const block_map::value_type& entry : aBlocks) {
-    auto range =
-      std::equal_range(entry.second.begin(), entry.second.end(), aBlock);
+    auto range = std::equal_range(
+      entry.second.Items().begin(), entry.second.Items().end(), aBlock);
     count += static_cast<std::size_t>(range.second - range.first);
   }
   return count;
@@ -223,17 +259,17 @@
 {
   std::size_t all = 0;
   for (const block_map::value_type& entry : aBlocks) {
-    all += entry.second.size();
+    all += entry.second.Items().size();
   }
   std::size_t gained = 0;
   for (const block_map::value_type& entry : aFresh) {
-    gained += entry.second.size();
+    gained += entry.second.Items().size();
   }
   if (gained > all / kSearchDivisor) {
     return !RepeatedBlocks(aBlocks).empty();
   }
   for (const block_map::value_type& entry : aFresh) {
-    for (const client_prefix& block : entry.second) {
+    for (const client_prefix& block : entry.second.Items()) {
       if (CountIn(aBlocks, block) != 1) {
         return true;
       }
@@ -292,7 +328,7 @@
   Remove(blocks, *gone);
   Add(blocks, gained);
   std::erase_if(blocks, [](const block_map::value_type& aEntry) {
-    return aEntry.second.empty();
+    return aEntry.second.Items().empty();
   });
   if (blocks.empty() || HasRepeats(blocks, gained)) {
     return std::nullopt;
--- a/laburnumdyke/decision/form_model.cc
+++ b/laburnumdyke/decision/form_model.cc
@@ -116,7 +116,7 @@
 MakeBlocksRow(const block_map::value_type& aEntry)
 {
   form_row row{ aEntry.first.mValue, { std::string() } };
-  for (const client_prefix& prefix : aEntry.second) {
+  for (const client_prefix& prefix : aEntry.second.Items()) {
     row.mValues[0].append(prefix.Text()).append("\n");
   }
   return row;
--- a/laburnumdyke/decision/placement.cc
+++ b/laburnumdyke/decision/placement.cc
@@ -41,6 +41,18 @@
   return group;
 }
 
+// Counted before they are listed: a list of millions takes more memory than
+// the table.
+std::size_t
+CountChanges(const block_map& aFrom, const block_map& aTo)
+{
+  std::size_t count = 0;
+  auto add = [&count](const domain_id&, const client_prefix&) { ++count; };
+  VisitBlocksLost(aFrom, aTo, add);
+  VisitBlocksLost(aTo, aFrom, add);
+  return count;
+}
+
 } // namespace
 
 report_rooms::report_rooms(const placement_view& aView,
@@ -116,11 +128,11 @@
   if (aFrom == nullptr) {
     return block_table::Build(aTo.mBlocks);
   }
-  std::vector<block_change> changes = DiffBlocks(aFrom->mBlocks, aTo.mBlocks);
-  if (changes.size() > aTable.Size() / kRebuildDivisor) {
+  std::size_t changes = CountChanges(aFrom->mBlocks, aTo.mBlocks);
+  if (changes > aTable.Size() / kRebuildDivisor) {
     return block_table::Build(aTo.mBlocks);
   }
-  return aTable.With(changes);
+  return aTable.With(DiffBlocks(aFrom->mBlocks, aTo.mBlocks));
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/config_watch.cc
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -176,6 +176,9 @@
       co_return;
     }
     mReadByChunk = read.mByChunk ? aOffer.mContentHash : std::string();
+    if (!read.mByChunk) {
+      mKernel.Counters().Add("document_read_whole_total");
+    }
     PutInForce(aOffer, assembly.Objects(), std::move(*read.mResult.mDocument));
   }
 
--- a/laburnumdyke/plugin/console_part.cc
+++ b/laburnumdyke/plugin/console_part.cc
@@ -10,7 +10,7 @@
 {
   std::size_t count = 0;
   for (const block_map::value_type& entry : aDocument.mBlocks) {
-    count += entry.second.size();
+    count += entry.second.Items().size();
   }
   return count;
 }
--- a/laburnumdyke/testing/document_bench_main.cc
+++ b/laburnumdyke/testing/document_bench_main.cc
@@ -18,8 +18,8 @@
 namespace {
 
 // Bytes on the heap, by what the allocator has handed out.
-std::atomic<std::size_t> sLive{ 0 };
-std::atomic<std::size_t> sPeak{ 0 };
+std::atomic<std::size_t> gLive{ 0 };
+std::atomic<std::size_t> gPeak{ 0 };
 
 } // namespace
 
@@ -30,15 +30,15 @@
   if (memory == nullptr) {
     throw std::bad_alloc();
   }
-  std::size_t live = sLive += malloc_usable_size(memory);
-  sPeak = std::max(sPeak.load(), live);
+  std::size_t live = gLive += malloc_usable_size(memory);
+  gPeak = std::max(gPeak.load(), live);
   return memory;
 }
 
 void
 operator delete(void* aMemory) noexcept
 {
-  sLive -= malloc_usable_size(aMemory);
+  gLive -= malloc_usable_size(aMemory);
   std::free(aMemory);
 }
 
@@ -159,13 +159,13 @@
             std::size_t aBaseline)
 {
   constexpr double kMegabyte = 1e6;
-  sPeak = sLive.load();
+  gPeak = gLive.load();
   clock_type::time_point start = clock_type::now();
   aNode.Take(aObjects);
   cost result;
   result.mMillis = MillisSince(start);
-  result.mPeak = static_cast<double>(sPeak - aBaseline) / kMegabyte;
-  result.mKept = static_cast<double>(sLive - aBaseline) / kMegabyte;
+  result.mPeak = static_cast<double>(gPeak - aBaseline) / kMegabyte;
+  result.mKept = static_cast<double>(gLive - aBaseline) / kMegabyte;
   return result;
 }
 
@@ -199,7 +199,7 @@
   }
   double whole = MeasureWhole(after);
   after = {};
-  std::size_t baseline = sLive;
+  std::size_t baseline = gLive;
   node one;
   cost first = MeasureTake(one, old, baseline);
   cost change = MeasureTake(one, fresh, baseline);
--- a/laburnumdyke/testing/document_test.cc
+++ b/laburnumdyke/testing/document_test.cc
@@ -306,7 +306,8 @@
   document_result result = ParseDocument(Sample());
   CHECK_EQUAL(std::string(), Describe(result));
   CHECK_EQUAL(40u, result.mDocument->mUpstreams.size());
-  CHECK_EQUAL(3u, result.mDocument->mBlocks.at({ "leinster-a" }).size());
+  CHECK_EQUAL(3u,
+              result.mDocument->mBlocks.at({ "leinster-a" }).Items().size());
 }
 
 TEST(Document, CanonicalTextReadsBackAsTheSameDocument)
--- a/laburnumdyke/testing/placement_bench_main.cc
+++ b/laburnumdyke/testing/placement_bench_main.cc
@@ -135,8 +135,9 @@
   std::vector<address_bytes> questions;
   questions.reserve(kLookups / 4);
   while (questions.size() < kLookups / 4) {
-    const block_list& list = *lists.at(aRandom() % lists.size());
-    address_bytes address = list.data()[aRandom() % list.size()].mAddress;
+    const block_list::container& list =
+      lists.at(aRandom() % lists.size())->Items();
+    address_bytes address = list.at(aRandom() % list.size()).mAddress;
     address.at(15) |= static_cast<std::uint8_t>(aRandom());
     questions.push_back(address);
   }
