Carry credits with the answers of relays, and queue lengths in heartbeats

A home's answer to a relay now has the header Laburnumdyke-Credits, written when the answer's header is written; the instance that relayed takes it out and tells the router. Callers don't get it. A brief heartbeat's list of free slots has the waiting requests beside them.

--- a/laburnumdyke/decision/membership.cc
+++ b/laburnumdyke/decision/membership.cc
@@ -23,13 +23,14 @@
 }
 
 std::vector<std::uint32_t>
-FreeOf(const std::vector<service_credit>& aCredits)
+LoadOf(const std::vector<service_credit>& aCredits)
 {
-  std::vector<std::uint32_t> free;
+  std::vector<std::uint32_t> load;
   for (const service_credit& credit : aCredits) {
-    free.push_back(credit.mFree);
+    load.push_back(credit.mFree);
+    load.push_back(credit.mWaiting);
   }
-  return free;
+  return load;
 }
 
 } // namespace
@@ -112,8 +113,8 @@
     return std::nullopt;
   }
   const heartbeat& last = mPeers.at(name->second).mLast;
-  bool fits =
-    aHeartbeat.mFree.empty() || aHeartbeat.mFree.size() == last.mCredits.size();
+  bool fits = aHeartbeat.mLoad.empty() ||
+              aHeartbeat.mLoad.size() == 2 * last.mCredits.size();
   bool isForgotten = last.mSender.mDomain == mSelf.mDomain &&
                      !mLease.Knows(name->second, last.mSender.mIncarnation);
   if (isForgotten || !fits) {
@@ -129,8 +130,9 @@
   }
   if (aHeartbeat.mSameCredits) {
     whole.mCredits = last.mCredits;
-    for (std::size_t i = 0; i < whole.mFree.size(); ++i) {
-      whole.mCredits[i].mFree = whole.mFree[i];
+    for (std::size_t i = 0; i < whole.mLoad.size() / 2; ++i) {
+      whole.mCredits[i].mFree = whole.mLoad[2 * i];
+      whole.mCredits[i].mWaiting = whole.mLoad[2 * i + 1];
     }
   }
   return whole;
@@ -226,8 +228,8 @@
   if (!sameServices) {
     mCreditsFrom = aWhole.mSequence;
   }
-  if (!sameServices || FreeOf(mCredits) != FreeOf(aWhole.mCredits)) {
-    mFreeFrom = aWhole.mSequence;
+  if (!sameServices || LoadOf(mCredits) != LoadOf(aWhole.mCredits)) {
+    mLoadFrom = aWhole.mSequence;
     mCredits = aWhole.mCredits;
   }
 }
@@ -268,8 +270,8 @@
   aBrief.mSameCredits = aAcked >= mCreditsFrom;
   if (!aBrief.mSameCredits) {
     aBrief.mCredits = aWhole.mCredits;
-  } else if (aAcked < mFreeFrom) {
-    aBrief.mFree = FreeOf(aWhole.mCredits);
+  } else if (aAcked < mLoadFrom) {
+    aBrief.mLoad = LoadOf(aWhole.mCredits);
   }
 }
 
--- a/laburnumdyke/decision/membership.h
+++ b/laburnumdyke/decision/membership.h
@@ -69,8 +69,10 @@
   // and which other parts are as acknowledged.
   std::optional<member_key> mBriefSender;
   bool mSameDocument = false;
-  bool mSameCredits = false;        // but for mFree
-  std::vector<std::uint32_t> mFree; // for each credit; empty: as acknowledged
+  bool mSameCredits = false; // but for mLoad
+  // Of each credit the free slots, then the waiting requests; empty: as
+  // acknowledged.
+  std::vector<std::uint32_t> mLoad;
 };
 
 struct addressed_heartbeat
@@ -164,8 +166,8 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mDocumentFrom = 0;
   std::vector<service_credit> mCredits;
-  std::uint64_t mCreditsFrom = 0; // but for the free slots
-  std::uint64_t mFreeFrom = 0;
+  std::uint64_t mCreditsFrom = 0; // but for the load
+  std::uint64_t mLoadFrom = 0;
   bool mAnswerNow = false;
 };
 
--- a/laburnumdyke/plugin/entry_tables.cc
+++ b/laburnumdyke/plugin/entry_tables.cc
@@ -190,8 +190,7 @@
                     const std::set<instance_id>& aTried,
                     instant aNow)
 {
-  std::vector<service_credit> own = mAdmission.With(
-    [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+  std::vector<service_credit> own = Credits(aNow);
   member self = Self();
   std::vector<peer> live = LivePeers(aNow);
   route_request request{ aService, self, own, live, aTried };
@@ -205,6 +204,22 @@
   mRouter.With([&](router& aRouter) { aRouter.NoteRefused(aInstance, aNow); });
 }
 
+void
+entry_tables::HearCredits(const instance_id& aInstance,
+                          const std::vector<service_credit>& aCredits,
+                          instant aNow)
+{
+  mRouter.With(
+    [&](router& aRouter) { aRouter.HearCredits(aInstance, aCredits, aNow); });
+}
+
+std::vector<service_credit>
+entry_tables::Credits(instant aNow)
+{
+  return mAdmission.With(
+    [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+}
+
 bool
 entry_tables::MayDispatch(const upstream_id& aUpstream, instant aNow)
 {
@@ -261,8 +276,7 @@
     mPlacement.With([](placement_state& aState) { return aState.Blocks(); });
   member self = Self();
   std::vector<peer> peers = LivePeers(aNow);
-  std::vector<service_credit> credits = mAdmission.With(
-    [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+  std::vector<service_credit> credits = Credits(aNow);
   placement_view view{ aDocument, blocks, self, peers };
   report_rooms rooms(view, credits, aNow);
   return mShifts.With([&](traffic_shifts& aShifts) {
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -76,6 +76,14 @@
   // No connection to the instance could be made to relay to it.
   void NoteRelayRefused(const instance_id& aInstance, instant aNow);
 
+  // What a peer had free when it answered a relay.
+  void HearCredits(const instance_id& aInstance,
+                   const std::vector<service_credit>& aCredits,
+                   instant aNow);
+
+  // What this instance has free.
+  std::vector<service_credit> Credits(instant aNow);
+
   // The right to dispatch to an upstream, checked immediately before it.
   bool MayDispatch(const upstream_id& aUpstream, instant aNow);
 
--- a/laburnumdyke/plugin/heartbeat_codec.cc
+++ b/laburnumdyke/plugin/heartbeat_codec.cc
@@ -51,7 +51,7 @@
   aResult.mSameCredits = !aMessage.has_credits();
   if (aMessage.has_sender()) {
     return aMessage.sender_key() == 0 && aMessage.has_document() &&
-           aMessage.has_credits() && aMessage.free().empty() &&
+           aMessage.has_credits() && aMessage.load().empty() &&
            !aMessage.lease().same_holdings() &&
            TakeMember(aMessage.sender(), aResult.mSender);
   }
@@ -79,7 +79,7 @@
 {
   const proto::lease_message& lease = aMessage.lease();
   return aMessage.credits().credits_size() <= kMostListed &&
-         aMessage.free_size() <= kMostListed &&
+         aMessage.load_size() <= 2 * kMostListed &&
          aMessage.known_peers_size() <= kMostListed &&
          lease.acks_size() <= kMostListed &&
          lease.asked_size() <= kMostListed &&
@@ -197,6 +197,7 @@
     one->set_service(credit.mService.mValue);
     one->set_slots(credit.mSlots);
     one->set_free(credit.mFree);
+    one->set_waiting(credit.mWaiting);
   }
 }
 
@@ -208,6 +209,7 @@
     service_credit one;
     one.mSlots = credit.slots();
     one.mFree = credit.free();
+    one.mWaiting = credit.waiting();
     if (!TakeName(credit.service(), one.mService.mValue)) {
       return false;
     }
@@ -237,7 +239,7 @@
   if (!aHeartbeat.mSameCredits) {
     AddCredits(aHeartbeat.mCredits, *message.mutable_credits());
   }
-  message.mutable_free()->Add(aHeartbeat.mFree.begin(), aHeartbeat.mFree.end());
+  message.mutable_load()->Add(aHeartbeat.mLoad.begin(), aHeartbeat.mLoad.end());
   for (const endpoint& known : aHeartbeat.mKnownPeers) {
     message.add_known_peers(known.Text());
   }
@@ -262,7 +264,7 @@
     return std::nullopt;
   }
   result.mSequence = message.sequence();
-  result.mFree.assign(message.free().begin(), message.free().end());
+  result.mLoad.assign(message.load().begin(), message.load().end());
   result.mVersion = message.document().version();
   result.mContentHash = message.document().content_hash();
   for (const std::string& known : message.known_peers()) {
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -7,6 +7,8 @@
 // side itself says that it did not run the request.
 #include "laburnumdyke/plugin/http_forward.h"
 
+#include "laburnumdyke/plugin/credit_header.h"
+
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -297,6 +299,10 @@
       head.chunked(true);
     }
   }
+  head.erase(ToBeast(kCreditsHeader));
+  if (aRequest.mCredits) {
+    head.set(ToBeast(kCreditsHeader), aRequest.mCredits());
+  }
   head.keep_alive(aExchange.mKeepAlive);
   return head;
 }
@@ -449,6 +455,7 @@
     co_return Fail(outcome_kind::Unknown, LossReason(failure));
   }
   forward_result result = Classify(far.mParser->get());
+  result.mCredits = FromBeast(far.mParser->get()[ToBeast(kCreditsHeader)]);
   if (result.mOutcome != outcome_kind::Answered) {
     co_return result;
   }
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -39,9 +39,12 @@
   std::string mTarget;  // path and query
   header_list mHeaders; // set on the forwarded request
   header_list mAnswer;  // set on the answer
-  instant mDeadline{};  // for the whole answer
-  bool mReuse = true;   // may use an idle connection
-  bool mCancel = true;  // drop the attempt when the caller is gone
+  // Gives the credits to tell with the answer, when its header is written.
+  // Empty: none are told.
+  std::function<std::string()> mCredits;
+  instant mDeadline{}; // for the whole answer
+  bool mReuse = true;  // may use an idle connection
+  bool mCancel = true; // drop the attempt when the caller is gone
   // Asked once a connection is there, immediately before the first byte is
   // written; false ends the attempt as LeaseLapsed. Empty: always true.
   std::function<bool()> mMayBegin;
@@ -70,6 +73,7 @@
   upstream_sign mSign = upstream_sign::None;
   // Where the request was refused: when to come back; zero where nothing says.
   std::chrono::milliseconds mRetryAfter{ 0 };
+  std::string mCredits; // that the far side told, as in credit_header.h
 };
 
 asio::awaitable<forward_result>
--- a/laburnumdyke/plugin/peer_link.cc
+++ b/laburnumdyke/plugin/peer_link.cc
@@ -160,8 +160,7 @@
       message.mContentHash = aState.ContentHash();
     });
     message.mStamp = mTables.Stamp(aNow);
-    message.mCredits = mTables.Admission().With(
-      [&](admission& aAdmission) { return aAdmission.Credits(aNow); });
+    message.mCredits = mTables.Credits(aNow);
     return message;
   }
 
--- a/laburnumdyke/plugin/request_pipeline.cc
+++ b/laburnumdyke/plugin/request_pipeline.cc
@@ -57,7 +57,8 @@
 WriteOutcome(kernel& aKernel,
              http_exchange& aExchange,
              const forward_result& aResult,
-             std::string_view aMessage)
+             std::string_view aMessage,
+             std::string_view aCredits)
 {
   aKernel.Counters().Add("refused_total", ToString(aResult.mReason));
   string_answer answer(StatusOf(aResult), 11);
@@ -65,6 +66,9 @@
   answer.set(ToBeast(kReasonHeader), ToBeast(ToString(aResult.mReason)));
   answer.set(ToBeast(kInstanceHeader), aKernel.Settings().mInstance);
   answer.set(http::field::content_type, "text/plain");
+  if (!aCredits.empty()) {
+    answer.set(ToBeast(kCreditsHeader), ToBeast(aCredits));
+  }
   if (answer.result() == http::status::service_unavailable) {
     answer.set(http::field::retry_after, RetryAfter(aResult));
   }
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -13,6 +13,7 @@
 #include "laburnumdyke/decision/membership.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
+#include "laburnumdyke/plugin/credit_header.h"
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/grant_waiters.h"
 #include "laburnumdyke/plugin/http_forward.h"
@@ -65,7 +66,8 @@
 WriteOutcome(kernel& aKernel,
              http_exchange& aExchange,
              const forward_result& aResult,
-             std::string_view aMessage);
+             std::string_view aMessage,
+             std::string_view aCredits = {});
 
 attempt_result
 JudgeAttempt(const forward_result& aResult);
@@ -114,7 +116,8 @@
                              ToString(entry.Reason()));
     }
     if (!result.mBegun) {
-      co_await WriteOutcome(mKernel, aExchange, result, "");
+      std::string credits = CreditsFor(facts);
+      co_await WriteOutcome(mKernel, aExchange, result, "", credits);
     }
     Account(aExchange, facts, result);
   }
@@ -415,6 +418,10 @@
     request.mReuse = aState.mFacts.mIdempotent;
     forward_result result =
       co_await mTransport.Send(aState.mExchange, aState.mPrefix, request);
+    if (!result.mCredits.empty()) {
+      mTables.HearCredits(
+        aTarget.mInstance, DecodeCredits(result.mCredits), Now());
+    }
     if (result.mReason == refusal_reason::UpstreamConnect &&
         result.mOutcome == outcome_kind::NotRun) {
       result.mReason = refusal_reason::RelayConnect;
@@ -425,6 +432,14 @@
     co_return result;
   }
 
+  // What is free here, for an instance that relayed; empty for callers.
+  std::string CreditsFor(const request_facts& aFacts)
+  {
+    return aFacts.mOrigin == request_origin::HomeRelay
+             ? EncodeCredits(mTables.Credits(Now()))
+             : std::string();
+  }
+
   // Of the request's body, as far as its length is known.
   static std::uint64_t BodyBytes(const attempt_state& aState)
   {
@@ -465,6 +480,11 @@
     aRequest.mHeaders.emplace_back(
       kDeadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
     aRequest.mHeaders.emplace_back(kRankHeader, ToString(aState.mFacts.mRank));
+    if (aState.mFacts.mOrigin == request_origin::HomeRelay) {
+      aRequest.mCredits = [this, &aState]() {
+        return CreditsFor(aState.mFacts);
+      };
+    }
     aRequest.mAnswer.emplace_back(kOutcomeHeader, "answered");
     aRequest.mAnswer.emplace_back(kInstanceHeader,
                                   mTables.Self().mInstance.mValue);
--- a/laburnumdyke/testing/heartbeat_codec_test.cc
+++ b/laburnumdyke/testing/heartbeat_codec_test.cc
@@ -46,7 +46,7 @@
   sample.mStamp = milliseconds(1234);
   sample.mSameDocument = true;
   sample.mSameCredits = true;
-  sample.mFree = { 4, 0, 300 };
+  sample.mLoad = { 4, 0, 300 };
   sample.mLease.mSameHoldings = true;
   sample.mLease.mAcks = { { 5, 6 } };
   return sample;
@@ -93,7 +93,7 @@
     [](proto::heartbeat& aIt) { aIt.clear_document(); } },
   { "whole without credits",
     [](proto::heartbeat& aIt) { aIt.clear_credits(); } },
-  { "whole with free slots", [](proto::heartbeat& aIt) { aIt.add_free(1); } },
+  { "whole with load", [](proto::heartbeat& aIt) { aIt.add_load(1); } },
   { "whole with the same holdings",
     [](proto::heartbeat& aIt) {
       aIt.mutable_lease()->set_same_holdings(true);
@@ -145,7 +145,7 @@
   CHECK_EQUAL(9u, decoded->mSequence);
   CHECK(decoded->mStamp == milliseconds(1234));
   CHECK(decoded->mSameDocument && decoded->mSameCredits);
-  CHECK(decoded->mFree == Brief().mFree);
+  CHECK(decoded->mLoad == Brief().mLoad);
   CHECK(decoded->mLease.mSameHoldings);
   CHECK_EQUAL(5u, decoded->mLease.mAcks.at(0).mMember);
 }
--- a/laburnumdyke/testing/membership_test.cc
+++ b/laburnumdyke/testing/membership_test.cc
@@ -195,16 +195,17 @@
 {
   pair_of_instances pair("other");
   pair.Exchange();
-  pair.mCredits = { { { "reports" }, 9, 1 } };
-  CHECK_EQUAL(1u, pair.FromNear().mFree.at(0)); // lost
+  pair.mCredits = { { { "reports" }, 9, 1, 5 } };
+  CHECK_EQUAL(1u, pair.FromNear().mLoad.at(0)); // lost
   heartbeat late = pair.FromNear();
-  CHECK_EQUAL(1u, late.mFree.at(0));
+  CHECK_EQUAL(1u, late.mLoad.at(0));
   heartbeat next = pair.FromNear();
   CHECK(pair.mFar.Hear(next, pair.mNow));
   CHECK(!pair.mFar.Hear(late, pair.mNow)); // overtaken
   CHECK_EQUAL(1u, pair.NearAsSeen().mCredits.at(0).mFree);
+  CHECK_EQUAL(5u, pair.NearAsSeen().mCredits.at(0).mWaiting);
   pair.mNear.Hear(pair.FromFar(), pair.mNow);
-  CHECK(pair.FromNear().mFree.empty());
+  CHECK(pair.FromNear().mLoad.empty());
   pair.mCredits = { { { "reports" }, 12, 1 }, { { "search" }, 3, 2 } };
   heartbeat changed = pair.FromNear();
   CHECK(!changed.mSameCredits);
--- a/laburnumdyke/testing/request_pipeline_test.cc
+++ b/laburnumdyke/testing/request_pipeline_test.cc
@@ -31,6 +31,7 @@
       mDuring();
     }
     mLastBody = aPrefix.mBytes;
+    mLastTo = aRequest.mTo;
     mLastHeaders = aRequest.mHeaders;
     mRequestPaced = static_cast<bool>(aRequest.mRequestGate);
     mAnswerPaced = static_cast<bool>(aRequest.mAnswerGate);
@@ -57,6 +58,7 @@
   std::function<void()> mDuring; // called by each Send
   int mSends = 0;
   std::string mLastBody;
+  endpoint mLastTo;
   header_list mLastHeaders;
   bool mRequestPaced = false;
   bool mAnswerPaced = false;
@@ -78,18 +80,18 @@
   }
 };
 
-constexpr forward_result kLost{ outcome_kind::Unknown,
-                                refusal_reason::UpstreamLost,
-                                false,
-                                upstream_sign::None };
-constexpr forward_result kRefused{ outcome_kind::NotRun,
-                                   refusal_reason::UpstreamRefused,
-                                   false,
-                                   upstream_sign::None };
-constexpr forward_result kNoConnection{ outcome_kind::NotRun,
-                                        refusal_reason::UpstreamConnect,
-                                        false,
-                                        upstream_sign::None };
+const forward_result kLost{ outcome_kind::Unknown,
+                            refusal_reason::UpstreamLost,
+                            false,
+                            upstream_sign::None };
+const forward_result kRefused{ outcome_kind::NotRun,
+                               refusal_reason::UpstreamRefused,
+                               false,
+                               upstream_sign::None };
+const forward_result kNoConnection{ outcome_kind::NotRun,
+                                    refusal_reason::UpstreamConnect,
+                                    false,
+                                    upstream_sign::None };
 
 struct pipeline_row
 {
@@ -545,4 +547,29 @@
   CHECK_EQUAL(std::string("not-run"), refused.Field(kOutcomeHeader));
   CHECK_EQUAL(std::string("link_over_budget"), refused.Field(kReasonHeader));
   CHECK_EQUAL(0, mTransport.mSends);
+  CHECK_FALSE(DecodeCredits(refused.Field(kCreditsHeader)).empty());
+}
+
+TEST(RequestPipeline, CreditsOfAnAnswerLeadTheNextRelayElsewhere)
+{
+  ForceDocument(*mKernel, 2, LinkedDocument(300));
+  for (const char* name : { "two", "three" }) {
+    HearOfHome(*mKernel,
+               name,
+               "munster-a",
+               "munster",
+               "scan",
+               std::chrono::steady_clock::now());
+  }
+  forward_result busy{
+    outcome_kind::Answered, refusal_reason::None, true, upstream_sign::None
+  };
+  busy.mCredits = "scan=3/0/50";
+  mTransport.mScript = { busy };
+  CHECK_EQUAL(std::string("answered"), Send("scan", "").Field(kOutcomeHeader));
+  endpoint first = mTransport.mLastTo;
+  call_result next = Send("scan", "");
+  CHECK_EQUAL(std::string("answered"), next.Field(kOutcomeHeader));
+  CHECK_FALSE(mTransport.mLastTo == first);
+  CHECK(next.Field(kCreditsHeader).empty());
 }
