--- /dev/null
+++ b/laburnumdyke/testing/home_lease_cut_test.cc
@@ -0,0 +1,73 @@
+// The lease where instances of a domain are cut off from each other, and in
+// domains so large that not all are vouched for at once.
+#include "laburnumdyke/testing/lease_run.h"
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using std::chrono::milliseconds;
+
+TEST_GROUP(HomeLeaseCut){};
+
+TEST(HomeLeaseCut, OneThirdVouchesForAllWhoAreCutOff)
+{
+  constexpr std::size_t kInstances = 24;
+  lease_cluster cluster(kInstances, 3);
+  cluster.SetFaults(false);
+  cluster.Advance(milliseconds(8000));
+  for (std::size_t other = 2; other < kInstances; ++other) {
+    cluster.Cut(0, other);
+  }
+  for (int elapsed = 0; elapsed < 20000; elapsed += 20) {
+    CHECK_TEXT(cluster.Advance(milliseconds(20)), cluster.Objection().c_str());
+    for (std::size_t i = 0; i < lease_cluster::kUpstreams; ++i) {
+      CHECK(cluster.Holders(i) <= 1);
+    }
+  }
+  cluster.Mend();
+  cluster.Advance(lease_cluster::kRecovery);
+  for (std::size_t i = 0; i < lease_cluster::kUpstreams; ++i) {
+    CHECK_EQUAL(1u, cluster.Holders(i));
+  }
+}
+
+TEST(HomeLeaseCut, RandomisedInADomainTooLargeForAllToBeVouchedForAtOnce)
+{
+  random_run run{ 14, 17 };
+  lease_cluster cluster(run.mInstances, run.mSeed);
+  bool sound = true;
+  for (int i = 0; i < kEpisodes / 4 && sound; ++i) {
+    sound = cluster.Run(4 * kEventsPerEpisode) && cluster.Recover();
+  }
+  Report(cluster, run);
+  CHECK_TEXT(sound, cluster.Objection().c_str());
+}
+
+// Again and again one instance is cut off from all others but one.
+TEST(HomeLeaseCut, RandomisedCutsThatLeaveOneThird)
+{
+  for (const random_run& run :
+       { random_run{ 3, 18 }, random_run{ 7, 22 }, random_run{ 16, 31 } }) {
+    lease_cluster cluster(run.mInstances, run.mSeed);
+    std::mt19937 random(run.mSeed);
+    cluster.SetFaults(false);
+    bool sound = cluster.Advance(milliseconds(8000));
+    for (int i = 0; i < kEpisodes && sound; ++i) {
+      std::size_t victim = random() % run.mInstances;
+      std::size_t third =
+        (victim + 1 + random() % (run.mInstances - 1)) % run.mInstances;
+      for (std::size_t other = 0; other < run.mInstances; ++other) {
+        if (other != victim && other != third) {
+          cluster.Cut(victim, other);
+        }
+      }
+      sound = cluster.Advance(milliseconds(1000 + random() % 8000));
+      cluster.Mend();
+      sound = sound && cluster.Advance(milliseconds(random() % 4000));
+    }
+    Report(cluster, run);
+    CHECK_TEXT(sound, cluster.Objection().c_str());
+  }
+}
