--- a/laburnumdyke/testing/platform_standin_test.cc
+++ b/laburnumdyke/testing/platform_standin_test.cc
@@ -52,7 +52,7 @@
 {
   std::string put = "PUT " + mRow;
   std::string object = "/v1/objects/" + Sha256Hex("abc");
-  std::string longValue(kHeaderLimit, 'x');
+  std::string longValue(kStandinHeaderLimit, 'x');
   std::string instance = "PUT /v1/instances/booking-1";
   CheckRows(
     mPort,
--- a/laburnumdyke/testing/standin/http_exchange.h
+++ b/laburnumdyke/testing/standin/http_exchange.h
@@ -15,7 +15,7 @@
 namespace laburnumdyke {
 
 // Bytes of a request's line and header together.
-inline constexpr std::uint32_t kHeaderLimit = 8192;
+inline constexpr std::uint32_t kStandinHeaderLimit = 8192;
 
 using short_answer =
   boost::beast::http::response<boost::beast::http::string_body>;
--- a/laburnumdyke/testing/standin/upstream_standin.cc
+++ b/laburnumdyke/testing/standin/upstream_standin.cc
@@ -94,7 +94,7 @@
     session(connection_set& aSet, tcp::socket aSocket)
       : mSocket(std::make_shared<tcp::socket>(std::move(aSocket)))
       , mGuard(aSet, *mSocket)
-      , mBuffer(kHeaderLimit + kReadBuffer)
+      , mBuffer(kStandinHeaderLimit + kReadBuffer)
     {
     }
 
@@ -264,7 +264,7 @@
 upstream_standin::server::ServeOne(session& aSession)
 {
   body_parser parser;
-  parser.header_limit(kHeaderLimit);
+  parser.header_limit(kStandinHeaderLimit);
   parser.body_limit(boost::none);
   beast::error_code failure;
   aSession.mGuard.SetIdle(true);
--- a/laburnumdyke/testing/standin/upstream_standin.h
+++ b/laburnumdyke/testing/standin/upstream_standin.h
@@ -30,7 +30,7 @@
 // and upstream_counters for the fields. Control is answered on the main port,
 // and on a port of its own that the connection limit and frozen do not touch.
 //
-// A header over kHeaderLimit gets 431, a malformed request 400; both are
+// A header over kStandinHeaderLimit gets 431, a malformed request 400; both are
 // counted and close the connection.
 #pragma once
 
--- a/laburnumdyke/testing/standin/whole_session.h
+++ b/laburnumdyke/testing/standin/whole_session.h
@@ -48,7 +48,7 @@
 {
   namespace http = boost::beast::http;
   http::request_parser<http::string_body> parser;
-  parser.header_limit(kHeaderLimit);
+  parser.header_limit(kStandinHeaderLimit);
   parser.body_limit(Server::kMaxBody);
   boost::beast::error_code failure;
   aGuard.SetIdle(true);
--- a/laburnumdyke/testing/upstream_standin_test.cc
+++ b/laburnumdyke/testing/upstream_standin_test.cc
@@ -48,7 +48,7 @@
 TEST(UpstreamStandin, AnswersEachRequest)
 {
   Open({});
-  std::string longValue(kHeaderLimit, 'x');
+  std::string longValue(kStandinHeaderLimit, 'x');
   CheckRows(
     mPort,
     {
