Wait in one place, and take the region of a relay from its route

Found by reading the whole change again; no behaviour is meant to change.

- The wait on a timer stood in eleven places of the plug-ins.
It is plugin/sleep.h now; the submission's clock, which had it by that name, calls it as well.
- A relay looked its peer up again, under the membership lock, for the region that routing had at hand: relay_target carries it.
A peer that falls silent between the two is now found out by the connection, as before by the look-up.
- entry_tables kept a method among its data; instance_list compared prefixes by hand; forward_result's new member had no initializer and gave 20 warnings.
- What an upstream gets after it began to leave was counted by three copies in the demo and two process tests; the test harness has it now, with the same 3 s and 4 s.

--- a/laburnumdyke/decision/instance_list.cc
+++ b/laburnumdyke/decision/instance_list.cc
@@ -11,10 +11,7 @@
 {
   std::vector<endpoint> addresses;
   for (const list_entry& entry : aEntries) {
-    bool isEntry =
-      std::string_view(entry.mName).substr(0, kEntryPrefix.size()) ==
-      kEntryPrefix;
-    if (isEntry && !entry.mLeaving) {
+    if (entry.mName.starts_with(kEntryPrefix) && !entry.mLeaving) {
       addresses.push_back(entry.mAddress);
     }
   }
--- a/laburnumdyke/decision/routing.h
+++ b/laburnumdyke/decision/routing.h
@@ -39,6 +39,7 @@
   instance_id mInstance;
   endpoint mRelay;
   std::chrono::milliseconds mStamp{ 0 };
+  region_id mRegion;
 };
 
 enum class route_step
@@ -191,9 +192,11 @@
   const peer& chosen = *picked.mPeer;
   const member& target = chosen.mLast.mSender;
   mLedger.Count(target.mInstance, aRequest.mService, aNow);
-  return { route_step::Relay,
-           { target.mInstance, target.mRelay, chosen.mLast.mStamp },
-           refusal_reason::None };
+  return {
+    route_step::Relay,
+    { target.mInstance, target.mRelay, chosen.mLast.mStamp, target.mRegion },
+    refusal_reason::None
+  };
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/admission_ticker.cc
+++ b/laburnumdyke/plugin/admission_ticker.cc
@@ -2,13 +2,11 @@
 // refused, and upstreams whose rest is over take work again, at most one
 // period late. The timer is the only wake-up; nothing polls a queue.
 #include "laburnumdyke/plugin/entry_tables.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace laburnumdyke {
 
@@ -41,12 +39,8 @@
 private:
   asio::awaitable<void> Tick()
   {
-    asio::steady_timer timer(mStrand);
     while (true) {
-      timer.expires_after(kPeriod);
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await SleepFor(kPeriod);
       mTables.TickAdmission(std::chrono::steady_clock::now());
     }
   }
--- a/laburnumdyke/plugin/config_watch.cc
+++ b/laburnumdyke/plugin/config_watch.cc
@@ -11,11 +11,10 @@
 #include "laburnumdyke/decision/document_version.h"
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/platform_client.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <random>
@@ -71,28 +70,15 @@
   asio::awaitable<void> Pause(std::chrono::milliseconds aPeriod)
   {
     std::uniform_real_distribution<double> jitter(0.8, 1.2);
-    asio::steady_timer timer(
-      mStrand,
-      std::chrono::duration_cast<std::chrono::milliseconds>(aPeriod *
-                                                            jitter(mRandom)));
-    error_code ignored;
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
-  }
-
-  // Until this instance has heard its peers, a platform that lags may be all
-  // it knows of, and what it puts in force first may be old.
-  asio::awaitable<void> ListenFirst()
-  {
-    asio::steady_timer timer(mStrand, kListenFirst);
-    error_code ignored;
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+    co_await SleepFor(std::chrono::duration_cast<std::chrono::milliseconds>(
+      aPeriod * jitter(mRandom)));
   }
 
   asio::awaitable<void> Watch()
   {
-    co_await ListenFirst();
+    // Until this instance has heard its peers, a platform that lags may be all
+    // it knows of, and what it puts in force first may be old.
+    co_await SleepFor(kListenFirst);
     while (true) {
       std::optional<version_offer> offer = co_await AskPlatform();
       std::optional<version_offer> other = BestPeerOffer();
--- a/laburnumdyke/plugin/entry_tables.h
+++ b/laburnumdyke/plugin/entry_tables.h
@@ -154,12 +154,12 @@
   void TickAdmission(instant aNow);
 
 private:
-  kernel& mKernel;
   // Without those whose upstream the platform lists as leaving.
   std::vector<home_claim> OpenToWork(const document& aDocument,
                                      std::vector<home_claim> aClaims,
                                      instant aNow);
 
+  kernel& mKernel;
   table<document_state>& mDocumentState;
   table<instance_list>& mInstanceList;
   table<membership>& mMembership;
--- a/laburnumdyke/plugin/http_forward.h
+++ b/laburnumdyke/plugin/http_forward.h
@@ -73,7 +73,7 @@
   upstream_sign mSign = upstream_sign::None;
   // Where the request was refused: when to come back; zero where nothing says.
   std::chrono::milliseconds mRetryAfter{ 0 };
-  std::string mCredits; // that the far side told, as in credit_header.h
+  std::string mCredits{}; // that the far side told, as in credit_header.h
 };
 
 asio::awaitable<forward_result>
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -14,6 +14,7 @@
 
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/plugin/http_types.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -155,10 +156,7 @@
       co_return;
     }
     mKernel.Counters().Add("accept_failed_total");
-    asio::steady_timer timer(mAcceptor.get_executor(),
-                             std::chrono::milliseconds(100));
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, aFailure));
+    co_await SleepFor(std::chrono::milliseconds(100));
   }
 
   asio::awaitable<void> Serve(std::shared_ptr<tcp_stream> aStream)
--- a/laburnumdyke/plugin/link_pacer.cc
+++ b/laburnumdyke/plugin/link_pacer.cc
@@ -2,12 +2,7 @@
 // the order among ranks is the budget's, so no queue is kept here.
 #include "laburnumdyke/plugin/link_pacer.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
-#include <algorithm>
+#include "laburnumdyke/plugin/sleep.h"
 
 namespace laburnumdyke {
 
@@ -39,10 +34,7 @@
       co_return false;
     }
     mKernel.Counters().Add("link_wait_total", ToString(aUse.mRank));
-    asio::steady_timer timer(co_await asio::this_coro::executor, again);
-    error_code ignored;
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+    co_await SleepUntil(again);
   }
   mKernel.Counters().Add("link_bytes_total", ToString(aUse.mRank), aBytes);
   co_return true;
--- a/laburnumdyke/plugin/link_rates.cc
+++ b/laburnumdyke/plugin/link_rates.cc
@@ -2,10 +2,10 @@
 // that one lender's silence delays no other.
 #include "laburnumdyke/plugin/link_rates.h"
 
+#include "laburnumdyke/plugin/sleep.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 namespace laburnumdyke {
@@ -56,17 +56,13 @@
 private:
   asio::awaitable<void> AskEachPeriod()
   {
-    asio::steady_timer timer(mStrand);
     while (true) {
       std::vector<link_direction> directions = mTables.Links().With(
         [](link_budget& aLinks) { return aLinks.Directions(); });
       for (const link_direction& direction : directions) {
         asio::co_spawn(mStrand, mAsker.Ask(direction), asio::detached);
       }
-      timer.expires_after(kAskPeriod);
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await SleepFor(kAskPeriod);
     }
   }
 
--- a/laburnumdyke/plugin/list_watch.cc
+++ b/laburnumdyke/plugin/list_watch.cc
@@ -6,13 +6,11 @@
 // and every kHintEvery.
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/platform_client.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <optional>
 #include <random>
@@ -59,18 +57,14 @@
 
   asio::awaitable<void> Watch()
   {
-    asio::steady_timer timer(mStrand);
     std::uniform_real_distribution<double> jitter(0.8, 1.0);
     while (true) {
       co_await ReadLeaving();
       if (mKernel.Settings().mUsePlatformList && IsHintDue(Now())) {
         co_await ReadEntries();
       }
-      timer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
+      co_await SleepFor(std::chrono::duration_cast<std::chrono::milliseconds>(
         kPeriod * jitter(mRandom)));
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
     }
   }
 
--- a/laburnumdyke/plugin/load_watch.cc
+++ b/laburnumdyke/plugin/load_watch.cc
@@ -7,11 +7,10 @@
 // to find out.
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/http_client.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/json.hpp>
 
@@ -49,7 +48,6 @@
 private:
   asio::awaitable<void> Watch()
   {
-    asio::steady_timer timer(mStrand);
     while (true) {
       std::vector<upstream_view> upstreams = mTables.Admission().With(
         [](admission& aAdmission) { return aAdmission.Upstreams(); });
@@ -58,10 +56,7 @@
           asio::co_spawn(mStrand, Ask(upstream), asio::detached);
         }
       }
-      timer.expires_after(kPeriod);
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await SleepFor(kPeriod);
     }
   }
 
--- a/laburnumdyke/plugin/peer_link.cc
+++ b/laburnumdyke/plugin/peer_link.cc
@@ -7,12 +7,12 @@
 // lost target can't take is dropped, and the next heartbeat replaces it.
 #include "laburnumdyke/plugin/entry_tables.h"
 #include "laburnumdyke/plugin/heartbeat_codec.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -124,30 +124,22 @@
   // Several at once, so that one lost heartbeat doesn't delay a successor.
   asio::awaitable<void> AnnounceLeaving()
   {
-    asio::steady_timer timer(mStrand);
     for (int i = 0; i < kLeavingHeartbeats; ++i) {
       instant now = Now();
       SendHeartbeats(now);
       mTables.RefreshHomes(now);
-      timer.expires_after(kLeavingGap);
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await SleepFor(kLeavingGap);
     }
   }
 
   asio::awaitable<void> Beat()
   {
-    asio::steady_timer timer(mStrand);
     while (true) {
       instant now = Now();
       SendHeartbeats(now);
       Drain();
       mTables.RefreshHomes(now);
-      timer.expires_after(membership::kPeriod);
-      error_code ignored;
-      co_await timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+      co_await SleepFor(membership::kPeriod);
     }
   }
 
--- a/laburnumdyke/plugin/request_pipeline.h
+++ b/laburnumdyke/plugin/request_pipeline.h
@@ -20,6 +20,7 @@
 #include "laburnumdyke/plugin/instance_entry.h"
 #include "laburnumdyke/plugin/link_pacer.h"
 #include "laburnumdyke/plugin/request_facts.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <atomic>
 #include <optional>
@@ -212,7 +213,8 @@
     }
     relay_target target{ identity.mIssuer,
                          issuer->mLast.mSender.mRelay,
-                         issuer->mLast.mStamp };
+                         issuer->mLast.mStamp,
+                         issuer->mLast.mSender.mRegion };
     co_return co_await SendRelay(aState, target, "issuer");
   }
 
@@ -382,10 +384,7 @@
   asio::awaitable<void> ReleaseLater(dispatch_hold aHold,
                                      attempt_result aResult)
   {
-    asio::steady_timer timer(co_await asio::this_coro::executor, kCancelSettle);
-    error_code ignored;
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+    co_await SleepFor(kCancelSettle);
     ReleaseSlot(aHold, aResult);
   }
 
@@ -393,13 +392,7 @@
                                             const relay_target& aTarget,
                                             std::string aMode)
   {
-    std::optional<peer> target = mTables.FindPeer(aTarget.mInstance, Now());
-    if (!target) {
-      co_return NotRun(refusal_reason::RelayConnect);
-    }
-    link_use link{ target->mLast.mSender.mRegion,
-                   aState.mFacts.mRank,
-                   aState.mDeadline };
+    link_use link{ aTarget.mRegion, aState.mFacts.mRank, aState.mDeadline };
     region_id own = mTables.Self().mRegion;
     if (!mPacer.CanCarry(link, BodyBytes(aState), Now())) {
       co_return NotRun(refusal_reason::LinkOverBudget);
--- a/laburnumdyke/plugin/submission_driver.h
+++ b/laburnumdyke/plugin/submission_driver.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "laburnumdyke/plugin/platform_client.h"
+#include "laburnumdyke/plugin/sleep.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -38,10 +39,7 @@
 
   asio::awaitable<void> SleepUntil(instant aUntil)
   {
-    asio::steady_timer timer(co_await asio::this_coro::executor, aUntil);
-    error_code ignored;
-    co_await timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+    return laburnumdyke::SleepUntil(aUntil);
   }
 };
 
--- a/laburnumdyke/testing/demo_main.cc
+++ b/laburnumdyke/testing/demo_main.cc
@@ -56,8 +56,6 @@
 constexpr std::chrono::seconds kPhase{ 4 };
 constexpr std::chrono::seconds kStartLimit{ 60 };
 constexpr std::chrono::seconds kStopLimit{ 60 };
-// An upstream that leaves gets no new work after this.
-constexpr std::chrono::milliseconds kLeaveLimit{ 3000 };
 
 void
 Plan(deployment& aDeployment)
@@ -170,10 +168,7 @@
 DrainUpstream(deployment& aDeployment, const std::string& aName)
 {
   aDeployment.Submit(2, aDeployment.Document({ aName }));
-  std::this_thread::sleep_for(kLeaveLimit);
-  std::uint64_t before = CountUpstream(aDeployment, aName).mRuns;
-  std::this_thread::sleep_for(kPhase);
-  return CountUpstream(aDeployment, aName).mRuns - before;
+  return WorkAfterLeaveLimit(aDeployment, aName).mRuns;
 }
 
 bool
--- a/laburnumdyke/testing/harness/upstream_count.cc
+++ b/laburnumdyke/testing/harness/upstream_count.cc
@@ -4,6 +4,8 @@
 
 #include "laburnumdyke/testing/harness/http_call.h"
 
+#include <thread>
+
 namespace laburnumdyke {
 
 std::uint64_t
@@ -56,6 +58,18 @@
   return count;
 }
 
+upstream_count
+WorkAfterLeaveLimit(const deployment& aDeployment, const std::string& aName)
+{
+  std::this_thread::sleep_for(kLeaveLimit);
+  upstream_count before = CountUpstream(aDeployment, aName);
+  std::this_thread::sleep_for(kAfterLeaving);
+  upstream_count after = CountUpstream(aDeployment, aName);
+  after.mRuns -= before.mRuns;
+  after.mOfferedDraining -= before.mOfferedDraining;
+  return after;
+}
+
 upstream_count
 CountUpstreams(const deployment& aDeployment)
 {
--- a/laburnumdyke/testing/harness/upstream_count.h
+++ b/laburnumdyke/testing/harness/upstream_count.h
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -34,6 +35,15 @@
 upstream_count
 CountUpstream(const deployment& aDeployment, const std::string& aName);
 
+// An upstream that leaves gets no new work after this.
+inline constexpr std::chrono::seconds kLeaveLimit{ 3 };
+inline constexpr std::chrono::seconds kAfterLeaving{ 4 };
+
+// What happens at an upstream between the leave limit and kAfterLeaving later;
+// blocks until then.
+upstream_count
+WorkAfterLeaveLimit(const deployment& aDeployment, const std::string& aName);
+
 // Summed over every upstream.
 upstream_count
 CountUpstreams(const deployment& aDeployment);
--- a/laburnumdyke/testing/process_fault_test.cc
+++ b/laburnumdyke/testing/process_fault_test.cc
@@ -17,9 +17,6 @@
 constexpr std::chrono::seconds kSettle{ 2 };
 constexpr std::chrono::seconds kFreeze{ 5 };
 constexpr std::chrono::seconds kOutage{ 60 };
-// An upstream that leaves gets no new work after this.
-constexpr std::chrono::seconds kLeaveLimit{ 3 };
-constexpr std::chrono::seconds kAfterLeaving{ 4 };
 
 std::uint64_t
 LostAnswers(const deployment& aDeployment, const std::string& aUpstream)
@@ -29,19 +26,6 @@
     "lost_answers");
 }
 
-// What happens at an upstream between the leave limit and a while after.
-upstream_count
-WorkAfterLeaveLimit(const deployment& aDeployment, const std::string& aName)
-{
-  std::this_thread::sleep_for(kLeaveLimit);
-  upstream_count before = CountUpstream(aDeployment, aName);
-  std::this_thread::sleep_for(kAfterLeaving);
-  upstream_count after = CountUpstream(aDeployment, aName);
-  after.mRuns -= before.mRuns;
-  after.mOfferedDraining -= before.mOfferedDraining;
-  return after;
-}
-
 } // namespace
 
 TEST_GROUP(ProcessFault){};
--- a/laburnumdyke/testing/process_list_test.cc
+++ b/laburnumdyke/testing/process_list_test.cc
@@ -14,9 +14,6 @@
 namespace {
 
 constexpr std::chrono::seconds kSettle{ 2 };
-// An upstream that leaves gets no new work after this.
-constexpr std::chrono::seconds kLeaveLimit{ 3 };
-constexpr std::chrono::seconds kAfterLeaving{ 4 };
 
 unsigned
 ListUpstream(const deployment& aDeployment,
@@ -49,10 +46,7 @@
   std::string name = "job-sheet-leinster-a-1";
   CHECK(CountUpstream(deployed, name).mRuns > 0);
   CHECK_EQUAL(200, ListUpstream(deployed, name, "leaving"));
-  std::this_thread::sleep_for(kLeaveLimit);
-  std::uint64_t before = CountUpstream(deployed, name).mRuns;
-  std::this_thread::sleep_for(kAfterLeaving);
-  std::uint64_t late = CountUpstream(deployed, name).mRuns - before;
+  std::uint64_t late = WorkAfterLeaveLimit(deployed, name).mRuns;
   std::printf("listed as leaving: work begun after 3 s: %llu\n",
               static_cast<unsigned long long>(late));
   CHECK_EQUAL(0, late);
--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -147,7 +147,8 @@
   aFlow.mAttempt = kMostAttempts; // passed on once
   relay_target target{ identity.mIssuer,
                        issuer->mLast.mSender.mRelay,
-                       issuer->mLast.mStamp };
+                       issuer->mLast.mStamp,
+                       issuer->mLast.mSender.mRegion };
   Relay(aId, aFlow, target, soak_origin::IssuerRelay);
 }
 
