--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -144,7 +144,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   ConfigureLogging();
   aSettings.mIncarnation = MakeIncarnation();
-  kernel instance(std::move(aSettings), registry::Records());
+  std::vector<plugin_record> plugins = registry::Records(aSettings.mFront);
+  kernel instance(std::move(aSettings), plugins);
   std::optional<std::string> failure =
     instance.Start(std::chrono::steady_clock::now());
   if (failure) {
--- /dev/null
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -0,0 +1,152 @@
+// Registration says who there may be, heartbeats who there is. Neither alone
+// is enough: rows outlive their instances, and heartbeats find nobody who has
+// not registered.
+#include "laburnumdyke/decision/fleet_view.h"
+
+#include <set>
+
+namespace laburnumdyke {
+
+void
+fleet_view::Put(const fleet_member& aMember)
+{
+  if (aMember.mInstance == mOptions.mSelf.mInstance) {
+    return;
+  }
+  member_state& state = mMembers[aMember.mInstance];
+  if (aMember.mIncarnation > state.mMember.mIncarnation) {
+    state = {};
+    state.mMember = aMember;
+  }
+}
+
+void
+fleet_view::Remove(const instance_id& aInstance)
+{
+  mMembers.erase(aInstance);
+}
+
+void
+fleet_view::Replace(const std::vector<fleet_member>& aMembers)
+{
+  std::set<instance_id> listed;
+  for (const fleet_member& member : aMembers) {
+    listed.insert(member.mInstance);
+    Put(member);
+  }
+  std::erase_if(
+    mMembers, [&](const std::pair<const instance_id, member_state>& aOne) {
+      return listed.count(aOne.first) == 0;
+    });
+}
+
+bool
+fleet_view::Hear(const fleet_beat& aBeat, instant aNow)
+{
+  if (aBeat.mSender.mInstance == mOptions.mSelf.mInstance) {
+    return false;
+  }
+  member_state& state = mMembers[aBeat.mSender.mInstance];
+  if (aBeat.mSender.mIncarnation < state.mMember.mIncarnation) {
+    return false;
+  }
+  state.mMember = aBeat.mSender;
+  state.mHeard = aNow;
+  state.mServing = aBeat.mServing;
+  state.mLeaving = aBeat.mLeaving;
+  state.mControlVersion = aBeat.mControlVersion;
+  return true;
+}
+
+fleet_beat
+fleet_view::Beat() const
+{
+  return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion };
+}
+
+std::optional<fleet_member>
+fleet_view::Ahead(instant aNow) const
+{
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (IsLive(one.second, aNow) &&
+        one.second.mControlVersion > mControlVersion) {
+      return one.second.mMember;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<endpoint>
+fleet_view::Targets() const
+{
+  std::vector<endpoint> targets;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (one.second.mMember.mRegion == mOptions.mSelf.mRegion) {
+      targets.push_back(one.second.mMember.mPeer);
+    }
+  }
+  return targets;
+}
+
+bool
+fleet_view::IsLive(const member_state& aState, instant aNow) const
+{
+  return aState.mHeard && aNow - *aState.mHeard < mOptions.mSilence;
+}
+
+std::vector<endpoint>
+fleet_view::Answer(const domain_id& aDomain,
+                   const region_id& aRegion,
+                   instant aNow) const
+{
+  std::vector<endpoint> near;
+  std::vector<endpoint> far;
+  if (IsServing()) {
+    bool isNear = mOptions.mSelf.mDomain == aDomain;
+    (isNear ? near : far).push_back(mOptions.mSelf.mCaller);
+  }
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const member_state& state = one.second;
+    if (!IsLive(state, aNow) || !state.mServing || state.mLeaving) {
+      continue;
+    }
+    if (state.mMember.mDomain == aDomain) {
+      near.push_back(state.mMember.mCaller);
+    } else if (state.mMember.mRegion == aRegion ||
+               mOptions.mSelf.mRegion != aRegion) {
+      far.push_back(state.mMember.mCaller);
+    }
+  }
+  if (near.size() < mOptions.mEnough) {
+    near.insert(near.end(), far.begin(), far.end());
+  }
+  if (near.size() > mOptions.mMostNames) {
+    near.resize(mOptions.mMostNames);
+  }
+  return near;
+}
+
+std::vector<fleet_place>
+fleet_view::Places() const
+{
+  std::vector<fleet_place> places;
+  places.push_back({ mOptions.mSelf.mInstance, mOptions.mSelf.mRegion });
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    places.push_back({ one.first, one.second.mMember.mRegion });
+  }
+  return places;
+}
+
+std::vector<fleet_member>
+fleet_view::LivePeers(instant aNow) const
+{
+  std::vector<fleet_member> peers;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (IsLive(one.second, aNow) && !one.second.mLeaving) {
+      peers.push_back(one.second.mMember);
+    }
+  }
+  return peers;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/fleet_view.h
@@ -0,0 +1,119 @@
+// The entry instances that this one knows of, and which of them are alive.
+//
+// Usage:
+//   fleet_view fleet(options);
+//   fleet.Replace(rows);                   // who has registered
+//   fleet.Hear(beat, now);                 // who is alive
+//   std::vector<endpoint> names = fleet.Answer(domain, region, now);
+//
+// Instances register themselves on the platform and send heartbeats to those
+// of their own region. Look-up answers name instances that were heard lately
+// and take requests, of the asker's own failure domain as far as there are
+// enough: answers are large, and links between domains scarce.
+#pragma once
+
+#include "laburnumdyke/decision/cold_gate.h"
+#include "laburnumdyke/decision/types.h"
+#include "laburnumdyke/kernel/lock_rank.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace laburnumdyke {
+
+struct fleet_member
+{
+  instance_id mInstance;
+  std::uint64_t mIncarnation = 0;
+  region_id mRegion;
+  domain_id mDomain;
+  endpoint mCaller; // takes requests
+  endpoint mPeer;   // takes heartbeats
+  endpoint mRelay;  // tells peers what is known of the platform
+
+  bool operator==(const fleet_member&) const = default;
+};
+
+struct fleet_beat
+{
+  fleet_member mSender;
+  bool mServing = false; // takes requests
+  bool mLeaving = false;
+  std::uint64_t mControlVersion = 0; // of what the operator asks for
+};
+
+struct fleet_options
+{
+  fleet_member mSelf;
+  // Without a heartbeat for so long a member counts as dead: three in a row.
+  std::chrono::milliseconds mSilence{ 1700 };
+  std::size_t mEnough = 2;     // instances of the own domain in an answer
+  std::size_t mMostNames = 64; // in one answer
+};
+
+class fleet_view
+{
+public:
+  static constexpr lock_rank kLockRank = lock_rank::Membership;
+
+  explicit fleet_view(fleet_options aOptions)
+    : mOptions(std::move(aOptions))
+  {
+  }
+
+  const fleet_member& Self() const { return mOptions.mSelf; }
+
+  // Who has registered, self included or not.
+  void Replace(const std::vector<fleet_member>& aMembers);
+  void Put(const fleet_member& aMember);
+  void Remove(const instance_id& aInstance);
+
+  // False where the beat is of an older incarnation.
+  bool Hear(const fleet_beat& aBeat, instant aNow);
+
+  void SetServing(bool aServing) { mServing = aServing; }
+  void BeginLeaving() { mLeaving = true; }
+  bool IsServing() const { return mServing && !mLeaving; }
+  void SetControlVersion(std::uint64_t aVersion) { mControlVersion = aVersion; }
+  std::uint64_t ControlVersion() const { return mControlVersion; }
+  fleet_beat Beat() const;
+
+  // A live peer that knows a later version of what the operator asks for.
+  std::optional<fleet_member> Ahead(instant aNow) const;
+
+  // To whom heartbeats go.
+  std::vector<endpoint> Targets() const;
+
+  std::vector<endpoint> Answer(const domain_id& aDomain,
+                               const region_id& aRegion,
+                               instant aNow) const;
+
+  // Everyone registered, self included.
+  std::vector<fleet_place> Places() const;
+
+  // Live peers that can tell what is known of the platform.
+  std::vector<fleet_member> LivePeers(instant aNow) const;
+
+private:
+  struct member_state
+  {
+    fleet_member mMember;
+    std::optional<instant> mHeard;
+    bool mServing = false;
+    bool mLeaving = false;
+    std::uint64_t mControlVersion = 0;
+  };
+
+  bool IsLive(const member_state& aState, instant aNow) const;
+
+  fleet_options mOptions;
+  bool mServing = false;
+  bool mLeaving = false;
+  std::uint64_t mControlVersion = 0;
+  std::map<instance_id, member_state> mMembers;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/region_spill.h
@@ -0,0 +1,48 @@
+// Which part of the requests of a service leaves the instance's own region.
+//
+// Load pattern: a region with few upstreams under waves and bursts. Where its
+// own upstreams are full, others help; but the part that leaves may change only
+// slowly, or the load of whole regions swings. Each instance limits its own
+// part alike, so that the sum moves no faster and nobody needs to talk.
+//
+// Usage:
+//   bool outside = spill.Decide(wantsOutside, now);
+#pragma once
+
+#include "laburnumdyke/decision/types.h"
+
+#include <chrono>
+
+namespace laburnumdyke {
+
+struct region_spill_options
+{
+  // Most by which the part may change from one window to the next.
+  double mMostShift = 0.15;
+  std::chrono::milliseconds mWindow{ 2000 };
+};
+
+class region_spill
+{
+public:
+  explicit region_spill(region_spill_options aOptions = {})
+    : mOptions(aOptions)
+  {
+  }
+
+  // Whether the next request leaves the region. aWants: it would be better
+  // served outside.
+  bool Decide(bool aWants, instant aNow);
+
+  double Share() const { return mShare; }
+
+private:
+  region_spill_options mOptions;
+  double mWanted = 0; // part of the requests that would leave
+  double mShare = 0;  // part that leaves
+  double mCredit = 0; // requests that may leave
+  instant mLast{};
+  bool mStarted = false;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/route_table.cc
@@ -0,0 +1,65 @@
+// A host has few routes, so that a scan from the longest prefix on is faster
+// than a trie and allocates nothing.
+#include "laburnumdyke/decision/route_table.h"
+
+#include <algorithm>
+
+namespace laburnumdyke {
+
+namespace {
+
+std::string
+NormalHost(std::string_view aHost)
+{
+  std::size_t colon = aHost.rfind(':');
+  bool isIpv6 = !aHost.empty() && aHost.back() == ']';
+  std::string host(isIpv6 ? aHost : aHost.substr(0, colon));
+  for (char& c : host) {
+    c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  }
+  return host;
+}
+
+} // namespace
+
+route_table::route_table(routing_document aDocument)
+  : mDocument(std::move(aDocument))
+{
+  for (std::size_t i = 0; i < mDocument.mRoutes.size(); ++i) {
+    mByHost[NormalHost(mDocument.mRoutes[i].mHost)].push_back(i);
+  }
+  for (std::pair<const std::string, std::vector<std::size_t>>& host : mByHost) {
+    std::stable_sort(host.second.begin(),
+                     host.second.end(),
+                     [&](std::size_t aFirst, std::size_t aSecond) {
+                       return mDocument.mRoutes[aFirst].mPrefix.size() >
+                              mDocument.mRoutes[aSecond].mPrefix.size();
+                     });
+  }
+}
+
+const route_spec*
+route_table::Find(std::string_view aHost, std::string_view aPath) const
+{
+  auto found = mByHost.find(NormalHost(aHost));
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  for (std::size_t i : found->second) {
+    const route_spec& route = mDocument.mRoutes[i];
+    if (path.substr(0, route.mPrefix.size()) == route.mPrefix) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+service_rules
+route_table::Rules(const service_id& aService) const
+{
+  auto found = mDocument.mServices.find(aService);
+  return found == mDocument.mServices.end() ? service_rules() : found->second;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/route_table.h
@@ -0,0 +1,92 @@
+// Routes by host and path: the part of the configuration that callers see.
+//
+// Usage:
+//   route_table table(std::move(document));
+//   const route_spec* route = table.Find("sheets.example", "/list/7");
+//
+// Among the routes of a host, the one with the longest prefix of the path is
+// taken. A table never changes; a new version makes a new table.
+#pragma once
+
+#include "laburnumdyke/decision/types.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace laburnumdyke {
+
+struct weighted_service
+{
+  service_id mService;
+  std::uint32_t mWeight = 1;
+};
+
+struct route_spec
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPrefix;
+  // The upstream may run a request more than once.
+  bool mIdempotent = false;
+  // An answer within this time is worth the most to the caller.
+  std::chrono::milliseconds mObjective{ 1000 };
+  std::uint32_t mPriority = 0; // 0 is the most urgent
+  bool mAffinity = false;      // an upstream is faster on objects it knows
+  std::vector<weighted_service> mServices;
+  std::chrono::milliseconds mTimeout{ 10000 };
+  std::uint32_t mMostAttempts = 1; // upstreams that may run one request
+  std::vector<region_id> mHomes;   // empty: every region
+};
+
+struct service_rules
+{
+  std::string mHealthPath;
+  std::chrono::milliseconds mColdTime{ 0 };
+  double mColdRate = 0; // requests a second while cold; 0: not limited
+};
+
+// What a caller may send, and how long it may take.
+struct caller_limits
+{
+  std::uint32_t mHeaderBytes = 16 * 1024;
+  std::uint64_t mBodyBytes = 64ULL * 1024 * 1024;
+  std::chrono::milliseconds mHeaderTimeout{ 10000 };
+  std::chrono::milliseconds mIdleTimeout{ 60000 };
+};
+
+struct routing_document
+{
+  std::uint64_t mVersion = 0;
+  caller_limits mLimits;
+  std::vector<route_spec> mRoutes;
+  std::map<service_id, service_rules> mServices;
+};
+
+class route_table
+{
+public:
+  explicit route_table(routing_document aDocument);
+
+  std::uint64_t Version() const { return mDocument.mVersion; }
+  const caller_limits& Limits() const { return mDocument.mLimits; }
+  std::size_t Size() const { return mDocument.mRoutes.size(); }
+
+  // aHost may carry a port and any case; aPath may carry a query. Nothing
+  // where no route matches.
+  const route_spec* Find(std::string_view aHost, std::string_view aPath) const;
+
+  // Defaults for a service that is not declared.
+  service_rules Rules(const service_id& aService) const;
+
+private:
+  routing_document mDocument;
+  // By host, the longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> mByHost;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -0,0 +1,140 @@
+// Removal is the only event that the platform's outages falsify, so it is the
+// only one that is delayed; a draining upstream is believed at once.
+#include "laburnumdyke/decision/upstream_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace laburnumdyke {
+
+namespace {
+
+bool
+IsRestart(const upstream_entry& aOld, const upstream_entry& aNew)
+{
+  bool otherStart = aOld.mBorn != aNew.mBorn;
+  bool otherPlace =
+    aOld.mAddress != aNew.mAddress || aOld.mService != aNew.mService;
+  return otherStart || otherPlace || aNew.mSequence < aOld.mSequence;
+}
+
+} // namespace
+
+std::string_view
+ToString(upstream_change_kind aKind)
+{
+  switch (aKind) {
+    case upstream_change_kind::Joined:
+      return "joined";
+    case upstream_change_kind::Restarted:
+      return "restarted";
+    case upstream_change_kind::Updated:
+      return "updated";
+    case upstream_change_kind::Left:
+      return "left";
+  }
+  return "unknown";
+}
+
+std::vector<upstream_change>
+upstream_directory::Put(upstream_entry aEntry, instant)
+{
+  auto found = mKnown.find(aEntry.mId);
+  if (found == mKnown.end()) {
+    mKnown[aEntry.mId] = { aEntry, false };
+    return { { upstream_change_kind::Joined, std::move(aEntry) } };
+  }
+  known_upstream& known = found->second;
+  upstream_change_kind kind = IsRestart(known.mEntry, aEntry)
+                                ? upstream_change_kind::Restarted
+                                : upstream_change_kind::Updated;
+  bool isNews = known.mMissing || kind == upstream_change_kind::Restarted ||
+                aEntry.mSequence != known.mEntry.mSequence ||
+                aEntry.mDraining != known.mEntry.mDraining;
+  known = { aEntry, false };
+  if (!isNews) {
+    return {};
+  }
+  return { { kind, std::move(aEntry) } };
+}
+
+std::vector<upstream_change>
+upstream_directory::Remove(const upstream_id& aId, instant aNow)
+{
+  auto found = mKnown.find(aId);
+  if (found == mKnown.end()) {
+    return {};
+  }
+  if (mLost || aNow < mGraceUntil) {
+    found->second.mMissing = true;
+    return {};
+  }
+  upstream_change change{ upstream_change_kind::Left,
+                          std::move(found->second.mEntry) };
+  mKnown.erase(found);
+  return { std::move(change) };
+}
+
+std::vector<upstream_change>
+upstream_directory::Replace(std::vector<upstream_entry> aEntries, instant aNow)
+{
+  std::vector<upstream_change> changes;
+  std::set<upstream_id> listed;
+  for (upstream_entry& entry : aEntries) {
+    listed.insert(entry.mId);
+    for (upstream_change& change : Put(std::move(entry), aNow)) {
+      changes.push_back(std::move(change));
+    }
+  }
+  std::vector<upstream_id> unlisted;
+  for (const std::pair<const upstream_id, known_upstream>& known : mKnown) {
+    if (listed.count(known.first) == 0) {
+      unlisted.push_back(known.first);
+    }
+  }
+  for (const upstream_id& id : unlisted) {
+    for (upstream_change& change : Remove(id, aNow)) {
+      changes.push_back(std::move(change));
+    }
+  }
+  return changes;
+}
+
+void
+upstream_directory::PlatformLost(instant aNow)
+{
+  if (!mLost) {
+    mLost = true;
+    mLostSince = aNow;
+  }
+}
+
+void
+upstream_directory::PlatformBack(instant aNow)
+{
+  if (mLost && aNow - mLostSince >= mOptions.mShortOutage) {
+    mGraceUntil = aNow + mOptions.mReturnGrace;
+  }
+  mLost = false;
+}
+
+std::vector<upstream_change>
+upstream_directory::Expire(instant aNow)
+{
+  std::vector<upstream_change> changes;
+  if (mLost || aNow < mGraceUntil) {
+    return changes;
+  }
+  for (auto it = mKnown.begin(); it != mKnown.end();) {
+    if (it->second.mMissing) {
+      changes.push_back(
+        { upstream_change_kind::Left, std::move(it->second.mEntry) });
+      it = mKnown.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return changes;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/watch_state.cc
@@ -0,0 +1,77 @@
+// Changes can be read only on top of the version that they follow, so a peer's
+// copy moves the version on as a reading of our own does.
+#include "laburnumdyke/decision/watch_state.h"
+
+namespace laburnumdyke {
+
+std::optional<std::uint64_t>
+watch_state::After() const
+{
+  return mNeedsWhole ? std::nullopt : std::optional<std::uint64_t>(mVersion);
+}
+
+bool
+watch_state::Take(const reading_head& aHead, instant)
+{
+  if (aHead.mStatus == reading_status::NoAnswer) {
+    mFailures = mFailures < kLostAfter ? mFailures + 1 : mFailures;
+    return false;
+  }
+  mFailures = 0;
+  if (aHead.mStatus == reading_status::HistoryLost) {
+    mNeedsWhole = true;
+    return false;
+  }
+  if (aHead.mVersion < mVersion) {
+    return false;
+  }
+  mVersion = aHead.mVersion;
+  mNeedsWhole = false;
+  return true;
+}
+
+bool
+watch_state::TakeFromPeer(const reading_head& aHead)
+{
+  if (aHead.mStatus != reading_status::Read || aHead.mVersion <= mVersion) {
+    return false;
+  }
+  mVersion = aHead.mVersion;
+  mNeedsWhole = false;
+  return true;
+}
+
+bool
+watch_state::MayAskPeer(instant aNow)
+{
+  if (aNow - mAsked < kAskEvery) {
+    return false;
+  }
+  mAsked = aNow;
+  return true;
+}
+
+std::optional<bool>
+watch_state::TakeTurn()
+{
+  if (IsLost() == mSaidLost) {
+    return std::nullopt;
+  }
+  mSaidLost = IsLost();
+  return mSaidLost;
+}
+
+std::set<domain_id>
+NextEvacuated(const std::set<domain_id>& aBefore,
+              const control_reading& aReading)
+{
+  std::set<domain_id> evacuated =
+    aReading.mHead.mWhole ? std::set<domain_id>() : aBefore;
+  for (const domain_id& domain : aReading.mReturned) {
+    evacuated.erase(domain);
+  }
+  evacuated.insert(aReading.mEvacuated.begin(), aReading.mEvacuated.end());
+  return evacuated;
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/kernel/kernel.h
+++ b/laburnumdyke/kernel/kernel.h
@@ -10,7 +10,7 @@
 //   one.Stop();
 //
 // Plug-ins share state through Table<T>(), which creates the table on first
-// use; T names its lock rank.
+// use, from the settings where T is made of them; T names its lock rank.
 #pragma once
 
 #include "laburnumdyke/kernel/counters.h"
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <type_traits>
 #include <typeindex>
 #include <vector>
 
@@ -60,10 +61,14 @@
   template<shared_state T>
   table<T>& Table()
   {
-    std::shared_ptr<void> found = mTables.With([](table_directory& aDirectory) {
+    std::shared_ptr<void> found = mTables.With([&](table_directory& aDirectory) {
       std::shared_ptr<void>& slot = aDirectory[std::type_index(typeid(T))];
       if (!slot) {
-        slot = std::make_shared<table<T>>();
+        if constexpr (std::is_constructible_v<T, const settings&>) {
+          slot = std::make_shared<table<T>>(mSettings);
+        } else {
+          slot = std::make_shared<table<T>>();
+        }
       }
       return slot;
     });
--- a/laburnumdyke/kernel/registry.cc
+++ b/laburnumdyke/kernel/registry.cc
@@ -24,9 +24,12 @@
 }
 
 std::vector<plugin_record>
-registry::Records()
+registry::Records(front_kind aFront)
 {
   std::vector<plugin_record> records = All();
+  std::erase_if(records, [&](const plugin_record& aRecord) {
+    return aRecord.mFront != aFront;
+  });
   std::sort(records.begin(),
             records.end(),
             [](const plugin_record& aLeft, const plugin_record& aRight) {
--- a/laburnumdyke/kernel/registry.h
+++ b/laburnumdyke/kernel/registry.h
@@ -8,6 +8,8 @@
 // several kernels. plugin_record is the one place where types are erased.
 #pragma once
 
+#include "laburnumdyke/kernel/settings.h"
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -32,7 +34,8 @@
   Operator,
 };
 
-// What a plug-in must have. Start returns why it can't, or nothing. Leave
+// What a plug-in must have. One that serves another front than front_kind::Own
+// says so by kFront. Start returns why it can't, or nothing. Leave
 // begins a planned stop; Waiting names what the stop still waits for, empty
 // when nothing. Stop releases everything and is called by no worker.
 template<class T>
@@ -74,6 +77,7 @@
 {
   std::string_view mName;
   plugin_stage mStage;
+  front_kind mFront;
   std::function<plugin_instance(kernel&)> mMake;
 };
 
@@ -82,15 +86,27 @@
 public:
   static void Add(plugin_record aRecord);
 
-  // All records in order of stage, then of name.
-  static std::vector<plugin_record> Records();
+  // The records of a front in order of stage, then of name.
+  static std::vector<plugin_record> Records(
+    front_kind aFront = front_kind::Own);
 };
 
+template<class T>
+constexpr front_kind
+FrontOf()
+{
+  if constexpr (requires { T::kFront; }) {
+    return T::kFront;
+  } else {
+    return front_kind::Own;
+  }
+}
+
 template<plugin T>
 plugin_record
 MakeRecord()
 {
-  return { T::kName, T::kStage, [](kernel& aKernel) {
+  return { T::kName, T::kStage, FrontOf<T>(), [](kernel& aKernel) {
             std::shared_ptr<T> self = std::make_shared<T>(aKernel);
             return plugin_instance{
               T::kName,
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -71,6 +71,38 @@
   return true;
 }
 
+bool
+TakeFront(front_kind& aTarget, std::string_view aText)
+{
+  aTarget = aText == "hosts" ? front_kind::Hosts : front_kind::Own;
+  return aText == "hosts" || aText == "own";
+}
+
+// A number with digits and at most one point, not negative.
+bool
+TakeNumber(double& aTarget, std::string_view aText)
+{
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result parsed = std::from_chars(aText.data(), end, aTarget);
+  return parsed.ec == std::errc() && parsed.ptr == end && aTarget >= 0;
+}
+
+// "1500ms" or "2s".
+bool
+TakeTime(std::chrono::milliseconds& aTarget, std::string_view aText)
+{
+  std::uint32_t count = 0;
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result parsed = std::from_chars(aText.data(), end, count);
+  if (parsed.ec != std::errc()) {
+    return false;
+  }
+  std::string_view unit(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
+  aTarget = unit == "s" ? std::chrono::milliseconds(std::chrono::seconds(count))
+                        : std::chrono::milliseconds(count);
+  return unit == "s" || unit == "ms";
+}
+
 bool
 TakeYesOrNo(bool& aTarget, std::string_view aText)
 {
@@ -85,6 +117,8 @@
     "a name of lower-case letters, digits and hyphens, at most 48 bytes";
   static constexpr std::string_view kEndpoint =
     "an IP address and port such as 127.0.0.1:7001";
+  static constexpr std::string_view kNumber = "a number such as 1.5";
+  static constexpr std::string_view kTime = "a time such as 1500ms or 2s";
   using text = std::string_view;
   static const std::vector<setting_key> kKeys = {
     { "instance",
@@ -107,6 +141,11 @@
       false,
       "a whole number from 1 to 64",
       [](settings& aS, text aT) { return TakeWorkers(aS.mWorkers, aT); } },
+    { "instance",
+      "front",
+      false,
+      "own or hosts",
+      [](settings& aS, text aT) { return TakeFront(aS.mFront, aT); } },
     { "listen",
       "caller",
       true,
@@ -127,6 +166,16 @@
       true,
       kEndpoint,
       [](settings& aS, text aT) { return TakeEndpoint(aS.mOperator, aT); } },
+    { "listen",
+      "ready",
+      false,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mReady, aT); } },
+    { "listen",
+      "directory",
+      false,
+      kEndpoint,
+      [](settings& aS, text aT) { return TakeEndpoint(aS.mDirectory, aT); } },
     { "platform",
       "address",
       true,
@@ -144,6 +193,46 @@
       [](settings& aS, text aT) {
         return TakeYesOrNo(aS.mUsePlatformList, aT);
       } },
+    { "bounds",
+      "most_shift",
+      false,
+      kNumber,
+      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mMostShift, aT); } },
+    { "bounds",
+      "cold_overshoot",
+      false,
+      kNumber,
+      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mColdOvershoot, aT); } },
+    { "bounds",
+      "cold_slack",
+      false,
+      kNumber,
+      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mColdSlack, aT); } },
+    { "bounds",
+      "repeat_ratio",
+      false,
+      kNumber,
+      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mRepeatRatio, aT); } },
+    { "bounds",
+      "repeat_extra",
+      false,
+      kNumber,
+      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mRepeatExtra, aT); } },
+    { "bounds",
+      "repeat_window",
+      false,
+      kTime,
+      [](settings& aS, text aT) { return TakeTime(aS.mBounds.mRepeatWindow, aT); } },
+    { "bounds",
+      "grace",
+      false,
+      kTime,
+      [](settings& aS, text aT) { return TakeTime(aS.mBounds.mGrace, aT); } },
+    { "bounds",
+      "longest_answer_life",
+      false,
+      kTime,
+      [](settings& aS, text aT) { return TakeTime(aS.mBounds.mLongestAnswerLife, aT); } },
   };
   return kKeys;
 }
@@ -159,6 +248,40 @@
   return nullptr;
 }
 
+// [domains] has one key for each failure domain. Returns what was expected
+// where the entry is none.
+std::optional<std::string_view>
+TakeDomain(settings& aSettings, const ini_entry& aEntry)
+{
+  if (!IsName(aEntry.mKey) || !IsName(aEntry.mValue)) {
+    return "a failure domain and its region";
+  }
+  bool isNew =
+    aSettings.mDomains.emplace(aEntry.mKey, aEntry.mValue).second;
+  return isNew ? std::nullopt
+               : std::optional<std::string_view>("the domain only once");
+}
+
+// What a front needs beside the keys that all need.
+void
+CheckFront(const settings& aSettings, std::vector<text_fault>& aFaults)
+{
+  if (aSettings.mFront != front_kind::Hosts) {
+    return;
+  }
+  static constexpr std::string_view kNeeded = "a value, with front = hosts";
+  if (aSettings.mReady.mPort == 0) {
+    aFaults.push_back({ 0, "listen.ready", std::string(kNeeded) });
+  }
+  if (aSettings.mDirectory.mPort == 0) {
+    aFaults.push_back({ 0, "listen.directory", std::string(kNeeded) });
+  }
+  if (aSettings.mDomains.count(aSettings.mFailureDomain) == 0) {
+    aFaults.push_back(
+      { 0, "domains", "the failure domain of the instance among the domains" });
+  }
+}
+
 std::string
 FieldName(std::string_view aSection, std::string_view aKey)
 {
@@ -188,6 +311,13 @@
   std::set<std::string> seen;
   for (const ini_entry& entry : text.mEntries) {
     std::string field = FieldName(entry.mSection, entry.mKey);
+    if (entry.mSection == "domains") {
+      std::optional<std::string_view> expected = TakeDomain(parsed, entry);
+      if (expected) {
+        result.mFaults.push_back({ entry.mLine, field, std::string(*expected) });
+      }
+      continue;
+    }
     const setting_key* key = FindKey(entry);
     if (key == nullptr) {
       result.mFaults.push_back({ entry.mLine, field, "a known setting" });
@@ -204,6 +334,7 @@
       result.mFaults.push_back({ 0, field, std::string(key.mExpected) });
     }
   }
+  CheckFront(parsed, result.mFaults);
   if (result.mFaults.empty()) {
     result.mSettings = std::move(parsed);
   }
--- a/laburnumdyke/plugin/connection_pool.cc
+++ b/laburnumdyke/plugin/connection_pool.cc
@@ -47,7 +47,7 @@
   while (!idle.empty()) {
     idle_connection last = std::move(idle.back());
     idle.pop_back();
-    if (aNow - last.mSince < kIdleLife && last.mSocket.IsQuiet()) {
+    if (aNow < last.mUntil && last.mSocket.IsQuiet()) {
       return std::move(last.mSocket);
     }
   }
@@ -58,17 +58,18 @@
 void
 connection_pool::Put(const endpoint& aEndpoint,
                      idle_socket aSocket,
-                     std::chrono::steady_clock::time_point aNow)
+                     std::chrono::steady_clock::time_point aNow,
+                     std::chrono::milliseconds aLife)
 {
   std::vector<idle_connection>& idle = mIdle[aEndpoint];
   idle.erase(std::remove_if(idle.begin(),
                             idle.end(),
                             [&](const idle_connection& aOne) {
-                              return aNow - aOne.mSince >= kIdleLife;
+                              return aNow >= aOne.mUntil;
                             }),
              idle.end());
   if (idle.size() < kIdlePerEndpoint) {
-    idle.push_back({ std::move(aSocket), aNow });
+    idle.push_back({ std::move(aSocket), aNow + aLife });
   }
 }
 
--- a/laburnumdyke/plugin/connection_pool.h
+++ b/laburnumdyke/plugin/connection_pool.h
@@ -53,13 +53,14 @@
                                   std::chrono::steady_clock::time_point aNow);
   void Put(const endpoint& aEndpoint,
            idle_socket aSocket,
-           std::chrono::steady_clock::time_point aNow);
+           std::chrono::steady_clock::time_point aNow,
+           std::chrono::milliseconds aLife = kIdleLife);
 
 private:
   struct idle_connection
   {
     idle_socket mSocket;
-    std::chrono::steady_clock::time_point mSince;
+    std::chrono::steady_clock::time_point mUntil; // may be used
   };
 
   std::map<endpoint, std::vector<idle_connection>> mIdle;
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -8,9 +8,9 @@
 #include "laburnumdyke/plugin/http_forward.h"
 
 #include "laburnumdyke/plugin/credit_header.h"
+#include "laburnumdyke/plugin/http_parts.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <array>
@@ -27,17 +27,6 @@
 using answer_parser = http::response_parser<http::buffer_body>;
 using answer_head = http::response<http::buffer_body>;
 
-// Headers that concern one connection alone, and ours, which are set anew.
-constexpr std::array<http::field, 7> kHopByHop = {
-  http::field::connection,
-  http::field::keep_alive,
-  http::field::proxy_authenticate,
-  http::field::proxy_authorization,
-  http::field::te,
-  http::field::trailer,
-  http::field::upgrade,
-};
-
 constexpr std::chrono::seconds kLongestRetryAfter{ 30 };
 
 struct far_side
@@ -106,9 +95,7 @@
   for (const http::fields::value_type& field : original) {
     head.insert(field.name(), field.name_string(), field.value());
   }
-  for (http::field name : kHopByHop) {
-    head.erase(name);
-  }
+  EraseHopByHop(head);
   head.set(http::field::host, aRequest.mTo.Text());
   for (const std::pair<std::string_view, std::string>& header :
        aRequest.mHeaders) {
@@ -194,28 +181,6 @@
   co_return failure;
 }
 
-// Ends when the caller has closed its connection; otherwise waits until it is
-// cancelled.
-asio::awaitable<void>
-CallerGone(http_exchange& aExchange)
-{
-  tcp::socket& socket = aExchange.mStream.socket();
-  error_code failure;
-  co_await socket.async_wait(
-    tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
-  if (!failure) {
-    char byte = 0;
-    ssize_t got =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got == 0) {
-      co_return;
-    }
-  }
-  asio::steady_timer never(co_await asio::this_coro::executor,
-                           asio::steady_timer::time_point::max());
-  co_await never.async_wait(asio::redirect_error(asio::use_awaitable, failure));
-}
-
 refusal_reason
 LossReason(error_code aFailure)
 {
@@ -266,14 +231,6 @@
            RetryAfterOf(aHead) };
 }
 
-bool
-HasNoBody(const http_exchange& aExchange, const answer_head& aHead)
-{
-  return aExchange.Head().method() == http::verb::head ||
-         aHead.result() == http::status::no_content ||
-         aHead.result() == http::status::not_modified;
-}
-
 answer_head
 MakeAnswer(const http_exchange& aExchange,
            const forward_request& aRequest,
@@ -286,15 +243,13 @@
   for (const http::fields::value_type& field : aFrom) {
     head.insert(field.name(), field.name_string(), field.value());
   }
-  for (http::field name : kHopByHop) {
-    head.erase(name);
-  }
+  EraseHopByHop(head);
   for (const std::pair<std::string_view, std::string>& header :
        aRequest.mAnswer) {
     head.set(ToBeast(header.first), header.second);
   }
   if (!head.has_content_length() && !head.chunked() &&
-      !HasNoBody(aExchange, aFrom)) {
+      !HasNoBody(aExchange.Head().method(), aFrom)) {
     if (head.version() == 11) {
       head.chunked(true);
     }
@@ -322,7 +277,7 @@
     aExchange.mStream,
     serializer,
     asio::redirect_error(asio::use_awaitable, failure));
-  if (failure || HasNoBody(aExchange, aFar.mParser->get())) {
+  if (failure || HasNoBody(aExchange.Head().method(), aFar.mParser->get())) {
     co_return failure ? refusal_reason::UpstreamLost : refusal_reason::None;
   }
   while (!serializer.is_done()) {
@@ -387,6 +342,7 @@
 asio::awaitable<std::optional<body_prefix>>
 ReadPrefix(http_exchange& aExchange)
 {
+  co_await InviteBody(aExchange);
   body_prefix prefix;
   request_parser& parser = aExchange.mParser;
   std::array<char, 4096> chunk;
@@ -442,7 +398,7 @@
   }
   if (aRequest.mCancel) {
     std::variant<error_code, std::monostate> first =
-      co_await (ReadAnswerHead(aRequest, far) || CallerGone(aExchange));
+      co_await (ReadAnswerHead(aRequest, far) || WaitCallerGone(aExchange));
     if (first.index() == 1) {
       aExchange.mKeepAlive = false;
       co_return Fail(outcome_kind::Unknown, refusal_reason::CallerGone);
--- /dev/null
+++ b/laburnumdyke/plugin/http_parts.cc
@@ -0,0 +1,80 @@
+// A closed connection shows as readable without a byte; bytes of a next
+// request are left where they are.
+#include "laburnumdyke/plugin/http_parts.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::array<http::field, 8> kHopByHop = {
+  http::field::connection,
+  http::field::keep_alive,
+  http::field::proxy_authenticate,
+  http::field::proxy_authorization,
+  http::field::proxy_connection,
+  http::field::te,
+  http::field::trailer,
+  http::field::upgrade,
+};
+
+} // namespace
+
+void
+EraseHopByHop(http::fields& aHead)
+{
+  std::vector<std::string> named;
+  for (beast::string_view token :
+       http::token_list(aHead[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (const std::string& name : named) {
+    // These frame the message for whoever is next and are set there anew.
+    bool frames = beast::iequals(name, "content-length") ||
+                  beast::iequals(name, "transfer-encoding");
+    if (!frames) {
+      aHead.erase(name);
+    }
+  }
+  for (http::field name : kHopByHop) {
+    aHead.erase(name);
+  }
+}
+
+bool
+HasNoBody(http::verb aMethod, const http::response_header<>& aHead)
+{
+  return aMethod == http::verb::head ||
+         aHead.result() == http::status::no_content ||
+         aHead.result() == http::status::not_modified;
+}
+
+asio::awaitable<void>
+WaitCallerGone(http_exchange& aExchange)
+{
+  tcp::socket& socket = aExchange.mStream.socket();
+  error_code failure;
+  co_await socket.async_wait(
+    tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    char byte = 0;
+    ssize_t got =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0) {
+      co_return;
+    }
+    if (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+      co_return;
+    }
+  }
+  asio::steady_timer never(co_await asio::this_coro::executor,
+                           asio::steady_timer::time_point::max());
+  co_await never.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/http_parts.h
@@ -0,0 +1,22 @@
+// What every forwarding of HTTP needs, whatever the front.
+#pragma once
+
+#include "laburnumdyke/plugin/http_server.h"
+
+namespace laburnumdyke {
+
+// Removes the headers that concern one connection alone, and those that the
+// Connection header names.
+void
+EraseHopByHop(http::fields& aHead);
+
+// Whether an answer to a request of aMethod has no body, whatever its headers.
+bool
+HasNoBody(http::verb aMethod, const http::response_header<>& aHead);
+
+// Ends when the caller has closed its connection; otherwise waits until it is
+// cancelled.
+asio::awaitable<void>
+WaitCallerGone(http_exchange& aExchange);
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t kDiscardLimit = 64UL * 1024; // bytes
+constexpr std::size_t kFirstRead = 4096;           // bytes; most headers fit
 
 bool
 IsClosing(error_code aFailure)
@@ -20,6 +21,23 @@
          aFailure == asio::error::eof;
 }
 
+// An error that is the caller's, not the network's, whatever its kind.
+constexpr http::error kMalformed = http::error::bad_transfer_encoding;
+
+// Whether it is certain where the body ends. A transfer coding that the parser
+// does not decode would be taken for a body of the length given beside it, and
+// what follows for another request.
+bool
+HasCertainEnd(const request_parser& aParser)
+{
+  const request_parser::value_type& head = aParser.get();
+  bool hasCoding = head.count(http::field::transfer_encoding) > 0;
+  bool hasLength = head.count(http::field::content_length) > 0;
+  bool isChunked =
+    beast::iequals(head[http::field::transfer_encoding], "chunked");
+  return !hasCoding || (isChunked && !hasLength);
+}
+
 asio::awaitable<void>
 Reject(kernel& aKernel, tcp_stream& aStream, error_code aFailure)
 {
@@ -48,15 +66,28 @@
 ReadHead(kernel& aKernel,
          tcp_stream& aStream,
          beast::flat_buffer& aBuffer,
-         request_parser& aParser)
+         request_parser& aParser,
+         server_limits aLimits)
 {
-  aStream.expires_after(kIdleTimeout);
   error_code failure;
-  co_await http::async_read_header(
-    aStream,
-    aBuffer,
-    aParser,
-    asio::redirect_error(asio::use_awaitable, failure));
+  if (aBuffer.size() == 0) {
+    aStream.expires_after(aLimits.mIdleTimeout);
+    std::size_t got = co_await aStream.async_read_some(
+      aBuffer.prepare(kFirstRead),
+      asio::redirect_error(asio::use_awaitable, failure));
+    aBuffer.commit(got);
+  }
+  if (!failure) {
+    aStream.expires_after(aLimits.mHeaderTimeout);
+    co_await http::async_read_header(
+      aStream,
+      aBuffer,
+      aParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (!failure && !HasCertainEnd(aParser)) {
+    failure = kMalformed;
+  }
   if (!failure) {
     co_return true;
   }
@@ -66,9 +97,29 @@
   co_return false;
 }
 
+asio::awaitable<void>
+InviteBody(http_exchange& aExchange)
+{
+  bool waits = aExchange.Head().version() == 11 &&
+               beast::iequals(aExchange.Head()[http::field::expect],
+                              "100-continue") &&
+               !aExchange.mParser.is_done() && aExchange.mBuffer.size() == 0;
+  if (!waits) {
+    co_return;
+  }
+  http::response<http::empty_body> invitation(http::status::continue_, 11);
+  aExchange.mStream.expires_after(kProgressTimeout);
+  error_code failure; // shows again where the body is read
+  co_await http::async_write(
+    aExchange.mStream,
+    invitation,
+    asio::redirect_error(asio::use_awaitable, failure));
+}
+
 asio::awaitable<std::optional<std::string>>
 ReadBody(http_exchange& aExchange, std::size_t aLimit)
 {
+  co_await InviteBody(aExchange);
   std::string body;
   std::array<char, 4096> chunk;
   request_parser& parser = aExchange.mParser;
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -8,8 +8,9 @@
 //
 // The handler is given an http_exchange: the request's header has been read,
 // its body has not. Each connection runs on its own strand. A request that is
-// no HTTP, or whose header is over kHeaderLimit, gets 400 or 431 and its
-// connection is closed; it is counted under http_rejected_total.
+// no HTTP, whose body has no certain end, or whose header is over the limit,
+// gets 400 or 431 and its connection is closed; it is counted under
+// http_rejected_total. A handler that has Limits() sets the limits itself.
 #pragma once
 
 #include "laburnumdyke/kernel/kernel.h"
@@ -18,6 +19,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -46,6 +48,15 @@
   const request_parser::value_type& Head() const { return mParser.get(); }
 };
 
+struct server_limits
+{
+  std::uint32_t mHeaderBytes = kHeaderLimit;
+  // From the first byte of a header to its last.
+  std::chrono::milliseconds mHeaderTimeout = kHeaderTimeout;
+  // Without any byte, between requests.
+  std::chrono::milliseconds mIdleTimeout = kIdleTimeout;
+};
+
 // Handles one request; must write one answer or clear mKeepAlive.
 template<class T>
 concept http_handler = requires(T& aHandler, http_exchange& aExchange)
@@ -73,7 +84,12 @@
 ReadHead(kernel& aKernel,
          tcp_stream& aStream,
          beast::flat_buffer& aBuffer,
-         request_parser& aParser);
+         request_parser& aParser,
+         server_limits aLimits);
+
+// Tells a caller that waits for it to send the body (Expect: 100-continue).
+asio::awaitable<void>
+InviteBody(http_exchange& aExchange);
 
 // The live connections of one server, so that Close reaches them.
 struct open_streams
@@ -117,6 +133,15 @@
 
   void Leave() { mLeaving = true; }
 
+  // Accepts no more connections; those open go on.
+  void StopAccepting()
+  {
+    asio::post(mAcceptor.get_executor(), [this] {
+      error_code ignored;
+      mAcceptor.close(ignored);
+    });
+  }
+
   // Requests that have begun and have not been answered.
   std::size_t InFlight() const { return mInFlight; }
 
@@ -165,9 +190,10 @@
     bool open = true;
     while (open) {
       request_parser parser;
-      parser.header_limit(kHeaderLimit);
+      server_limits limits = Limits();
+      parser.header_limit(limits.mHeaderBytes);
       parser.body_limit(boost::none);
-      open = co_await ReadHead(mKernel, *aStream, buffer, parser);
+      open = co_await ReadHead(mKernel, *aStream, buffer, parser, limits);
       if (open) {
         ++mInFlight;
         http_exchange exchange{ *aStream,
@@ -186,6 +212,15 @@
       [&](open_streams& aSet) { aSet.mStreams.erase(aStream); });
   }
 
+  server_limits Limits()
+  {
+    if constexpr (requires { mHandler.Limits(); }) {
+      return mHandler.Limits();
+    } else {
+      return {};
+    }
+  }
+
   kernel& mKernel;
   Handler& mHandler;
   tcp::acceptor mAcceptor;
--- /dev/null
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -0,0 +1,40 @@
+// The parts of the pipeline that depend on no dialect or transport.
+#include "laburnumdyke/plugin/steered_pipeline.h"
+
+namespace laburnumdyke {
+
+attempt_result
+ResultOf(attempt_end aEnd, unsigned aStatus)
+{
+  switch (aEnd) {
+    case attempt_end::Answered:
+      return aStatus >= 500 ? attempt_result::Errored
+                            : attempt_result::Answered;
+    case attempt_end::Errored:
+      return attempt_result::Errored;
+    case attempt_end::NotRun:
+      return attempt_result::Shedding;
+    case attempt_end::NotSent:
+    case attempt_end::Lost:
+    case attempt_end::TimedOut:
+      return attempt_result::Failed;
+    case attempt_end::WrongInstance:
+    case attempt_end::CutShort:
+    case attempt_end::CallerGone:
+      return attempt_result::Abandoned;
+  }
+  return attempt_result::Abandoned;
+}
+
+std::string
+RetryAfterText(std::chrono::milliseconds aAfter)
+{
+  char text[32];
+  std::snprintf(text,
+                sizeof text,
+                "%.3f",
+                std::chrono::duration<double>(aAfter).count());
+  return text;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -0,0 +1,372 @@
+// A request by host and path, from its header to its answer: route, body,
+// upstream, attempts, final answer.
+//
+// The dialect reads and writes the headers of a front; the transport makes one
+// attempt. Tests give mocks for both.
+//
+// Usage:
+//   steered_pipeline<my_dialect, upstream_transport> pipeline(kernel, transport);
+//   co_await pipeline.Serve(exchange);
+//
+// A request that has not run and will not is answered 503 with a time to come
+// back; one that may have run 502, or 504 at its deadline; 404 where the
+// configuration in force has no route for it, 503 where there is none.
+#pragma once
+
+#include "laburnumdyke/plugin/http_parts.h"
+#include "laburnumdyke/plugin/steering_tables.h"
+#include "laburnumdyke/plugin/upstream_exchange.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace laburnumdyke {
+
+// What a caller's header says of its request.
+struct caller_request
+{
+  std::string mId;
+  std::string mObject; // empty: not about one object
+  std::string mHost;
+  // How long the caller waits; nothing where it doesn't say.
+  std::optional<std::chrono::milliseconds> mPatience;
+};
+
+template<class T>
+concept steering_dialect = requires(const request_parser::value_type& aHead,
+                                    const upstream_head& aAnswer,
+                                    const upstream_id& aUpstream,
+                                    std::chrono::milliseconds aLeft,
+                                    const std::string& aId)
+{
+  {
+    T::ReadCaller(aHead)
+    } -> std::same_as<caller_request>;
+  {
+    T::UpstreamHeaders(aUpstream, aLeft)
+    } -> std::same_as<header_list>;
+  {
+    T::ReadAnswer(aAnswer, aId)
+    } -> std::same_as<upstream_answer>;
+};
+
+template<class T>
+concept attempt_transport = requires(T& aTransport,
+                                     http_exchange& aExchange,
+                                     const upstream_attempt& aAttempt)
+{
+  {
+    aTransport.Attempt(aExchange, aAttempt)
+    } -> std::same_as<asio::awaitable<attempt_outcome>>;
+};
+
+// The transport of the product.
+struct upstream_transport
+{
+  explicit upstream_transport(kernel& aKernel)
+    : mPool(aKernel.Table<connection_pool>())
+  {
+  }
+
+  asio::awaitable<attempt_outcome> Attempt(http_exchange& aExchange,
+                                           const upstream_attempt& aAttempt)
+  {
+    return AttemptUpstream(mPool, aExchange, aAttempt);
+  }
+
+  table<connection_pool>& mPool;
+};
+
+// What a request is while it is served.
+struct steered_request
+{
+  caller_request mCaller;
+  const route_spec* mRoute = nullptr;
+  service_id mService;
+  std::string mBody;
+  instant mReceived{};
+  instant mDeadline{};
+  std::vector<upstream_id> mTried{};
+  std::uint32_t mRuns = 0; // attempts that may have run
+  std::uint32_t mSends = 0;
+  bool mMayHaveRun = false;
+  bool mTimedOut = false;
+};
+
+// What an attempt's end tells of the upstream.
+attempt_result
+ResultOf(attempt_end aEnd, unsigned aStatus);
+
+// Seconds with milliseconds, such as "0.250".
+std::string
+RetryAfterText(std::chrono::milliseconds aAfter);
+
+template<steering_dialect Dialect, attempt_transport Transport>
+class steered_pipeline
+{
+public:
+  steered_pipeline(kernel& aKernel, Transport& aTransport)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mTransport(aTransport)
+  {
+  }
+
+  asio::awaitable<void> Serve(http_exchange& aExchange)
+  {
+    steered_request request;
+    request.mReceived = aExchange.mReceived;
+    request.mCaller = Dialect::ReadCaller(aExchange.Head());
+    std::shared_ptr<const route_table> routes = mTables.Routes();
+    if (!routes) {
+      co_await Refuse(aExchange,
+                      request,
+                      http::status::service_unavailable,
+                      refusal_reason::NoDocument,
+                      kNoDocumentRetry);
+      co_return;
+    }
+    request.mRoute = routes->Find(request.mCaller.mHost,
+                                  FromBeast(aExchange.Head().target()));
+    if (request.mRoute == nullptr) {
+      co_await Refuse(aExchange,
+                      request,
+                      http::status::not_found,
+                      refusal_reason::UnknownService,
+                      std::nullopt);
+      co_return;
+    }
+    std::optional<std::string> body =
+      co_await ReadBody(aExchange, routes->Limits().mBodyBytes);
+    if (!body) {
+      aExchange.mKeepAlive = false;
+      co_await Refuse(aExchange,
+                      request,
+                      http::status::bad_request,
+                      refusal_reason::MalformedRequest,
+                      std::nullopt);
+      co_return;
+    }
+    request.mBody = std::move(*body);
+    request.mDeadline =
+      request.mReceived +
+      std::min(request.mCaller.mPatience.value_or(request.mRoute->mTimeout),
+               request.mRoute->mTimeout);
+    request.mService = mTables.Rotation().With([&](rotation_state& aRotation) {
+      return aRotation.Next(*request.mRoute);
+    });
+    mTables.Budget().With([&](repeat_budget& aBudget) {
+      aBudget.CountRequest(request.mService, Now());
+    });
+    co_await Run(aExchange, request);
+  }
+
+private:
+  static constexpr std::chrono::milliseconds kNoDocumentRetry{ 500 };
+  // Less time than that is not worth an attempt: it ends before an answer can.
+  static constexpr std::chrono::milliseconds kLeastAttempt{ 20 };
+  // Sends of one request, refusals of upstreams included.
+  static constexpr std::uint32_t kMostSends = 4;
+
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
+  static std::chrono::milliseconds Whole(duration aTime)
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+  }
+
+  asio::awaitable<void> Run(http_exchange& aExchange, steered_request& aRequest)
+  {
+    while (true) {
+      instant now = Now();
+      if (aRequest.mDeadline - now < kLeastAttempt) {
+        aRequest.mTimedOut = true;
+        break;
+      }
+      steering_choice choice = Choose(aRequest, now);
+      if (!choice.mTarget) {
+        co_await GiveUp(aExchange, aRequest, choice);
+        co_return;
+      }
+      if (aRequest.mSends > 0 && !MayRepeat(aRequest, now)) {
+        break;
+      }
+      attempt_outcome outcome =
+        co_await Attempt(aExchange, aRequest, *choice.mTarget);
+      bool ended = Take(aRequest, outcome);
+      if (ended) {
+        co_return;
+      }
+    }
+    co_await GiveUp(aExchange, aRequest, {});
+  }
+
+  steering_choice Choose(const steered_request& aRequest, instant aNow)
+  {
+    steering_request question{
+      *aRequest.mRoute,   aRequest.mService,  aRequest.mCaller.mObject,
+      aRequest.mReceived, aRequest.mDeadline, aRequest.mTried
+    };
+    return mTables.Steering().With([&](steering_state& aSteering) {
+      steering_choice choice = aSteering.Choose(question, aNow);
+      if (choice.mTarget) {
+        aSteering.Begin(*choice.mTarget, aNow);
+      }
+      return choice;
+    });
+  }
+
+  // Whether the request may be sent once more, after attempts that failed.
+  bool MayRepeat(const steered_request& aRequest, instant aNow)
+  {
+    bool mayRunAgain = !aRequest.mMayHaveRun || aRequest.mRoute->mIdempotent;
+    bool attemptsLeft = aRequest.mRuns < aRequest.mRoute->mMostAttempts &&
+                        aRequest.mSends < kMostSends;
+    if (!mayRunAgain || !attemptsLeft) {
+      return false;
+    }
+    bool inBudget = mTables.Budget().With([&](repeat_budget& aBudget) {
+      return aBudget.Take(aRequest.mService, aNow);
+    });
+    mKernel.Counters().Add(inBudget ? "repeats_total"
+                                    : "repeats_refused_total");
+    return inBudget;
+  }
+
+  asio::awaitable<attempt_outcome> Attempt(http_exchange& aExchange,
+                                           steered_request& aRequest,
+                                           const steering_target& aTarget)
+  {
+    instant begun = Now();
+    upstream_attempt attempt;
+    attempt.mTo = aTarget.mAddress;
+    attempt.mBody = aRequest.mBody;
+    attempt.mHeaders = Dialect::UpstreamHeaders(
+      aTarget.mId, Whole(aRequest.mDeadline - begun));
+    attempt.mRead = [&aRequest](const upstream_head& aHead) {
+      return Dialect::ReadAnswer(aHead, aRequest.mCaller.mId);
+    };
+    attempt.mDeadline = aRequest.mDeadline;
+    attempt.mIdempotent = aRequest.mRoute->mIdempotent;
+    attempt.mHoldErrors = aRequest.mRoute->mIdempotent &&
+                          aRequest.mRuns + 1 < aRequest.mRoute->mMostAttempts;
+    attempt_outcome outcome =
+      co_await mTransport.Attempt(aExchange, attempt);
+    instant now = Now();
+    attempt_report report;
+    report.mResult = ResultOf(outcome.mEnd, outcome.mStatus);
+    report.mTook = now - begun;
+    report.mBytes = outcome.mBytes;
+    report.mLoad = outcome.mLoad;
+    report.mWrongInstance = outcome.mEnd == attempt_end::WrongInstance;
+    report.mConnect = outcome.mConnect;
+    mTables.Steering().With([&](steering_state& aSteering) {
+      aSteering.End(aTarget, report, now);
+    });
+    aRequest.mTried.push_back(aTarget.mId);
+    mKernel.Counters().Add("attempts_total", ToString(outcome.mEnd));
+    LogAttempt(aRequest, aTarget, outcome, now - begun);
+    co_return outcome;
+  }
+
+  // Notes what an attempt came to. True where the request has ended.
+  bool Take(steered_request& aRequest, const attempt_outcome& aOutcome)
+  {
+    bool sent = aOutcome.mEnd != attempt_end::NotSent;
+    bool refused = aOutcome.mEnd == attempt_end::NotRun ||
+                   aOutcome.mEnd == attempt_end::WrongInstance;
+    aRequest.mSends += sent ? 1 : 0;
+    if (sent && !refused) {
+      ++aRequest.mRuns;
+      aRequest.mMayHaveRun = true;
+    }
+    aRequest.mTimedOut = aOutcome.mEnd == attempt_end::TimedOut;
+    return aOutcome.mEnd == attempt_end::Answered ||
+           aOutcome.mEnd == attempt_end::CutShort ||
+           aOutcome.mEnd == attempt_end::CallerGone;
+  }
+
+  // The final answer to a request that no upstream has answered.
+  asio::awaitable<void> GiveUp(http_exchange& aExchange,
+                               const steered_request& aRequest,
+                               const steering_choice& aChoice)
+  {
+    if (aRequest.mMayHaveRun) {
+      co_await Refuse(aExchange,
+                      aRequest,
+                      aRequest.mTimedOut ? http::status::gateway_timeout
+                                         : http::status::bad_gateway,
+                      aRequest.mTimedOut ? refusal_reason::UpstreamTimeout
+                                         : refusal_reason::UpstreamLost,
+                      std::nullopt);
+      co_return;
+    }
+    refusal_reason reason = aChoice.mReason;
+    if (reason == refusal_reason::None) {
+      reason = aRequest.mTimedOut ? refusal_reason::DeadlineTooClose
+                                  : refusal_reason::UpstreamRefused;
+    }
+    co_await Refuse(aExchange,
+                    aRequest,
+                    http::status::service_unavailable,
+                    reason,
+                    std::max(aChoice.mRetryAfter, kLeastRetryAfter));
+  }
+
+  asio::awaitable<void> Refuse(
+    http_exchange& aExchange,
+    const steered_request& aRequest,
+    http::status aStatus,
+    refusal_reason aReason,
+    std::optional<std::chrono::milliseconds> aRetryAfter)
+  {
+    mKernel.Counters().Add("refused_total", ToString(aReason));
+    mKernel.Log().Info(
+      "request_refused",
+      { { "request", aRequest.mCaller.mId },
+        { "route", aRequest.mRoute == nullptr ? "" : aRequest.mRoute->mName },
+        { "status", std::to_string(static_cast<unsigned>(aStatus)) },
+        { "reason", std::string(ToString(aReason)) },
+        { "sends", std::to_string(aRequest.mSends) },
+        { "took_ms",
+          std::to_string(Whole(Now() - aRequest.mReceived).count()) } });
+    string_answer answer(aStatus, 11);
+    answer.set(ToBeast(kReasonHeader), ToBeast(ToString(aReason)));
+    answer.set(http::field::content_type, "text/plain");
+    if (aRetryAfter) {
+      answer.set(http::field::retry_after, RetryAfterText(*aRetryAfter));
+    }
+    answer.body() = std::string(ToString(aReason)) + "\n";
+    co_await WriteAnswer(aExchange, std::move(answer));
+  }
+
+  void LogAttempt(const steered_request& aRequest,
+                  const steering_target& aTarget,
+                  const attempt_outcome& aOutcome,
+                  duration aTook)
+  {
+    mKernel.Log().Info(
+      "attempt",
+      { { "request", aRequest.mCaller.mId },
+        { "route", aRequest.mRoute->mName },
+        { "upstream", aTarget.mId.mValue },
+        { "failure_domain", aTarget.mDomain.mValue },
+        { "end", std::string(ToString(aOutcome.mEnd)) },
+        { "status", std::to_string(aOutcome.mStatus) },
+        { "expected_wait_ms",
+          std::to_string(Whole(aTarget.mExpectedWait).count()) },
+        { "took_ms", std::to_string(Whole(aTook).count()) } });
+  }
+
+  static constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
+
+  kernel& mKernel;
+  steering_tables mTables;
+  Transport& mTransport;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -0,0 +1,102 @@
+// Options of the decisions come from the settings here and nowhere else.
+#include "laburnumdyke/plugin/steering_tables.h"
+
+#include "laburnumdyke/decision/rendezvous.h"
+
+#include <utility>
+#include <vector>
+
+namespace laburnumdyke {
+
+namespace {
+
+steering_options
+SteeringOptions(const settings& aSettings)
+{
+  steering_options options;
+  options.mSelf = { aSettings.mInstance };
+  options.mDomain = { aSettings.mFailureDomain };
+  options.mRegion = { aSettings.mRegion };
+  for (const std::pair<const std::string, std::string>& domain :
+       aSettings.mDomains) {
+    options.mRegions[{ domain.first }] = { domain.second };
+  }
+  options.mSpill.mMostShift = aSettings.mBounds.mMostShift;
+  options.mColdOvershoot = aSettings.mBounds.mColdOvershoot;
+  options.mColdSlack = aSettings.mBounds.mColdSlack;
+  options.mSeed = KeyOf(options.mSelf, aSettings.mIncarnation);
+  return options;
+}
+
+fleet_options
+FleetOptions(const settings& aSettings)
+{
+  fleet_options options;
+  options.mSelf = { { aSettings.mInstance },    aSettings.mIncarnation,
+                    { aSettings.mRegion },      { aSettings.mFailureDomain },
+                    aSettings.mCaller,          aSettings.mPeer,
+                    aSettings.mRelay };
+  return options;
+}
+
+fleet_budget_options
+BudgetOptions(const settings& aSettings)
+{
+  const steering_bounds& bounds = aSettings.mBounds;
+  return { bounds.mRepeatRatio, bounds.mRepeatExtra, bounds.mRepeatWindow };
+}
+
+} // namespace
+
+steering_state::steering_state(const settings& aSettings)
+  : upstream_steering(SteeringOptions(aSettings))
+{
+}
+
+rotation_state::rotation_state(const settings& aSettings)
+  : service_rotation(
+      KeyOf({ aSettings.mInstance }, aSettings.mIncarnation))
+{
+}
+
+fleet_state::fleet_state(const settings& aSettings)
+  : fleet_view(FleetOptions(aSettings))
+{
+}
+
+repeat_budget::repeat_budget(const settings& aSettings)
+  : fleet_budget(BudgetOptions(aSettings))
+{
+}
+
+steering_tables::steering_tables(kernel& aKernel)
+  : mInForce(aKernel.Table<routes_in_force>())
+  , mSteering(aKernel.Table<steering_state>())
+  , mRotation(aKernel.Table<rotation_state>())
+  , mFleet(aKernel.Table<fleet_state>())
+  , mBudget(aKernel.Table<repeat_budget>())
+  , mPool(aKernel.Table<connection_pool>())
+{
+}
+
+std::shared_ptr<const route_table>
+steering_tables::Routes()
+{
+  return mInForce.With(
+    [](routes_in_force& aInForce) { return aInForce.mRoutes; });
+}
+
+void
+steering_tables::SpreadFleet()
+{
+  std::vector<fleet_place> places =
+    mFleet.With([](fleet_state& aFleet) { return aFleet.Places(); });
+  mBudget.With([&](repeat_budget& aBudget) {
+    aBudget.SetFleetSize(places.size());
+  });
+  mSteering.With([&](steering_state& aSteering) {
+    aSteering.SetFleet(std::move(places));
+  });
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -0,0 +1,76 @@
+// The shared tables of an instance that steers by host and path.
+//
+// Usage:
+//   steering_tables tables(kernel);
+//   std::shared_ptr<const route_table> routes = tables.Routes();
+#pragma once
+
+#include "laburnumdyke/decision/fleet_budget.h"
+#include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/route_table.h"
+#include "laburnumdyke/decision/service_rotation.h"
+#include "laburnumdyke/decision/upstream_steering.h"
+#include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/plugin/connection_pool.h"
+
+#include <memory>
+#include <set>
+
+namespace laburnumdyke {
+
+// The configuration in force.
+struct routes_in_force
+{
+  static constexpr lock_rank kLockRank = lock_rank::Document;
+  std::shared_ptr<const route_table> mRoutes; // nothing until one is known
+  std::set<domain_id> mEvacuated;
+};
+
+struct steering_state : upstream_steering
+{
+  explicit steering_state(const settings& aSettings);
+};
+
+struct rotation_state : service_rotation
+{
+  static constexpr lock_rank kLockRank = lock_rank::Placement;
+  explicit rotation_state(const settings& aSettings);
+};
+
+struct fleet_state : fleet_view
+{
+  explicit fleet_state(const settings& aSettings);
+};
+
+struct repeat_budget : fleet_budget
+{
+  explicit repeat_budget(const settings& aSettings);
+};
+
+class steering_tables
+{
+public:
+  explicit steering_tables(kernel& aKernel);
+
+  std::shared_ptr<const route_table> Routes();
+
+  table<routes_in_force>& InForce() { return mInForce; }
+  table<steering_state>& Steering() { return mSteering; }
+  table<rotation_state>& Rotation() { return mRotation; }
+  table<fleet_state>& Fleet() { return mFleet; }
+  table<repeat_budget>& Budget() { return mBudget; }
+  table<connection_pool>& Pool() { return mPool; }
+
+  // Tells steering and the budget who else there is.
+  void SpreadFleet();
+
+private:
+  table<routes_in_force>& mInForce;
+  table<steering_state>& mSteering;
+  table<rotation_state>& mRotation;
+  table<fleet_state>& mFleet;
+  table<repeat_budget>& mBudget;
+  table<connection_pool>& mPool;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -0,0 +1,431 @@
+// Connect, write, read headers until one is ours, hold back the first part of
+// the body, pass it on. The stage at which something fails decides what the
+// failure means: before the first byte is written nothing can have run.
+#include "laburnumdyke/plugin/upstream_exchange.h"
+
+#include "laburnumdyke/plugin/http_parts.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace laburnumdyke {
+
+namespace {
+
+using namespace asio::experimental::awaitable_operators;
+
+using answer_parser = http::response_parser<http::buffer_body>;
+using clock = std::chrono::steady_clock;
+
+constexpr std::size_t kHeldAnswer = 256UL * 1024; // bytes
+// Answers of others that are passed over on one connection.
+constexpr int kMostForeignAnswers = 4;
+// A connection takes a round trip and the upstream's accept; a lost packet is
+// sent again after a second, and another upstream is asked sooner than that.
+constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+// A peer that acknowledges nothing for so long is taken for unreachable.
+constexpr std::chrono::milliseconds kUnackedTimeout{ 1500 };
+// Shorter than what upstreams that state no time keep idle connections for.
+constexpr std::chrono::milliseconds kUnsaidIdleLife{ 3000 };
+// For a close that is on its way while the next request is written.
+constexpr std::chrono::milliseconds kIdleMargin{ 1000 };
+
+struct upstream_link
+{
+  std::unique_ptr<tcp_stream> mStream;
+  beast::flat_buffer mBuffer;
+  std::unique_ptr<answer_parser> mParser;
+  bool mClean = true; // nothing foreign was read from it
+  upstream_answer mAnswer;
+};
+
+void
+DetectLoss(tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  int handle = aSocket.native_handle();
+  unsigned unacked = static_cast<unsigned>(kUnackedTimeout.count());
+  ::setsockopt(
+    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+  int on = 1;
+  int second = 1;
+  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof second);
+}
+
+asio::awaitable<error_code>
+Connect(table<connection_pool>& aPool,
+        const upstream_attempt& aAttempt,
+        upstream_link& aLink,
+        attempt_outcome& aOutcome)
+{
+  error_code failure;
+  aLink.mStream =
+    std::make_unique<tcp_stream>(co_await asio::this_coro::executor);
+  if (aAttempt.mIdempotent) {
+    std::optional<idle_socket> idle = aPool.With([&](connection_pool& aIdle) {
+      return aIdle.Take(aAttempt.mTo, clock::now());
+    });
+    if (idle) {
+      aLink.mStream->socket().assign(
+        ToAsio(aAttempt.mTo).protocol(), idle->Release(), failure);
+      co_return failure;
+    }
+  }
+  instant begun = clock::now();
+  aLink.mStream->expires_at(
+    std::min(aAttempt.mDeadline, begun + kConnectTimeout));
+  co_await aLink.mStream->async_connect(
+    ToAsio(aAttempt.mTo), asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    aOutcome.mConnect = clock::now() - begun;
+    DetectLoss(aLink.mStream->socket());
+  }
+  co_return failure;
+}
+
+asio::awaitable<error_code>
+SendRequest(const http_exchange& aExchange,
+            const upstream_attempt& aAttempt,
+            upstream_link& aLink)
+{
+  const request_parser::value_type& original = aExchange.Head();
+  http::request<http::string_body> request;
+  request.method_string(original.method_string());
+  request.target(original.target());
+  request.version(11);
+  for (const http::fields::value_type& field : original) {
+    request.insert(field.name(), field.name_string(), field.value());
+  }
+  EraseHopByHop(request);
+  request.erase(http::field::expect);
+  bool hadBody = original.count(http::field::transfer_encoding) > 0 ||
+                 original.count(http::field::content_length) > 0;
+  request.erase(http::field::transfer_encoding);
+  for (const std::pair<std::string_view, std::string>& header :
+       aAttempt.mHeaders) {
+    request.set(ToBeast(header.first), header.second);
+  }
+  request.body() = aAttempt.mBody;
+  if (hadBody) {
+    request.content_length(aAttempt.mBody.size());
+  }
+  error_code failure;
+  aLink.mStream->expires_at(aAttempt.mDeadline);
+  co_await http::async_write(
+    *aLink.mStream,
+    request,
+    asio::redirect_error(asio::use_awaitable, failure));
+  co_return failure;
+}
+
+// Reads the rest of an answer and forgets it.
+asio::awaitable<error_code>
+PassOver(upstream_link& aLink)
+{
+  std::vector<char> chunk(kStreamBuffer);
+  error_code failure;
+  while (!aLink.mParser->is_done()) {
+    aLink.mParser->get().body().data = chunk.data();
+    aLink.mParser->get().body().size = chunk.size();
+    co_await http::async_read(
+      *aLink.mStream,
+      aLink.mBuffer,
+      *aLink.mParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return failure;
+    }
+  }
+  co_return error_code();
+}
+
+// Reads headers until one does not belong to another request.
+asio::awaitable<error_code>
+ReadAnswerHead(const http_exchange& aExchange,
+               const upstream_attempt& aAttempt,
+               upstream_link& aLink)
+{
+  error_code failure;
+  for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+    aLink.mParser = std::make_unique<answer_parser>();
+    aLink.mParser->header_limit(kHeaderLimit);
+    aLink.mParser->body_limit(boost::none);
+    aLink.mParser->skip(aExchange.Head().method() == http::verb::head);
+    aLink.mStream->expires_at(aAttempt.mDeadline);
+    co_await http::async_read_header(
+      *aLink.mStream,
+      aLink.mBuffer,
+      *aLink.mParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return failure;
+    }
+    if (aLink.mParser->get().result_int() < 200) {
+      continue; // interim: the answer is still to come
+    }
+    aLink.mAnswer = aAttempt.mRead(aLink.mParser->get());
+    if (aLink.mAnswer.mBelongs != upstream_answer::belongs::ToAnother) {
+      co_return error_code();
+    }
+    aLink.mClean = false;
+    failure = co_await PassOver(aLink);
+    if (failure) {
+      co_return failure;
+    }
+  }
+  co_return http::error::unexpected_body;
+}
+
+// Reads body bytes to aHeld until there are kHeldAnswer or the body ends.
+asio::awaitable<error_code>
+HoldBody(upstream_link& aLink, std::string& aHeld)
+{
+  std::vector<char> chunk(kStreamBuffer);
+  error_code failure;
+  while (!aLink.mParser->is_done() && aHeld.size() < kHeldAnswer) {
+    aLink.mParser->get().body().data = chunk.data();
+    aLink.mParser->get().body().size = chunk.size();
+    co_await http::async_read(
+      *aLink.mStream,
+      aLink.mBuffer,
+      *aLink.mParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return failure;
+    }
+    aHeld.append(chunk.data(),
+                 chunk.size() - aLink.mParser->get().body().size);
+  }
+  co_return error_code();
+}
+
+http::response<http::buffer_body>
+MakeCallerHead(const http_exchange& aExchange, const answer_parser& aParser)
+{
+  const answer_parser::value_type& from = aParser.get();
+  http::response<http::buffer_body> head;
+  head.result(from.result_int());
+  head.reason(from.reason());
+  head.version(aExchange.Head().version());
+  for (const http::fields::value_type& field : from) {
+    head.insert(field.name(), field.name_string(), field.value());
+  }
+  EraseHopByHop(head);
+  bool endsByLength =
+    from.has_content_length() ||
+    HasNoBody(aExchange.Head().method(), from);
+  if (!endsByLength) {
+    head.chunked(aExchange.Head().version() == 11);
+  }
+  head.keep_alive(aExchange.mKeepAlive);
+  return head;
+}
+
+// Writes what is held, then the rest as it comes.
+asio::awaitable<error_code>
+PassOn(http_exchange& aExchange,
+       const upstream_attempt& aAttempt,
+       upstream_link& aLink,
+       std::string& aHeld,
+       attempt_outcome& aOutcome)
+{
+  http::response<http::buffer_body> head =
+    MakeCallerHead(aExchange, *aLink.mParser);
+  http::response_serializer<http::buffer_body> serializer(head);
+  error_code failure;
+  bool noBody =
+    HasNoBody(aExchange.Head().method(), aLink.mParser->get());
+  if (noBody) {
+    aExchange.mStream.expires_at(aAttempt.mDeadline);
+    co_await http::async_write_header(
+      aExchange.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+  }
+  while (!serializer.is_done()) {
+    head.body().data = aHeld.empty() ? nullptr : aHeld.data();
+    head.body().size = aHeld.size();
+    head.body().more = !aLink.mParser->is_done();
+    aOutcome.mBytes += aHeld.size();
+    aExchange.mStream.expires_at(
+      std::max(aAttempt.mDeadline, clock::now() + kUnackedTimeout));
+    co_await http::async_write(
+      aExchange.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return failure;
+    }
+    aHeld.clear();
+    if (!aLink.mParser->is_done()) {
+      aLink.mStream->expires_at(
+        std::max(aAttempt.mDeadline, clock::now() + kUnackedTimeout));
+      failure = co_await HoldBody(aLink, aHeld);
+      if (failure) {
+        co_return failure;
+      }
+    }
+  }
+  co_return error_code();
+}
+
+void
+KeepLink(table<connection_pool>& aPool,
+         const upstream_attempt& aAttempt,
+         upstream_link& aLink)
+{
+  bool reusable = aLink.mClean && aLink.mParser->is_done() &&
+                  aLink.mParser->get().keep_alive() &&
+                  aLink.mBuffer.size() == 0;
+  std::chrono::milliseconds life =
+    aLink.mAnswer.mIdleLife.value_or(kUnsaidIdleLife + kIdleMargin) -
+    kIdleMargin;
+  if (!reusable || life <= std::chrono::milliseconds(0)) {
+    return;
+  }
+  error_code failure;
+  int handle = aLink.mStream->release_socket().release(failure);
+  if (failure) {
+    return;
+  }
+  idle_socket idle(handle);
+  aPool.With([&](connection_pool& aIdle) {
+    aIdle.Put(aAttempt.mTo, std::move(idle), clock::now(), life);
+  });
+}
+
+attempt_end
+EndOf(error_code aFailure)
+{
+  return aFailure == beast::error::timeout ? attempt_end::TimedOut
+                                           : attempt_end::Lost;
+}
+
+// What the header alone decides. Nothing where the answer is to be passed on.
+std::optional<attempt_end>
+Judge(const upstream_link& aLink, const upstream_attempt& aAttempt)
+{
+  const upstream_answer& answer = aLink.mAnswer;
+  // On a connection that carried something foreign an unnamed refusal may be
+  // that of another request.
+  bool isNamed = answer.mBelongs == upstream_answer::belongs::ToThisRequest;
+  bool believed = isNamed || aLink.mClean;
+  if (answer.mWrongInstance && believed) {
+    return attempt_end::WrongInstance;
+  }
+  if (answer.mNotRun && believed) {
+    return attempt_end::NotRun;
+  }
+  if (!answer.mSound || !isNamed) {
+    return attempt_end::Lost;
+  }
+  bool isError = aLink.mParser->get().result_int() >= 500;
+  if (isError && aAttempt.mHoldErrors) {
+    return attempt_end::Errored;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string_view
+ToString(attempt_end aEnd)
+{
+  switch (aEnd) {
+    case attempt_end::Answered:
+      return "answered";
+    case attempt_end::NotSent:
+      return "not_sent";
+    case attempt_end::NotRun:
+      return "not_run";
+    case attempt_end::WrongInstance:
+      return "wrong_instance";
+    case attempt_end::Errored:
+      return "errored";
+    case attempt_end::Lost:
+      return "lost";
+    case attempt_end::TimedOut:
+      return "timed_out";
+    case attempt_end::CutShort:
+      return "cut_short";
+    case attempt_end::CallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+asio::awaitable<attempt_outcome>
+AttemptUpstream(table<connection_pool>& aPool,
+                http_exchange& aExchange,
+                const upstream_attempt& aAttempt)
+{
+  attempt_outcome outcome;
+  upstream_link link;
+  error_code failure = co_await Connect(aPool, aAttempt, link, outcome);
+  if (failure) {
+    co_return outcome;
+  }
+  failure = co_await SendRequest(aExchange, aAttempt, link);
+  if (failure) {
+    outcome.mEnd = EndOf(failure);
+    co_return outcome;
+  }
+  if (aAttempt.mIdempotent) {
+    std::variant<error_code, std::monostate> first =
+      co_await (ReadAnswerHead(aExchange, aAttempt, link) ||
+                WaitCallerGone(aExchange));
+    if (first.index() == 1) {
+      aExchange.mKeepAlive = false;
+      outcome.mEnd = attempt_end::CallerGone;
+      co_return outcome;
+    }
+    failure = std::get<0>(first);
+  } else {
+    failure = co_await ReadAnswerHead(aExchange, aAttempt, link);
+  }
+  if (failure) {
+    outcome.mEnd = EndOf(failure);
+    co_return outcome;
+  }
+  outcome.mStatus = link.mParser->get().result_int();
+  outcome.mLoad = link.mAnswer.mLoad;
+  std::optional<attempt_end> judged = Judge(link, aAttempt);
+  if (judged) {
+    outcome.mEnd = *judged;
+    if (*judged != attempt_end::Lost) {
+      failure = co_await PassOver(link);
+      if (!failure) {
+        KeepLink(aPool, aAttempt, link);
+      }
+    }
+    co_return outcome;
+  }
+  std::string held;
+  failure = co_await HoldBody(link, held);
+  if (failure) {
+    outcome.mEnd = EndOf(failure);
+    co_return outcome;
+  }
+  failure = co_await PassOn(aExchange, aAttempt, link, held, outcome);
+  if (failure) {
+    aExchange.mKeepAlive = false;
+    outcome.mEnd = attempt_end::CutShort;
+    co_return outcome;
+  }
+  outcome.mEnd = attempt_end::Answered;
+  KeepLink(aPool, aAttempt, link);
+  co_return outcome;
+}
+
+} // namespace laburnumdyke
