Give each object one home upstream in reach, and learn work by familiarity

Rendezvous order was taken within each failure domain, and the mean of a route mixed both kinds of work. Change: one home an object within the region (within the domain where answers are costly to carry), one outside; two means a route.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -15,18 +15,11 @@
 
 using seconds_d = std::chrono::duration<double>;
 
-// Work that is assumed until an answer has come, as a part of the objective.
-constexpr double kFirstWorkPart = 0.5;
-constexpr double kLearnWeight = 0.1; // of one answer in the mean of a route
 constexpr double kSlownessWeight = 0.3;
 constexpr double kLeastSlowness = 0.5;
 constexpr double kMostSlowness = 20;
 // Over which an upstream's slowness is forgotten, so that it is tried again.
 constexpr std::chrono::seconds kForgetSlowness{ 5 };
-// Work on an object at the second and at later upstreams of its order, against
-// the first.
-constexpr double kSecondChoice = 1.2;
-constexpr double kLaterChoice = 1.6;
 constexpr double kColdFactor = 2; // work of an upstream that has just started
 // Delay that is accepted to keep a byte within its failure domain, where links
 // are plentiful.
@@ -161,34 +154,54 @@
                           aNow);
 }
 
-double
-upstream_steering::Unfamiliarity(const upstream& aUpstream,
-                                 const steering_request& aRequest) const
+// Answers that are costly to carry between failure domains make the instance's
+// own domain its reach; otherwise it is the region.
+upstream_steering::homes
+upstream_steering::HomesOf(const steering_request& aRequest,
+                           double aBytes) const
 {
-  if (aRequest.mObject.empty() || !aRequest.mRoute.mAffinity) {
-    return 1;
-  }
-  const upstream_entry& own = aUpstream.mEntry;
-  std::uint64_t weight = RendezvousWeight(own.mId.mValue, aRequest.mObject);
-  std::size_t before = 0;
-  for (const std::pair<const upstream_id, upstream>& other : mUpstreams) {
-    const upstream_entry& entry = other.second.mEntry;
-    if (entry.mService == own.mService && entry.mDomain == own.mDomain &&
-        !entry.mDraining && entry.mId != own.mId &&
-        RendezvousWeight(entry.mId.mValue, aRequest.mObject) > weight) {
-      ++before;
+  homes found;
+  bool staysInDomain =
+    kCrossingByte * aBytes > seconds_d(aRequest.mRoute.mObjective) / 4;
+  std::uint64_t inside = 0;
+  std::uint64_t outside = 0;
+  for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
+    const upstream_entry& entry = known.second.mEntry;
+    if (entry.mService != aRequest.mService || entry.mDraining) {
+      continue;
+    }
+    bool inReach = staysInDomain
+                     ? entry.mDomain == mOptions.mDomain
+                     : RegionOf(entry.mDomain) == mOptions.mRegion;
+    std::uint64_t weight = RendezvousWeight(entry.mId.mValue, aRequest.mObject);
+    std::uint64_t& most = inReach ? inside : outside;
+    const upstream_entry*& home = inReach ? found.mInside : found.mOutside;
+    if (home == nullptr || weight > most) {
+      most = weight;
+      home = &entry;
     }
   }
-  if (before == 0) {
-    return 1;
+  return found;
+}
+
+bool
+upstream_steering::Knows(const upstream& aUpstream,
+                         const steering_request& aRequest,
+                         const homes& aHomes) const
+{
+  if (aRequest.mObject.empty() || !aRequest.mRoute.mAffinity) {
+    return true;
   }
-  return before == 1 ? kSecondChoice : kLaterChoice;
+  return &aUpstream.mEntry == aHomes.mInside ||
+         &aUpstream.mEntry == aHomes.mOutside ||
+         aUpstream.mRecent.Has(aRequest.mObject);
 }
 
 upstream_steering::candidate
 upstream_steering::Weigh(upstream& aUpstream,
                          const steering_request& aRequest,
-                         const route_state& aRoute,
+                         const work_estimate& aWork,
+                         const homes& aHomes,
                          instant aNow) const
 {
   candidate weighed;
@@ -198,24 +211,26 @@
   double slots = std::max(1U, aUpstream.mHealth.Allowed(entry.mSlots, aNow));
   double load = aUpstream.mLoad.Estimate(aNow);
   double slowness = Slowness(aUpstream, aNow);
-  seconds_d mean = seconds_d(aRoute.mWork) * slowness;
+  bool knows = Knows(aUpstream, aRequest, aHomes);
   double waiting = std::max(0.0, load + 1 - slots);
-  weighed.mWait = ToDuration(mean * (waiting / slots));
-  double factor = Unfamiliarity(aUpstream, aRequest);
-  factor *= IsCold(aUpstream, aNow) ? kColdFactor : 1;
+  weighed.mWait =
+    ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
+  seconds_d work = knows ? aWork.Known() : aWork.Unknown();
+  work *= slowness * (IsCold(aUpstream, aNow) ? kColdFactor : 1);
   auto trip = mTrips.find(entry.mDomain);
   seconds_d distance = trip != mTrips.end() ? trip->second
                        : weighed.mOutside   ? mOptions.mFarTrip
                                             : mOptions.mNearTrip;
-  seconds_d total = distance + seconds_d(weighed.mWait) + mean * factor;
+  seconds_d total = distance + seconds_d(weighed.mWait) + work;
   weighed.mTotal = ToDuration(total);
   bool crosses = entry.mDomain != mOptions.mDomain;
   weighed.mCost =
-    total.count() + (crosses ? kCrossingByte.count() * aRoute.mBytes : 0);
+    total.count() + (crosses ? kCrossingByte.count() * aWork.Bytes() : 0);
   bool onTime =
     aNow + weighed.mTotal <= aRequest.mReceived + aRequest.mRoute.mObjective;
   bool room = load + 1 <= slots * (1 + kMostWaitingPerSlot);
-  bool isFree = load + 1 <= slots;
+  // Work on an unknown object holds a slot for long: one more stays free.
+  bool isFree = load + (knows ? 1 : 2) <= slots;
   weighed.mAdmits = (onTime && room) || isFree;
   return weighed;
 }
@@ -226,10 +241,12 @@
                               instant aNow)
 {
   std::vector<candidate> candidates;
-  route_state& route = RouteState(aRequest.mRoute);
+  const work_estimate& work = WorkOf(aRequest.mRoute);
+  homes homes = HomesOf(aRequest, work.Bytes());
   for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
     if (IsOpen(known.second, aRequest, aTrustHealth, aNow)) {
-      candidates.push_back(Weigh(known.second, aRequest, route, aNow));
+      candidates.push_back(
+        Weigh(known.second, aRequest, work, homes, aNow));
     }
   }
   return candidates;
@@ -304,9 +321,13 @@
   steering_choice choice;
   choice.mCandidates = candidates.size();
   choice.mTarget =
-    steering_target{ entry.mId,     entry.mAddress,
-                     entry.mDomain, aRequest.mRoute.mName,
-                     entry.mBorn,   picked->mWait };
+    steering_target{ entry.mId,
+                     entry.mAddress,
+                     entry.mDomain,
+                     aRequest.mRoute.mName,
+                     std::string(aRequest.mObject),
+                     entry.mBorn,
+                     picked->mWait };
   return choice;
 }
 
@@ -332,14 +353,10 @@
   }
 }
 
-upstream_steering::route_state&
-upstream_steering::RouteState(const route_spec& aRoute)
+work_estimate&
+upstream_steering::WorkOf(const route_spec& aRoute)
 {
-  route_state& state = mRouteStates[aRoute.mName];
-  if (state.mWork == duration(0)) {
-    state.mWork = ToDuration(seconds_d(aRoute.mObjective) * kFirstWorkPart);
-  }
-  return state;
+  return mWork.try_emplace(aRoute.mName, aRoute.mObjective).first->second;
 }
 
 void
@@ -348,27 +365,23 @@
                          const attempt_report& aReport,
                          instant aNow)
 {
-  auto found = mRouteStates.find(aTarget.mRoute);
-  if (found == mRouteStates.end()) {
+  auto found = mWork.find(aTarget.mRoute);
+  if (found == mWork.end() || aTarget.mObject.empty()) {
     return;
   }
-  route_state& route = found->second;
-  seconds_d least = seconds_d(aReport.mTook) * 0.1;
-  seconds_d work = std::max(
-    least, seconds_d(aReport.mTook) - seconds_d(aTarget.mExpectedWait));
-  double ratio = std::clamp(
-    work / seconds_d(route.mWork), kLeastSlowness, kMostSlowness);
+  work_estimate& route = found->second;
+  duration work =
+    std::max(aReport.mTook / 10, aReport.mTook - aTarget.mExpectedWait);
+  bool knew = aUpstream.mRecent.Has(aTarget.mObject);
+  aUpstream.mRecent.Add(aTarget.mObject);
+  double ratio =
+    std::clamp(route.Slowness(work, knew), kLeastSlowness, kMostSlowness);
   double slowness = Slowness(aUpstream, aNow);
   aUpstream.mSlowness = slowness + (ratio - slowness) * kSlownessWeight;
   aUpstream.mMeasured = aNow;
-  if (IsCold(aUpstream, aNow)) {
-    return;
+  if (!IsCold(aUpstream, aNow)) {
+    route.Learn(work, aReport.mBytes, knew);
   }
-  double weight = route.mKnown ? kLearnWeight : 1;
-  route.mKnown = true;
-  route.mWork += ToDuration((work - seconds_d(route.mWork)) * weight);
-  route.mBytes +=
-    (static_cast<double>(aReport.mBytes) - route.mBytes) * weight;
 }
 
 void
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -22,11 +22,13 @@
 #pragma once
 
 #include "laburnumdyke/decision/cold_gate.h"
+#include "laburnumdyke/decision/recent_objects.h"
 #include "laburnumdyke/decision/region_spill.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 #include "laburnumdyke/decision/upstream_health.h"
 #include "laburnumdyke/decision/upstream_load.h"
+#include "laburnumdyke/decision/work_estimate.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
 #include <chrono>
@@ -74,6 +76,7 @@
   endpoint mAddress;
   domain_id mDomain;
   std::string mRoute;
+  std::string mObject;
   std::chrono::milliseconds mBorn{ 0 };
   duration mExpectedWait{}; // before work begins there
 };
@@ -133,13 +136,7 @@
     bool mMisdirected = false; // until it registers anew
     double mSlowness = 1;      // its work against that of the route
     instant mMeasured{};
-  };
-
-  struct route_state
-  {
-    duration mWork{};   // of one request, without waiting
-    double mBytes = 0;  // of an answer
-    bool mKnown = false;
+    recent_objects mRecent;
   };
 
   struct candidate
@@ -152,10 +149,11 @@
     bool mAdmits = false;
   };
 
-  struct weighing
+  // The upstreams that are the first to ask for an object.
+  struct homes
   {
-    std::vector<candidate> mCandidates;
-    bool mAnyRegistered = false;
+    const upstream_entry* mInside = nullptr;  // in reach of the instance
+    const upstream_entry* mOutside = nullptr; // of all others
   };
 
   region_id RegionOf(const domain_id& aDomain) const;
@@ -165,11 +163,14 @@
               bool aTrustHealth,
               instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
-  double Unfamiliarity(const upstream& aUpstream,
-                       const steering_request& aRequest) const;
+  homes HomesOf(const steering_request& aRequest, double aBytes) const;
+  bool Knows(const upstream& aUpstream,
+             const steering_request& aRequest,
+             const homes& aHomes) const;
   candidate Weigh(upstream& aUpstream,
                   const steering_request& aRequest,
-                  const route_state& aRoute,
+                  const work_estimate& aWork,
+                  const homes& aHomes,
                   instant aNow) const;
   std::vector<candidate> Candidates(const steering_request& aRequest,
                                     bool aTrustHealth,
@@ -180,7 +181,7 @@
   steering_choice TurnAway(const std::vector<candidate>& aCandidates,
                            const steering_request& aRequest,
                            instant aNow);
-  route_state& RouteState(const route_spec& aRoute);
+  work_estimate& WorkOf(const route_spec& aRoute);
   void Learn(upstream& aUpstream,
              const steering_target& aTarget,
              const attempt_report& aReport,
@@ -194,7 +195,7 @@
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
   std::set<domain_id> mEvacuated;
-  std::map<std::string, route_state> mRouteStates; // by the route's name
+  std::map<std::string, work_estimate> mWork; // by the route's name
   std::map<service_id, region_spill> mSpills;
   std::map<domain_id, duration> mTrips; // round trips
   std::mt19937_64 mRandom;
--- /dev/null
+++ b/laburnumdyke/decision/work_estimate.cc
@@ -0,0 +1,58 @@
+// Two exponential means, parted halfway between them.
+#include "laburnumdyke/decision/work_estimate.h"
+
+#include <algorithm>
+
+namespace laburnumdyke {
+
+namespace {
+
+using seconds_d = std::chrono::duration<double>;
+
+constexpr double kWeight = 0.1; // of one answer
+
+void
+Move(duration& aMean, duration aValue, double aWeight)
+{
+  seconds_d step = (seconds_d(aValue) - seconds_d(aMean)) * aWeight;
+  aMean += std::chrono::duration_cast<duration>(step);
+}
+
+} // namespace
+
+bool
+work_estimate::IsNearKnown(duration aWork) const
+{
+  return aWork < (mKnown + mUnknown) / 2;
+}
+
+double
+work_estimate::Slowness(duration aWork, bool aKnown) const
+{
+  bool known = aKnown || IsNearKnown(aWork);
+  seconds_d usual = std::max(known ? mKnown : mUnknown, duration(1));
+  return seconds_d(aWork) / usual;
+}
+
+void
+work_estimate::Learn(duration aWork, std::size_t aBytes, bool aKnown)
+{
+  double bytes = static_cast<double>(aBytes);
+  mBytes += (bytes - mBytes) * (mHasBytes ? kWeight : 1);
+  mHasBytes = true;
+  if (!mHasUnknown && !aKnown) {
+    // Upstreams know nothing at first.
+    mHasUnknown = true;
+    mUnknown = aWork;
+    mKnown = mHasKnown ? mKnown : aWork / 2;
+    return;
+  }
+  if (IsNearKnown(aWork)) {
+    Move(mKnown, aWork, mHasKnown ? kWeight : 1);
+    mHasKnown = true;
+  } else if (!aKnown) {
+    Move(mUnknown, aWork, kWeight);
+  }
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -37,4 +37,14 @@
   return text;
 }
 
+std::string
+LoadText(const std::optional<load_report>& aLoad)
+{
+  if (!aLoad) {
+    return {};
+  }
+  return std::to_string(aLoad->mRunning) + "," +
+         std::to_string(aLoad->mWaiting) + "," + std::to_string(aLoad->mSlots);
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -105,6 +105,10 @@
 std::string
 RetryAfterText(std::chrono::milliseconds aAfter);
 
+// "running,waiting,slots"; empty where the upstream doesn't tell.
+std::string
+LoadText(const std::optional<load_report>& aLoad);
+
 template<steering_dialect Dialect, attempt_transport Transport>
 class steered_pipeline
 {
@@ -355,6 +359,8 @@
         { "route", aRequest.mRoute->mName },
         { "upstream", aTarget.mId.mValue },
         { "failure_domain", aTarget.mDomain.mValue },
+        { "object", aRequest.mCaller.mObject },
+        { "load", LoadText(aOutcome.mLoad) },
         { "end", std::string(ToString(aOutcome.mEnd)) },
         { "status", std::to_string(aOutcome.mStatus) },
         { "expected_wait_ms",
