Pass on a peer's view, and take SIGHUP as a check of the settings

Change: views that were taken are offered on, any of the peers ahead is asked, SIGHUP checks the file and logs what it finds.

--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -30,6 +30,8 @@
   "\n"
   "SIGTERM or SIGINT begins a planned stop: no request in flight is cut.\n"
   "A second signal logs what the stop still waits for.\n"
+  "SIGHUP checks the settings file again and logs what it finds; settings are\n"
+  "in force from the next start on.\n"
   "\n"
   "Exit status: 0 after a planned stop, 1 if the instance could not start,\n"
   "2 for a faulty option or setting.\n";
@@ -116,11 +118,28 @@
       .count());
 }
 
+// Settings hold addresses and bounds that the instance is built on: a change
+// is checked and reported, and taken at the next start.
 void
-WaitForStop(kernel& aKernel, const sigset_t& aSignals)
+CheckSettingsAgain(kernel& aKernel, const std::string& aFile)
+{
+  std::optional<settings> loaded = LoadSettings(aFile);
+  aKernel.Log().Info("settings_reloaded",
+                     { { "valid", loaded ? "yes" : "no" },
+                       { "in_force", "from the next start" } });
+}
+
+void
+WaitForStop(kernel& aKernel,
+            const sigset_t& aSignals,
+            const std::string& aSettingsFile)
 {
   int signal = 0;
   sigwait(&aSignals, &signal);
+  while (signal == SIGHUP) {
+    CheckSettingsAgain(aKernel, aSettingsFile);
+    sigwait(&aSignals, &signal);
+  }
   aKernel.Leave(std::chrono::steady_clock::now());
   std::string waiting = aKernel.Waiting(std::chrono::steady_clock::now());
   const timespec poll{ 0, std::chrono::nanoseconds(kStopPoll).count() };
@@ -133,13 +152,14 @@
 }
 
 int
-RunDaemon(settings aSettings)
+RunDaemon(settings aSettings, const std::string& aSettingsFile)
 {
   // Blocked before any thread starts, so that only this one takes signals.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   ConfigureLogging();
@@ -153,7 +173,7 @@
     return kExitFailed;
   }
   instance.Log().Info("started", { { "version", LABURNUMDYKE_VERSION } });
-  WaitForStop(instance, signals);
+  WaitForStop(instance, signals, aSettingsFile);
   instance.Stop();
   instance.Log().Info("stopped", {});
   return kExitOk;
@@ -177,5 +197,5 @@
     Print(stdout, parsed->mConfig + ": ok\n");
     return kExitOk;
   }
-  return RunDaemon(std::move(*loaded));
+  return RunDaemon(std::move(*loaded), parsed->mConfig);
 }
--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -64,16 +64,17 @@
   return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion };
 }
 
-std::optional<fleet_member>
+std::vector<fleet_member>
 fleet_view::Ahead(instant aNow) const
 {
+  std::vector<fleet_member> ahead;
   for (const std::pair<const instance_id, member_state>& one : mMembers) {
     if (IsLive(one.second, aNow) &&
         one.second.mControlVersion > mControlVersion) {
-      return one.second.mMember;
+      ahead.push_back(one.second.mMember);
     }
   }
-  return std::nullopt;
+  return ahead;
 }
 
 std::vector<endpoint>
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -81,8 +81,8 @@
   std::uint64_t ControlVersion() const { return mControlVersion; }
   fleet_beat Beat() const;
 
-  // A live peer that knows a later version of what the operator asks for.
-  std::optional<fleet_member> Ahead(instant aNow) const;
+  // Live peers that know a later version of what the operator asks for.
+  std::vector<fleet_member> Ahead(instant aNow) const;
 
   // To whom heartbeats go.
   std::vector<endpoint> Targets() const;
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -57,11 +57,8 @@
     aSource.View()
     } -> std::same_as<std::string>;
   {
-    T::ControlOf(aView)
-    } -> std::same_as<control_reading>;
-  {
-    T::UpstreamsOf(aView)
-    } -> std::same_as<upstream_reading>;
+    aSource.TakeView(aView)
+    } -> std::same_as<view_reading>;
 };
 
 template<platform_source Source>
@@ -199,31 +196,23 @@
     while (true) {
       co_await SleepFor(Jittered(kPeerPace));
       instant now = Now();
-      std::optional<fleet_member> peer = mTables.Fleet().With(
+      std::vector<fleet_member> peers = mTables.Fleet().With(
         [&](fleet_state& aFleet) { return aFleet.Ahead(now); });
-      bool ask = peer.has_value() && wasAhead;
-      wasAhead = peer.has_value();
-      if (!peer && mUpstreams.IsLost() && mUpstreams.MayAskPeer(now)) {
-        peer = AnyPeer(now);
-        ask = peer.has_value();
+      bool isAhead = !peers.empty();
+      bool ask = isAhead && wasAhead;
+      wasAhead = isAhead;
+      if (!isAhead && mUpstreams.IsLost() && mUpstreams.MayAskPeer(now)) {
+        peers = mTables.Fleet().With(
+          [&](fleet_state& aFleet) { return aFleet.LivePeers(now); });
+        ask = !peers.empty();
       }
       if (ask) {
-        co_await ReadView(*peer);
+        std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+        co_await ReadView(peers[any(mRandom)]);
       }
     }
   }
 
-  std::optional<fleet_member> AnyPeer(instant aNow)
-  {
-    std::vector<fleet_member> peers = mTables.Fleet().With(
-      [&](fleet_state& aFleet) { return aFleet.LivePeers(aNow); });
-    if (peers.empty()) {
-      return std::nullopt;
-    }
-    std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
-    return peers[any(mRandom)];
-  }
-
   asio::awaitable<void> ReadView(fleet_member aPeer)
   {
     client_request request;
@@ -234,20 +223,22 @@
       co_await Exchange(std::move(request));
     if (!answer || answer->mStatus != 200) {
       mKernel.Counters().Add("views_total", "no_answer");
+      mKernel.Log().Warn("view_unanswered",
+                         { { "peer", aPeer.mInstance.mValue } });
       co_return;
     }
     mKernel.Counters().Add("views_total", "read");
-    control_reading control = Source::ControlOf(answer->mBody);
-    if (mControl.TakeFromPeer(control.mHead)) {
-      mKernel.Log().Info("control_from_peer",
-                         { { "peer", aPeer.mInstance.mValue },
-                           { "version",
-                             std::to_string(control.mHead.mVersion) } });
-      TakeControl(control);
+    view_reading view = mSource.TakeView(answer->mBody);
+    if (mControl.TakeFromPeer(view.mControl.mHead)) {
+      mKernel.Log().Info(
+        "control_from_peer",
+        { { "peer", aPeer.mInstance.mValue },
+          { "version", std::to_string(view.mControl.mHead.mVersion) } });
+      TakeControl(view.mControl);
     }
-    upstream_reading upstreams = Source::UpstreamsOf(answer->mBody);
-    if (mUpstreams.IsLost() && mUpstreams.TakeFromPeer(upstreams.mHead)) {
-      TakeUpstreams(upstreams, Now());
+    if (mUpstreams.IsLost() &&
+        mUpstreams.TakeFromPeer(view.mUpstreams.mHead)) {
+      TakeUpstreams(view.mUpstreams, Now());
     }
   }
 
