Ask the first two upstreams of an object's order; learn from peers whether the platform was there

Change: candidates are the first two of the order in each reach, weighted by slots; heartbeats say whether the sender knows the upstreams as the platform does, which ends the wait. Ruled out: a full outage, as 16 of 25 instances had read the store throughout.

--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -55,13 +55,16 @@
   state.mServing = aBeat.mServing;
   state.mLeaving = aBeat.mLeaving;
   state.mControlVersion = aBeat.mControlVersion;
+  state.mSettled = aBeat.mSettled;
   return true;
 }
 
 fleet_beat
 fleet_view::Beat() const
 {
-  return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion };
+  return {
+    mOptions.mSelf, IsServing(), mLeaving, mControlVersion, mSettled
+  };
 }
 
 std::vector<fleet_member>
@@ -77,6 +80,17 @@
   return ahead;
 }
 
+bool
+fleet_view::HasSettledPeer(instant aNow) const
+{
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (IsLive(one.second, aNow) && one.second.mSettled) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<endpoint>
 fleet_view::Targets() const
 {
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -43,6 +43,7 @@
   bool mServing = false; // takes requests
   bool mLeaving = false;
   std::uint64_t mControlVersion = 0; // of what the operator asks for
+  bool mSettled = false; // knows the upstreams as the platform does
 };
 
 struct fleet_options
@@ -79,8 +80,13 @@
   bool IsServing() const { return mServing && !mLeaving; }
   void SetControlVersion(std::uint64_t aVersion) { mControlVersion = aVersion; }
   std::uint64_t ControlVersion() const { return mControlVersion; }
+  void SetSettled(bool aSettled) { mSettled = aSettled; }
   fleet_beat Beat() const;
 
+  // Whether a live peer knows the upstreams as the platform does: where this
+  // instance has lost the platform, the platform itself was there.
+  bool HasSettledPeer(instant aNow) const;
+
   // Live peers that know a later version of what the operator asks for.
   std::vector<fleet_member> Ahead(instant aNow) const;
 
@@ -105,6 +111,7 @@
     bool mServing = false;
     bool mLeaving = false;
     std::uint64_t mControlVersion = 0;
+    bool mSettled = false;
   };
 
   bool IsLive(const member_state& aState, instant aNow) const;
@@ -112,6 +119,7 @@
   fleet_options mOptions;
   bool mServing = false;
   bool mLeaving = false;
+  bool mSettled = false;
   std::uint64_t mControlVersion = 0;
   std::map<instance_id, member_state> mMembers;
 };
--- a/laburnumdyke/decision/upstream_directory.cc
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -2,6 +2,7 @@
 // only one that is delayed; a draining upstream is believed at once.
 #include "laburnumdyke/decision/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -65,7 +66,7 @@
   if (found == mKnown.end()) {
     return {};
   }
-  if (mLost || aNow < mGraceUntil) {
+  if (!IsSettled(aNow)) {
     found->second.mMissing = true;
     return {};
   }
@@ -118,11 +119,17 @@
   mLost = false;
 }
 
+void
+upstream_directory::EndGrace(instant aNow)
+{
+  mGraceUntil = std::min(mGraceUntil, aNow);
+}
+
 std::vector<upstream_change>
 upstream_directory::Expire(instant aNow)
 {
   std::vector<upstream_change> changes;
-  if (mLost || aNow < mGraceUntil) {
+  if (!IsSettled(aNow)) {
     return changes;
   }
   for (auto it = mKnown.begin(); it != mKnown.end();) {
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -10,7 +10,8 @@
 // An upstream that is missing from the list is gone, with one exception: an
 // outage of the platform lets entries lapse although their upstreams live.
 // For mReturnGrace after the platform's return a missing upstream stays, and
-// goes only if it has not registered again by then.
+// goes only if it has not registered again by then. Where another instance
+// never lost the platform, there was no such outage: EndGrace.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -56,7 +57,7 @@
 struct upstream_directory_options
 {
   // Entries that lapsed in an outage are back within this time of its end.
-  std::chrono::milliseconds mReturnGrace{ 2500 };
+  std::chrono::milliseconds mReturnGrace{ 2200 };
   // A shorter outage lets no entry lapse.
   std::chrono::milliseconds mShortOutage{ 1000 };
 };
@@ -79,6 +80,11 @@
   void PlatformLost(instant aNow);
   void PlatformBack(instant aNow);
 
+  void EndGrace(instant aNow);
+
+  // Whether missing upstreams are taken as gone.
+  bool IsSettled(instant aNow) const { return !mLost && aNow >= mGraceUntil; }
+
   // Removes upstreams that did not come back in time.
   std::vector<upstream_change> Expire(instant aNow);
 
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -20,6 +20,11 @@
 constexpr double kMostSlowness = 20;
 // Over which an upstream's slowness is forgotten, so that it is tried again.
 constexpr std::chrono::seconds kForgetSlowness{ 5 };
+// Upstreams of an object's order that are asked, in each reach. Two are enough
+// to even out load, and few enough that they know the object.
+constexpr std::size_t kChoices = 2;
+// Work at another than the first, which may not know the object yet.
+constexpr double kLaterChoice = 1.25;
 constexpr double kColdFactor = 2; // work of an upstream that has just started
 // Delay that is accepted to keep a byte within its failure domain, where links
 // are plentiful.
@@ -36,6 +41,18 @@
   return std::chrono::duration_cast<duration>(aTime);
 }
 
+// Rendezvous hashing with the slots as weight: the greatest score is first.
+double
+OrderScore(const upstream_entry& aEntry, std::string_view aObject)
+{
+  constexpr double kRange = 18446744073709551616.0; // 2^64
+  double part =
+    (static_cast<double>(RendezvousWeight(aEntry.mId.mValue, aObject)) + 1) /
+    kRange;
+  return -static_cast<double>(aEntry.mSlots) /
+         std::log(std::min(part, 1 - 1e-12));
+}
+
 } // namespace
 
 upstream_steering::upstream_steering(steering_options aOptions)
@@ -154,69 +171,76 @@
                           aNow);
 }
 
-// Answers that are costly to carry between failure domains make the instance's
-// own domain its reach; otherwise it is the region.
-upstream_steering::homes
-upstream_steering::HomesOf(const steering_request& aRequest,
-                           double aBytes) const
+upstream_steering::reach
+upstream_steering::ReachOf(const upstream_entry& aEntry,
+                           bool aStaysInDomain) const
 {
-  homes found;
-  bool staysInDomain =
-    kCrossingByte * aBytes > seconds_d(aRequest.mRoute.mObjective) / 4;
-  std::uint64_t inside = 0;
-  std::uint64_t outside = 0;
-  for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
-    const upstream_entry& entry = known.second.mEntry;
-    if (entry.mService != aRequest.mService || entry.mDraining) {
-      continue;
-    }
-    bool inReach = staysInDomain
-                     ? entry.mDomain == mOptions.mDomain
-                     : RegionOf(entry.mDomain) == mOptions.mRegion;
-    std::uint64_t weight = RendezvousWeight(entry.mId.mValue, aRequest.mObject);
-    std::uint64_t& most = inReach ? inside : outside;
-    const upstream_entry*& home = inReach ? found.mInside : found.mOutside;
-    if (home == nullptr || weight > most) {
-      most = weight;
-      home = &entry;
-    }
+  if (RegionOf(aEntry.mDomain) != mOptions.mRegion) {
+    return reach::Beyond;
   }
-  return found;
+  bool own = !aStaysInDomain || aEntry.mDomain == mOptions.mDomain;
+  return own ? reach::Own : reach::Region;
 }
 
-bool
-upstream_steering::Knows(const upstream& aUpstream,
-                         const steering_request& aRequest,
-                         const homes& aHomes) const
+// The first upstreams of an object's order in each reach; all of them where
+// the request is about no object.
+std::vector<upstream_steering::ranked_upstream>
+upstream_steering::FirstChoices(const steering_request& aRequest,
+                                bool aStaysInDomain,
+                                bool aTrustHealth,
+                                instant aNow)
 {
-  if (aRequest.mObject.empty() || !aRequest.mRoute.mAffinity) {
-    return true;
+  std::vector<ranked_upstream> choices;
+  bool hasOrder = !aRequest.mObject.empty() && aRequest.mRoute.mAffinity;
+  for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
+    if (!IsOpen(known.second, aRequest, aTrustHealth, aNow)) {
+      continue;
+    }
+    const upstream_entry& entry = known.second.mEntry;
+    double score = hasOrder ? OrderScore(entry, aRequest.mObject) : 0;
+    choices.push_back(
+      { &known.second, ReachOf(entry, aStaysInDomain), score, 0 });
+  }
+  if (!hasOrder) {
+    return choices;
+  }
+  std::sort(choices.begin(),
+            choices.end(),
+            [](const ranked_upstream& aFirst, const ranked_upstream& aSecond) {
+              return aFirst.mReach != aSecond.mReach
+                       ? aFirst.mReach < aSecond.mReach
+                       : aFirst.mScore > aSecond.mScore;
+            });
+  for (std::size_t i = 1; i < choices.size(); ++i) {
+    bool sameReach = choices[i].mReach == choices[i - 1].mReach;
+    choices[i].mRank = sameReach ? choices[i - 1].mRank + 1 : 0;
   }
-  return &aUpstream.mEntry == aHomes.mInside ||
-         &aUpstream.mEntry == aHomes.mOutside ||
-         aUpstream.mRecent.Has(aRequest.mObject);
+  std::erase_if(choices, [](const ranked_upstream& aOne) {
+    return aOne.mRank >= kChoices;
+  });
+  return choices;
 }
 
 upstream_steering::candidate
-upstream_steering::Weigh(upstream& aUpstream,
+upstream_steering::Weigh(const ranked_upstream& aRanked,
                          const steering_request& aRequest,
                          const work_estimate& aWork,
-                         const homes& aHomes,
                          instant aNow) const
 {
   candidate weighed;
-  const upstream_entry& entry = aUpstream.mEntry;
-  weighed.mUpstream = &aUpstream;
+  const upstream& target = *aRanked.mUpstream;
+  const upstream_entry& entry = target.mEntry;
+  weighed.mUpstream = aRanked.mUpstream;
   weighed.mOutside = RegionOf(entry.mDomain) != mOptions.mRegion;
-  double slots = std::max(1U, aUpstream.mHealth.Allowed(entry.mSlots, aNow));
-  double load = aUpstream.mLoad.Estimate(aNow);
-  double slowness = Slowness(aUpstream, aNow);
-  bool knows = Knows(aUpstream, aRequest, aHomes);
+  double slots = std::max(1U, target.mHealth.Allowed(entry.mSlots, aNow));
+  double load = target.mLoad.Estimate(aNow);
+  double slowness = Slowness(target, aNow);
   double waiting = std::max(0.0, load + 1 - slots);
   weighed.mWait =
     ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
-  seconds_d work = knows ? aWork.Known() : aWork.Unknown();
-  work *= slowness * (IsCold(aUpstream, aNow) ? kColdFactor : 1);
+  bool isFirst = aRanked.mReach == reach::Own && aRanked.mRank == 0;
+  seconds_d work = aWork.Known();
+  work *= slowness * (isFirst ? 1 : kLaterChoice) * (IsCold(target, aNow) ? kColdFactor : 1);
   auto trip = mTrips.find(entry.mDomain);
   seconds_d distance = trip != mTrips.end() ? trip->second
                        : weighed.mOutside   ? mOptions.mFarTrip
@@ -229,8 +253,7 @@
   bool onTime =
     aNow + weighed.mTotal <= aRequest.mReceived + aRequest.mRoute.mObjective;
   bool room = load + 1 <= slots * (1 + kMostWaitingPerSlot);
-  // Work on an unknown object holds a slot for long: one more stays free.
-  bool isFree = load + (knows ? 1 : 2) <= slots;
+  bool isFree = load + 1 <= slots;
   weighed.mAdmits = (onTime && room) || isFree;
   return weighed;
 }
@@ -242,12 +265,11 @@
 {
   std::vector<candidate> candidates;
   const work_estimate& work = WorkOf(aRequest.mRoute);
-  homes homes = HomesOf(aRequest, work.Bytes());
-  for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
-    if (IsOpen(known.second, aRequest, aTrustHealth, aNow)) {
-      candidates.push_back(
-        Weigh(known.second, aRequest, work, homes, aNow));
-    }
+  bool staysInDomain =
+    kCrossingByte * work.Bytes() > seconds_d(aRequest.mRoute.mObjective) / 4;
+  for (const ranked_upstream& ranked :
+       FirstChoices(aRequest, staysInDomain, aTrustHealth, aNow)) {
+    candidates.push_back(Weigh(ranked, aRequest, work, aNow));
   }
   return candidates;
 }
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -149,11 +149,21 @@
     bool mAdmits = false;
   };
 
-  // The upstreams that are the first to ask for an object.
-  struct homes
+  // How far an upstream is, for an object's order of upstreams.
+  enum class reach
   {
-    const upstream_entry* mInside = nullptr;  // in reach of the instance
-    const upstream_entry* mOutside = nullptr; // of all others
+    Own,    // the region, or the domain where answers are costly to carry
+    Region, // the rest of the region
+    Beyond,
+  };
+
+  // An upstream and its place in an object's order, in its reach.
+  struct ranked_upstream
+  {
+    upstream* mUpstream = nullptr;
+    reach mReach = reach::Own;
+    double mScore = 0;
+    std::size_t mRank = 0;
   };
 
   region_id RegionOf(const domain_id& aDomain) const;
@@ -163,14 +173,14 @@
               bool aTrustHealth,
               instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
-  homes HomesOf(const steering_request& aRequest, double aBytes) const;
-  bool Knows(const upstream& aUpstream,
-             const steering_request& aRequest,
-             const homes& aHomes) const;
-  candidate Weigh(upstream& aUpstream,
+  reach ReachOf(const upstream_entry& aEntry, bool aStaysInDomain) const;
+  std::vector<ranked_upstream> FirstChoices(const steering_request& aRequest,
+                                            bool aStaysInDomain,
+                                            bool aTrustHealth,
+                                            instant aNow);
+  candidate Weigh(const ranked_upstream& aRanked,
                   const steering_request& aRequest,
                   const work_estimate& aWork,
-                  const homes& aHomes,
                   instant aNow) const;
   std::vector<candidate> Candidates(const steering_request& aRequest,
                                     bool aTrustHealth,
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -20,6 +20,7 @@
   message.set_serving(aBeat.mServing);
   message.set_leaving(aBeat.mLeaving);
   message.set_control_version(aBeat.mControlVersion);
+  message.set_settled(aBeat.mSettled);
   return message.SerializeAsString();
 }
 
@@ -51,6 +52,7 @@
   beat.mServing = message.serving();
   beat.mLeaving = message.leaving();
   beat.mControlVersion = message.control_version();
+  beat.mSettled = message.settled();
   return beat;
 }
 
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -198,6 +198,7 @@
       instant now = Now();
       std::vector<fleet_member> peers = mTables.Fleet().With(
         [&](fleet_state& aFleet) { return aFleet.Ahead(now); });
+      Settle(now);
       bool isAhead = !peers.empty();
       bool ask = isAhead && wasAhead;
       wasAhead = isAhead;
@@ -213,6 +214,30 @@
     }
   }
 
+  // Drops upstreams that are gone for certain, and tells peers whether this
+  // instance knows them all.
+  void Settle(instant aNow)
+  {
+    bool peerSettled = mTables.Fleet().With(
+      [&](fleet_state& aFleet) { return aFleet.HasSettledPeer(aNow); });
+    std::vector<upstream_change> changes;
+    bool settled = mTables.Steering().With([&](steering_state& aSteering) {
+      upstream_directory& directory = aSteering.Directory();
+      if (peerSettled) {
+        directory.EndGrace(aNow);
+      }
+      changes = directory.Expire(aNow);
+      aSteering.Apply(changes, aNow);
+      return directory.IsSettled(aNow);
+    });
+    for (const upstream_change& change : changes) {
+      LogUpstream(change);
+    }
+    mTables.Fleet().With([&](fleet_state& aFleet) {
+      aFleet.SetSettled(settled && mUpstreams.After().has_value());
+    });
+  }
+
   asio::awaitable<void> ReadView(fleet_member aPeer)
   {
     client_request request;
@@ -313,9 +338,6 @@
       } else {
         changes = TakeChanges(directory, aReading, aNow);
       }
-      for (upstream_change& change : directory.Expire(aNow)) {
-        changes.push_back(std::move(change));
-      }
       aSteering.Apply(changes, aNow);
     });
     for (const upstream_change& change : changes) {
