Count a later choice as knowing an object only where it was sent there lately

Cause: at low load the second upstream of an object was asked as soon as the first had anything waiting, and worked three times as long.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -23,8 +23,8 @@
 // Upstreams of an object's order that are asked, in each reach. Two are enough
 // to even out load, and few enough that they know the object.
 constexpr std::size_t kChoices = 2;
-// Work at another than the first, which may not know the object yet.
-constexpr double kLaterChoice = 1.25;
+// Work at another than the first, which may have forgotten the object.
+constexpr double kLaterChoice = 1.1;
 constexpr double kColdFactor = 2; // work of an upstream that has just started
 // Delay that is accepted to keep a byte within its failure domain, where links
 // are plentiful.
@@ -239,7 +239,9 @@
   weighed.mWait =
     ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
   bool isFirst = aRanked.mReach == reach::Own && aRanked.mRank == 0;
-  seconds_d work = aWork.Known();
+  bool knows = isFirst || aRequest.mObject.empty() ||
+               target.mRecent.Has(aRequest.mObject);
+  seconds_d work = knows ? aWork.Known() : aWork.Unknown();
   work *= slowness * (isFirst ? 1 : kLaterChoice) * (IsCold(target, aNow) ? kColdFactor : 1);
   auto trip = mTrips.find(entry.mDomain);
   seconds_d distance = trip != mTrips.end() ? trip->second
