Trial: bound the part of run requests that leaves a region

Change: the part counts run requests; a refusal for want of room is load, not illness; before any report others are taken to send as the instance does; waits by the mean of all work.

--- a/laburnumdyke/decision/region_spill.cc
+++ b/laburnumdyke/decision/region_spill.cc
@@ -11,9 +11,9 @@
 
 namespace {
 
-// Instances see few requests, so their sum moves by chance too: half of the
-// bound is left for it.
-constexpr double kShareOfBound = 0.5;
+// Instances see few requests, so their sum moves by chance too: the rest of
+// the bound is left for it.
+constexpr double kShareOfBound = 0.6;
 // Over which the wish is formed, in windows.
 constexpr double kWishWindows = 1.0;
 constexpr double kLeaveWish = 0.5;   // credit at which one that wants leaves
@@ -22,8 +22,8 @@
 
 } // namespace
 
-bool
-region_spill::Decide(bool aWants, instant aNow)
+spill_side
+region_spill::Decide(bool aWants, bool aInsideAdmits, instant aNow)
 {
   std::chrono::duration<double> window = mOptions.mWindow;
   double windows = 0;
@@ -37,12 +37,13 @@
   mWanted = mWanted * kept + (aWants ? 1 - kept : 0);
   double step = mOptions.mMostShift * kShareOfBound * windows;
   mShare += std::clamp(mWanted - mShare, -step, step);
-  mCredit = std::min(mCredit + mShare, kMostCredit);
-  bool leaves = mCredit >= (aWants ? kLeaveWish : kLeaveForced);
-  if (leaves) {
-    mCredit -= 1;
+  double credit = std::min(mCredit + mShare, kMostCredit);
+  bool leaves = credit >= (aWants ? kLeaveWish : kLeaveForced);
+  if (!leaves && !aInsideAdmits) {
+    return spill_side::Neither;
   }
-  return leaves;
+  mCredit = credit - (leaves ? 1 : 0);
+  return leaves ? spill_side::Outside : spill_side::Inside;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/region_spill.h
+++ b/laburnumdyke/decision/region_spill.h
@@ -5,8 +5,11 @@
 // slowly, or the load of whole regions swings. Each instance limits its own
 // part alike, so that the sum moves no faster and nobody needs to talk.
 //
+// The part is that of the requests which are run: those that are turned away
+// don't count, or a full region would send away a multiple of its part.
+//
 // Usage:
-//   bool outside = spill.Decide(wantsOutside, now);
+//   spill_side side = spill.Decide(wantsOutside, insideAdmits, now);
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -22,6 +25,13 @@
   std::chrono::milliseconds mWindow{ 2000 };
 };
 
+enum class spill_side
+{
+  Inside,
+  Outside,
+  Neither, // the region is full, and no more may leave it
+};
+
 class region_spill
 {
 public:
@@ -30,9 +40,9 @@
   {
   }
 
-  // Whether the next request leaves the region. aWants: it would be better
-  // served outside.
-  bool Decide(bool aWants, instant aNow);
+  // Where the next request runs. aWants: it would be better served outside;
+  // aInsideAdmits: an upstream of the region takes it.
+  spill_side Decide(bool aWants, bool aInsideAdmits, instant aNow);
 
   double Share() const { return mShare; }
 
--- a/laburnumdyke/decision/upstream_load.cc
+++ b/laburnumdyke/decision/upstream_load.cc
@@ -32,10 +32,10 @@
 }
 
 double
-upstream_load::Estimate(instant aNow) const
+upstream_load::Estimate(std::size_t aSenders, instant aNow) const
 {
   if (!mHasReport) {
-    return mOwn;
+    return static_cast<double>(mOwn) * static_cast<double>(aSenders);
   }
   double fresh = Decay(aNow - mReported, kReportLife);
   // The mean is forgotten too, or an upstream that once was full would never
--- a/laburnumdyke/decision/upstream_load.h
+++ b/laburnumdyke/decision/upstream_load.h
@@ -4,12 +4,15 @@
 // upstream. An instance knows its own requests exactly; those of the others it
 // learns from the load that comes with answers, which is true for an instant
 // and stale soon after. The estimate starts at the last report and returns to
-// the mean of the reports, as the requests that were counted end.
+// the mean of the reports, as the requests that were counted end. Before any
+// report the others are taken to do as the instance itself does: in the first
+// moments of a flood all of them would else find the same upstream free.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace laburnumdyke {
@@ -36,8 +39,9 @@
   // A report that came with an answer, after End of its request.
   void Report(const load_report& aReport, instant aNow);
 
-  // Requests of all instances that run or wait there.
-  double Estimate(instant aNow) const;
+  // Requests of all instances that run or wait there. aSenders: instances
+  // that send to it, this one included.
+  double Estimate(std::size_t aSenders, instant aNow) const;
 
 private:
   std::uint32_t mOwn = 0;
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -115,6 +115,12 @@
 void
 upstream_steering::SetFleet(std::vector<fleet_place> aFleet)
 {
+  mRegionSenders = 1;
+  for (const fleet_place& place : aFleet) {
+    bool isPeer = place.mRegion == mOptions.mRegion &&
+                  place.mInstance != mOptions.mSelf;
+    mRegionSenders += isPeer ? 1 : 0;
+  }
   mColdGate.SetFleet(std::move(aFleet));
 }
 
@@ -233,11 +239,11 @@
   weighed.mUpstream = aRanked.mUpstream;
   weighed.mOutside = RegionOf(entry.mDomain) != mOptions.mRegion;
   double slots = std::max(1U, target.mHealth.Allowed(entry.mSlots, aNow));
-  double load = target.mLoad.Estimate(aNow);
+  double load = target.mLoad.Estimate(mRegionSenders, aNow);
   double slowness = Slowness(target, aNow);
   double waiting = std::max(0.0, load + 1 - slots);
   weighed.mWait =
-    ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
+    ToDuration(seconds_d(aWork.Mean()) * slowness * (waiting / slots));
   bool isFirst = aRanked.mReach == reach::Own && aRanked.mRank == 0;
   bool knows = isFirst || aRequest.mObject.empty() ||
                target.mRecent.Has(aRequest.mObject);
@@ -298,8 +304,11 @@
                (inside == nullptr || outside->mCost < inside->mCost);
   region_spill& spill =
     mSpills.try_emplace(aRequest.mService, mOptions.mSpill).first->second;
-  bool leaves = spill.Decide(wants, aNow);
-  if (leaves && outside != nullptr) {
+  if (inside == nullptr && outside == nullptr) {
+    return nullptr;
+  }
+  spill_side side = spill.Decide(wants, inside != nullptr, aNow);
+  if (side == spill_side::Outside && outside != nullptr) {
     return outside;
   }
   return inside;
@@ -425,6 +434,11 @@
   target->mLoad.End();
   if (aReport.mLoad) {
     target->mLoad.Report(*aReport.mLoad, aNow);
+  } else if (aReport.mFull) {
+    std::uint32_t slots = target->mEntry.mSlots;
+    target->mLoad.Report(
+      { slots, static_cast<std::uint32_t>(slots * kMostWaitingPerSlot), slots },
+      aNow);
   }
   if (aReport.mWrongInstance) {
     target->mMisdirected = true;
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -96,6 +96,7 @@
   duration mTook{};
   std::size_t mBytes = 0; // of a whole answer
   std::optional<load_report> mLoad;
+  bool mFull = false;          // it refused the request before any work
   bool mWrongInstance = false; // another upstream has its address
   std::optional<duration> mConnect; // of a new connection
 };
@@ -202,6 +203,7 @@
   steering_options mOptions;
   upstream_directory mDirectory;
   cold_gate mColdGate;
+  std::size_t mRegionSenders = 1; // instances of the region
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
   std::set<domain_id> mEvacuated;
--- a/laburnumdyke/decision/work_estimate.h
+++ b/laburnumdyke/decision/work_estimate.h
@@ -20,6 +20,7 @@
   explicit work_estimate(duration aFirst)
     : mUnknown(aFirst)
     , mKnown(aFirst / 2)
+    , mMean(aFirst)
   {
   }
 
@@ -28,6 +29,8 @@
   void Learn(duration aWork, std::size_t aBytes, bool aKnown);
 
   duration Known() const { return mKnown; }
+  // Of all answers, whatever the upstreams knew.
+  duration Mean() const { return mMean; }
   duration Unknown() const { return mUnknown; }
   double Bytes() const { return mBytes; }
 
@@ -39,6 +42,7 @@
 
   duration mUnknown;
   duration mKnown;
+  duration mMean;
   double mBytes = 0;
   bool mHasUnknown = false;
   bool mHasKnown = false;
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -3,17 +3,28 @@
 
 namespace laburnumdyke {
 
+namespace {
+
+bool
+HasRoom(const std::optional<load_report>& aLoad)
+{
+  return aLoad && aLoad->mWaiting == 0 && aLoad->mRunning < aLoad->mSlots;
+}
+
+} // namespace
+
 attempt_result
-ResultOf(attempt_end aEnd, unsigned aStatus)
+ResultOf(const attempt_outcome& aOutcome)
 {
-  switch (aEnd) {
+  switch (aOutcome.mEnd) {
     case attempt_end::Answered:
-      return aStatus >= 500 ? attempt_result::Errored
+      return aOutcome.mStatus >= 500 ? attempt_result::Errored
                             : attempt_result::Answered;
     case attempt_end::Errored:
       return attempt_result::Errored;
     case attempt_end::NotRun:
-      return attempt_result::Shedding;
+      return HasRoom(aOutcome.mLoad) ? attempt_result::Errored
+                                     : attempt_result::Abandoned;
     case attempt_end::NotSent:
     case attempt_end::Lost:
     case attempt_end::TimedOut:
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -97,9 +97,10 @@
   bool mTimedOut = false;
 };
 
-// What an attempt's end tells of the upstream.
+// What an attempt's end tells of the upstream's health. One that refuses
+// since it is full is not ill: its load says so.
 attempt_result
-ResultOf(attempt_end aEnd, unsigned aStatus);
+ResultOf(const attempt_outcome& aOutcome);
 
 // Seconds with milliseconds, such as "0.250".
 std::string
@@ -262,10 +263,11 @@
       co_await mTransport.Attempt(aExchange, attempt);
     instant now = Now();
     attempt_report report;
-    report.mResult = ResultOf(outcome.mEnd, outcome.mStatus);
+    report.mResult = ResultOf(outcome);
     report.mTook = now - begun;
     report.mBytes = outcome.mBytes;
     report.mLoad = outcome.mLoad;
+    report.mFull = outcome.mEnd == attempt_end::NotRun;
     report.mWrongInstance = outcome.mEnd == attempt_end::WrongInstance;
     report.mConnect = outcome.mConnect;
     mTables.Steering().With([&](steering_state& aSteering) {
