Let the credit for leaving a region grow with every request

Cause: counted over run requests alone, a region whose upstreams were full might send almost nothing away, and turned the rest away.

--- a/laburnumdyke/decision/region_spill.cc
+++ b/laburnumdyke/decision/region_spill.cc
@@ -39,10 +39,10 @@
   mShare += std::clamp(mWanted - mShare, -step, step);
   double credit = std::min(mCredit + mShare, kMostCredit);
   bool leaves = credit >= (aWants ? kLeaveWish : kLeaveForced);
+  mCredit = credit - (leaves ? 1 : 0);
   if (!leaves && !aInsideAdmits) {
     return spill_side::Neither;
   }
-  mCredit = credit - (leaves ? 1 : 0);
   return leaves ? spill_side::Outside : spill_side::Inside;
 }
 
--- a/laburnumdyke/decision/region_spill.h
+++ b/laburnumdyke/decision/region_spill.h
@@ -5,8 +5,8 @@
 // slowly, or the load of whole regions swings. Each instance limits its own
 // part alike, so that the sum moves no faster and nobody needs to talk.
 //
-// The part is that of the requests which are run: those that are turned away
-// don't count, or a full region would send away a multiple of its part.
+// The part is of all requests, those turned away included: a region that is
+// full for a while then has its whole part served outside.
 //
 // Usage:
 //   spill_side side = spill.Decide(wantsOutside, insideAdmits, now);
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -243,7 +243,7 @@
   double slowness = Slowness(target, aNow);
   double waiting = std::max(0.0, load + 1 - slots);
   weighed.mWait =
-    ToDuration(seconds_d(aWork.Mean()) * slowness * (waiting / slots));
+    ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
   bool isFirst = aRanked.mReach == reach::Own && aRanked.mRank == 0;
   bool knows = isFirst || aRequest.mObject.empty() ||
                target.mRecent.Has(aRequest.mObject);
