--- a/laburnumdyke/decision/work_estimate.cc
+++ b/laburnumdyke/decision/work_estimate.cc
@@ -40,7 +40,6 @@
   double bytes = static_cast<double>(aBytes);
   mBytes += (bytes - mBytes) * (mHasBytes ? kWeight : 1);
   mHasBytes = true;
-  Move(mMean, aWork, kWeight);
   if (!mHasUnknown && !aKnown) {
     // Upstreams know nothing at first.
     mHasUnknown = true;
--- a/laburnumdyke/decision/work_estimate.h
+++ b/laburnumdyke/decision/work_estimate.h
@@ -20,7 +20,6 @@
   explicit work_estimate(duration aFirst)
     : mUnknown(aFirst)
     , mKnown(aFirst / 2)
-    , mMean(aFirst)
   {
   }
 
@@ -29,8 +28,6 @@
   void Learn(duration aWork, std::size_t aBytes, bool aKnown);
 
   duration Known() const { return mKnown; }
-  // Of all answers, whatever the upstreams knew.
-  duration Mean() const { return mMean; }
   duration Unknown() const { return mUnknown; }
   double Bytes() const { return mBytes; }
 
@@ -42,7 +39,6 @@
 
   duration mUnknown;
   duration mKnown;
-  duration mMean;
   double mBytes = 0;
   bool mHasUnknown = false;
   bool mHasKnown = false;
