--- /dev/null
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -0,0 +1,353 @@
+// The users' store: rows to the product's types, with broken, foreign and torn
+// ones; what its client asks and makes of answers; views between peers.
+#include "ctl/wait.h"
+#include "platform/base64.h"
+#include "platform/row_codec.h"
+#include "platform/store_source.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+// Last: CppUTest redefines new.
+#include "laburnumdyke/testing/mock_http.h"
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kConfig =
+  R"({"version":7,"limits":{"max-header-bytes":16384,)"
+  R"("max-body-bytes":67108864,"header-timeout-ms":3000,)"
+  R"("idle-timeout-ms":15000},"base-version":5,"listeners":[)"
+  R"({"host":"a.example","rules":[{"name":"r1","kind":"idempotent",)"
+  R"("target-latency-ms":400,"priority":0,"session-affinity":true,)"
+  R"("match":{"prefix":"/x/"},"action":{"backends":[)"
+  R"({"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+  R"("timeout-ms":3000,"max-attempts":2,"home-regions":["east"]}}]},)"
+  R"({"host":"b.example","rules":[{"name":"r2","kind":"non_idempotent",)"
+  R"("target-latency-ms":1200.5,"priority":2,"session-affinity":false,)"
+  R"("match":{"prefix":"/y/z/"},"action":{"service":"s3",)"
+  R"("timeout-ms":4000,"max-attempts":1,"home-regions":[]}}]}],)"
+  R"("clusters":[{"name":"s1","health-path":"/healthz",)"
+  R"("max-connections":660,"protocol":"h1","tls":false,)"
+  R"("cold-start-s":3.5,"cold-per-s":3.6}]})";
+
+const std::string kServer =
+  R"({"address":"10.0.0.9:8080","born":1700000000123,)"
+  R"("info":{"service":"s1","version":"v1","zone":"east-a","slots":3},)"
+  R"("status":{"state":"ready","sequence":4,"cold-left-ms":1500}})";
+
+std::string
+Replace(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  std::size_t at = aText.find(aOld);
+  CHECK_TEXT(at != std::string::npos, aOld.c_str());
+  return aText.replace(at, aOld.size(), aNew);
+}
+
+client_answer
+Rows(std::uint64_t aVersion,
+     const std::vector<std::pair<std::string, std::string>>& aRows,
+     const std::string& aMore = "")
+{
+  std::string body = "{\"rows\":[";
+  for (std::size_t i = 0; i < aRows.size(); ++i) {
+    body += i == 0 ? "" : ",";
+    body += R"({"table":"t","part":"","key":")" + aRows[i].first +
+            R"(","value":")" + EncodeBase64(aRows[i].second) + R"(","ver":1})";
+  }
+  body += "]" + aMore + ",\"ver\":" + std::to_string(aVersion) +
+          ",\"now-ms\":1}";
+  return { 200, body };
+}
+
+} // namespace
+
+TEST_GROUP(RowCodec){};
+
+TEST(RowCodec, AConfigurationBecomesRoutesAndServices)
+{
+  std::optional<routing_document> read = DecodeConfig(kConfig);
+  CHECK(read.has_value());
+  LONGS_EQUAL(7, read->mVersion);
+  LONGS_EQUAL(2, read->mRoutes.size());
+  const route_spec& first = read->mRoutes[0];
+  STRCMP_EQUAL("a.example", first.mHost.c_str());
+  STRCMP_EQUAL("/x/", first.mPrefix.c_str());
+  CHECK(first.mIdempotent && first.mAffinity);
+  CHECK(first.mObjective == 400ms && first.mTimeout == 3000ms);
+  LONGS_EQUAL(2, first.mServices.size());
+  LONGS_EQUAL(90, first.mServices[0].mWeight);
+  LONGS_EQUAL(1, first.mHomes.size());
+  const route_spec& second = read->mRoutes[1];
+  CHECK_FALSE(second.mIdempotent);
+  LONGS_EQUAL(2, second.mPriority);
+  STRCMP_EQUAL("s3", second.mServices[0].mService.mValue.c_str());
+  const service_rules& rules = read->mServices.at({ "s1" });
+  CHECK(rules.mColdTime == 3500ms);
+  DOUBLES_EQUAL(3.6, rules.mColdRate, 1e-9);
+  CHECK(read->mLimits.mIdleTimeout == 15000ms);
+}
+
+TEST(RowCodec, DownloadsMayBeRepeatedAndUnknownKindsMayNot)
+{
+  std::string download =
+    Replace(kConfig, R"("kind":"idempotent")", R"("kind":"download")");
+  CHECK(DecodeConfig(download)->mRoutes[0].mIdempotent);
+  std::string unknown =
+    Replace(kConfig, R"("kind":"idempotent")", R"("kind":"keyed")");
+  CHECK_FALSE(DecodeConfig(unknown)->mRoutes[0].mIdempotent);
+}
+
+TEST(RowCodec, AConfigurationThatIsNotWholeIsNone)
+{
+  const std::pair<const char*, const char*> rows[] = {
+    { R"("version":7,)", "" },
+    { R"("version":7)", R"("version":"7")" },
+    { R"("version":7)", R"("version":7.5)" },
+    { R"("prefix":"/x/")", R"("prefix":"/x")" },
+    { R"("prefix":"/x/")", R"("prefix":"")" },
+    { R"("timeout-ms":3000,)", "" },
+    { R"("timeout-ms":3000)", R"("timeout-ms":0)" },
+    { R"("max-attempts":2)", R"("max-attempts":0)" },
+    { R"("weight":90)", R"("weight":-1)" },
+    { R"("backends":[{"service":"s1","weight":90},)"
+      R"({"service":"s2","weight":10}])",
+      R"("backends":[])" },
+    { R"("service":"s3")", R"("service":3)" },
+    { R"("clusters":[)", R"("others":[)" },
+    { R"("limits":{)", R"("limit":{)" },
+    { R"("host":"b.example")", R"("host":null)" },
+  };
+  for (const std::pair<const char*, const char*>& row : rows) {
+    CHECK_TEXT(
+      !DecodeConfig(Replace(kConfig, row.first, row.second)).has_value(),
+      row.second);
+  }
+  CHECK_FALSE(DecodeConfig(kConfig.substr(0, kConfig.size() / 2)).has_value());
+  CHECK_FALSE(DecodeConfig("").has_value());
+}
+
+TEST(RowCodec, AnEntryBecomesAnUpstream)
+{
+  std::optional<upstream_entry> read = DecodeUpstream("i-1", kServer);
+  CHECK(read.has_value());
+  STRCMP_EQUAL("i-1", read->mId.mValue.c_str());
+  STRCMP_EQUAL("east-a", read->mDomain.mValue.c_str());
+  CHECK(read->mAddress == (endpoint{ "10.0.0.9", 8080 }));
+  CHECK(read->mColdLeft == 1500ms && !read->mDraining);
+  CHECK(read->mBorn == 1700000000123ms);
+}
+
+TEST(RowCodec, AnEntryOfAnotherWriterNamesNoUpstream)
+{
+  const std::pair<const char*, const char*> rows[] = {
+    { R"("state":"ready")", R"("state":"resting")" },
+    { R"("state":"ready")", R"("state":1)" },
+    { R"("slots":3)", R"("slots":"3")" },
+    { R"("slots":3)", R"("slots":0)" },
+    { R"("zone":"east-a",)", "" },
+    { R"("version":"v1",)", "" },
+    { R"("address":"10.0.0.9:8080")", R"("address":"nowhere")" },
+    { R"("born":1700000000123)", R"("born":"then")" },
+    { R"("born":1700000000123)", R"("born":1.5)" },
+    { R"("sequence":4,)", "" },
+    { R"("cold-left-ms":1500)", R"("cold-left-ms":null)" },
+  };
+  for (const std::pair<const char*, const char*>& row : rows) {
+    CHECK_TEXT(
+      !DecodeUpstream("i", Replace(kServer, row.first, row.second)).has_value(),
+      row.second);
+  }
+  CHECK_FALSE(DecodeUpstream("", kServer).has_value());
+  CHECK_FALSE(DecodeUpstream("i", "\xff\xfe").has_value());
+}
+
+// Cut, changed and doubled bytes end no process, and what is taken is whole.
+TEST(RowCodec, MutatedRowsAreTakenWholeOrNotAtAll)
+{
+  std::mt19937 random(11);
+  for (int i = 0; i < 20000; ++i) {
+    std::string text = i % 2 == 0 ? kConfig : kServer;
+    for (unsigned n = 1 + random() % 4; n > 0 && !text.empty(); --n) {
+      std::size_t at = random() % text.size();
+      switch (random() % 4) {
+        case 0:
+          text[at] = static_cast<char>(random());
+          break;
+        case 1:
+          text.resize(at);
+          break;
+        case 2:
+          text.erase(at, 1 + random() % 9);
+          break;
+        default:
+          text.insert(at, text.substr(random() % text.size(), 9));
+      }
+    }
+    std::optional<routing_document> config = DecodeConfig(text);
+    if (config) {
+      for (const route_spec& route : config->mRoutes) {
+        CHECK(!route.mServices.empty() && route.mMostAttempts > 0);
+        CHECK(route.mTimeout > 0ms && route.mPrefix.front() == '/');
+      }
+    }
+    std::optional<upstream_entry> entry = DecodeUpstream("i", text);
+    CHECK(!entry || (entry->mSlots > 0 && entry->mAddress.mPort > 0));
+  }
+}
+
+TEST(RowCodec, InstancesReadWhatTheyWrite)
+{
+  fleet_member member;
+  member.mInstance = { "east-a-1" };
+  member.mIncarnation = 1700000000123456;
+  member.mRegion = { "east" };
+  member.mDomain = { "east-a" };
+  member.mCaller = { "10.0.0.1", 1 };
+  member.mPeer = { "10.0.0.1", 2 };
+  member.mRelay = { "10.0.0.1", 3 };
+  std::optional<fleet_member> read =
+    DecodeMember("east-a-1", EncodeMember(member));
+  CHECK(read == std::optional<fleet_member>(member));
+  CHECK_FALSE(DecodeMember("east-a-1", "{}").has_value());
+}
+
+TEST(RowCodec, Base64IsReadAsAWhole)
+{
+  for (const char* text : { "", "a", "ab", "abc", "abcd" }) {
+    CHECK(DecodeBase64(EncodeBase64(text)) == std::optional<std::string>(text));
+  }
+  for (const char* broken : { "a", "ab=", "a*==", "abcde" }) {
+    CHECK_FALSE(DecodeBase64(broken).has_value());
+  }
+}
+
+TEST_GROUP(StoreClient)
+{
+  mock_http mHttp;
+  store_client<mock_http> mStore{ mHttp, { "127.0.0.1", 1 } };
+
+  void setup() override
+  {
+    mock().ignoreOtherCalls();
+  }
+  void teardown() override
+  {
+    mock().clear();
+  }
+};
+
+TEST(StoreClient, EachAnswerHasAMeaning)
+{
+  struct row
+  {
+    std::optional<client_answer> mAnswer;
+    reading_status mStatus;
+  };
+  const row rows[] = {
+    { std::nullopt, reading_status::NoAnswer },
+    { client_answer{ 503, "" }, reading_status::NoAnswer },
+    { client_answer{ 429, "" }, reading_status::NoAnswer },
+    { client_answer{ 410, "" }, reading_status::HistoryLost },
+    { client_answer{ 200, "{" }, reading_status::NoAnswer },
+    { client_answer{ 200, "[]" }, reading_status::NoAnswer },
+    { client_answer{ 200, R"({"rows":{},"ver":1})" },
+      reading_status::NoAnswer },
+    { client_answer{ 200, R"({"rows":[]})" }, reading_status::NoAnswer },
+    { Rows(5, {}), reading_status::Read },
+  };
+  for (const row& one : rows) {
+    CHECK(ReadStoreAnswer(one.mAnswer).mStatus == one.mStatus);
+  }
+}
+
+TEST(StoreClient, PagesAreReadToTheLast)
+{
+  mHttp.mAnswers = { Rows(8, { { "a", "1" }, { "b", "2" } },
+                          ",\"truncated\":true"),
+                     Rows(9, { { "b", "2" }, { "c", "3" } }) };
+  store_answer answer = Wait(mStore.ReadAll("t"));
+  CHECK(answer.mStatus == reading_status::Read);
+  LONGS_EQUAL(4, answer.mRows.size());
+  // What changed between the pages comes again as a change.
+  LONGS_EQUAL(8, answer.mVersion);
+  STRCMP_EQUAL("/laburnumdyke/rows-get?table=t&part=&from=b",
+               mHttp.mRequests[1].mTarget.c_str());
+}
+
+TEST(StoreClient, AFailedPageFailsTheReading)
+{
+  mHttp.mAnswers = { Rows(8, { { "a", "1" } }, ",\"truncated\":true"),
+                     std::nullopt };
+  CHECK(Wait(mStore.ReadAll("t")).mStatus == reading_status::NoAnswer);
+}
+
+TEST(StoreClient, AWriteIsCertainOnlyWithItsAnswer)
+{
+  mHttp.mAnswers = { client_answer{ 200, "{}" }, client_answer{ 503, "" } };
+  std::string key = "k";
+  std::string value = "v";
+  CHECK(Wait(mStore.Put("t", key, value)));
+  CHECK_FALSE(Wait(mStore.Put("t", key, value)));
+  CHECK_FALSE(Wait(mStore.Put("t", key, value)));
+  STRCMP_EQUAL(
+    R"({"expected-rev":[],"put-rows":[{"table":"t","part":"","key":"k",)"
+    R"("value":"dg=="}],"delete-rows":[]})",
+    mHttp.mRequests[0].mBody.c_str());
+}
+
+TEST_GROUP(PlatformNews){};
+
+TEST(PlatformNews, OneUnreadableRowSpoilsNoOther)
+{
+  store_answer answer = ReadStoreAnswer(
+    Rows(5, { { "i-1", kServer }, { "i-2", "torn" }, { "i-3", kServer } }));
+  upstream_reading reading = ToUpstreams(answer, true);
+  LONGS_EQUAL(2, reading.mEntries.size());
+  LONGS_EQUAL(1, reading.mUnreadable);
+  STRCMP_EQUAL("i-2", reading.mGone[0].mValue.c_str());
+}
+
+TEST(PlatformNews, AnUnreadableConfigurationIsNoConfiguration)
+{
+  store_answer answer =
+    ReadStoreAnswer(Rows(5, { { "config", kConfig.substr(1) } }));
+  control_reading reading = ToControl(answer, true);
+  CHECK_FALSE(reading.mDocument.has_value());
+  LONGS_EQUAL(1, reading.mUnreadable);
+}
+
+TEST(PlatformNews, EvacuationsAreRowsThatComeAndGo)
+{
+  store_answer answer = ReadStoreAnswer(client_answer{
+    200,
+    R"({"rows":[{"key":"evacuate/east-a","value":"e30=","ver":2},)"
+    R"({"key":"evacuate/east-b","removed":true,"ver":3}],"ver":3})" });
+  control_reading reading = ToControl(answer, false);
+  STRCMP_EQUAL("east-a", reading.mEvacuated.at(0).mValue.c_str());
+  STRCMP_EQUAL("east-b", reading.mReturned.at(0).mValue.c_str());
+}
+
+// Three instances in a row: the last hears of a change through the second,
+// which the store turns away as well.
+TEST(PlatformNews, AViewThatWasTakenIsPassedOn)
+{
+  row_copy first;
+  first.Take("op", ReadStoreAnswer(Rows(9, { { "config", kConfig } })), true);
+  row_copy second;
+  second.Take("op", ReadStoreAnswer(Rows(3, {})), true);
+  second.Take("op", DecodeCopy(first.Encode(), "op"), true);
+  store_answer third = DecodeCopy(second.Encode(), "op");
+  LONGS_EQUAL(9, third.mVersion);
+  CHECK(ToControl(third, true).mDocument.has_value());
+  // An older view changes nothing.
+  row_copy old;
+  old.Take("op", ReadStoreAnswer(Rows(2, {})), true);
+  second.Take("op", DecodeCopy(old.Encode(), "op"), true);
+  LONGS_EQUAL(9, DecodeCopy(second.Encode(), "op").mVersion);
+  CHECK(DecodeCopy("nonsense", "op").mStatus == reading_status::NoAnswer);
+}
