Bound the log and keep it from blocking; serve metrics; let last requests arrive

Log lines go to standard output within a budget; a line that can't be written at once is left out and counted. A leaving instance waits for headers on the connections that it accepted last.

--- a/laburnumdyke/kernel/event_log.cc
+++ b/laburnumdyke/kernel/event_log.cc
@@ -6,6 +6,9 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <cstdio>
 
 namespace laburnumdyke {
@@ -27,6 +30,15 @@
   return false;
 }
 
+// Whether standard output takes a line without waiting. A pipe that is
+// writable takes PIPE_BUF bytes, which a line rarely exceeds.
+bool
+CanWrite()
+{
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  return ::poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+}
+
 log4cxx::LoggerPtr
 Logger()
 {
@@ -78,16 +90,45 @@
   return line;
 }
 
+void
+event_log::Write(log_level aLevel,
+                 std::string_view aEvent,
+                 std::initializer_list<log_pair> aPairs)
+{
+  std::optional<std::uint64_t> skipped =
+    mBudget.With([](line_budget& aBudget) {
+      std::optional<std::uint64_t> taken =
+        aBudget.Take(std::chrono::steady_clock::now());
+      if (taken && !CanWrite()) {
+        aBudget.Skip();
+        taken.reset();
+      }
+      return taken;
+    });
+  if (!skipped) {
+    return;
+  }
+  std::string line = Line(aEvent, aPairs);
+  if (*skipped > 0) {
+    line += " skipped=" + std::to_string(*skipped);
+  }
+  if (aLevel == log_level::Warn) {
+    LOG4CXX_WARN(Logger(), line);
+  } else {
+    LOG4CXX_INFO(Logger(), line);
+  }
+}
+
 void
 event_log::Info(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
 {
-  LOG4CXX_INFO(Logger(), Line(aEvent, aPairs));
+  Write(log_level::Info, aEvent, aPairs);
 }
 
 void
 event_log::Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
 {
-  LOG4CXX_WARN(Logger(), Line(aEvent, aPairs));
+  Write(log_level::Warn, aEvent, aPairs);
 }
 
 void
@@ -96,7 +137,7 @@
   log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
     "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p %m%n"));
   log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(
-    layout, log4cxx::ConsoleAppender::getSystemErr()));
+    layout, log4cxx::ConsoleAppender::getSystemOut()));
   log4cxx::Logger::getRootLogger()->addAppender(appender);
 }
 
--- a/laburnumdyke/kernel/event_log.h
+++ b/laburnumdyke/kernel/event_log.h
@@ -4,9 +4,14 @@
 //   log.Info("document_in_force", { { "version", "7" }, { "hash", hash } });
 //
 // Values that hold a space, a quote, '=' or a control character are quoted
-// and escaped, so that an event is always one line.
+// and escaped, so that an event is always one line. Lines over the budget, and
+// those that standard output can't take at once, are left out; the next line
+// says how many by "skipped".
 #pragma once
 
+#include "laburnumdyke/kernel/guarded.h"
+#include "laburnumdyke/kernel/line_budget.h"
+
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -26,13 +31,23 @@
   void Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
 
 private:
+  enum class log_level
+  {
+    Info,
+    Warn,
+  };
+
+  void Write(log_level aLevel,
+             std::string_view aEvent,
+             std::initializer_list<log_pair> aPairs);
   std::string Line(std::string_view aEvent,
                    std::initializer_list<log_pair> aPairs) const;
 
   std::string mInstance;
+  guarded<line_budget, lock_rank::Log> mBudget;
 };
 
-// Sets log4cxx up to write to standard error. Call once, in main.
+// Sets log4cxx up to write to standard output. Call once, in main.
 void
 ConfigureLogging();
 
--- a/laburnumdyke/plugin/exposition.cc
+++ b/laburnumdyke/plugin/exposition.cc
@@ -57,4 +57,14 @@
   return out.str();
 }
 
+string_answer
+MetricsAnswer(kernel& aKernel)
+{
+  string_answer answer(http::status::ok, 11);
+  answer.set(http::field::content_type, "text/plain; version=0.0.4");
+  answer.body() = RenderExposition(aKernel.Counters().Snapshot(),
+                                   aKernel.Latencies().Summaries());
+  return answer;
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/exposition.h
+++ b/laburnumdyke/plugin/exposition.h
@@ -4,6 +4,7 @@
 
 #include "laburnumdyke/kernel/counters.h"
 #include "laburnumdyke/kernel/latency_table.h"
+#include "laburnumdyke/plugin/http_server.h"
 
 #include <string>
 #include <vector>
@@ -14,4 +15,8 @@
 RenderExposition(const counters::snapshot& aCounters,
                  const std::vector<latency_summary>& aLatencies);
 
+// What an instance's /metrics answers.
+string_answer
+MetricsAnswer(kernel& aKernel);
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/operator_http.cc
+++ b/laburnumdyke/plugin/operator_http.cc
@@ -46,9 +46,7 @@
     }
     string_answer answer(http::status::ok, 11);
     if (target == "/metrics") {
-      answer.set(http::field::content_type, "text/plain; version=0.0.4");
-      answer.body() = RenderExposition(mKernel.Counters().Snapshot(),
-                                       mKernel.Latencies().Summaries());
+      answer = MetricsAnswer(mKernel);
     } else if (target == "/v1/status") {
       answer.set(http::field::content_type, "application/json");
       answer.body() = boost::json::serialize(StatusJson(
--- a/laburnumdyke/plugin/steered_front.h
+++ b/laburnumdyke/plugin/steered_front.h
@@ -89,9 +89,12 @@
       return "callers that still hold look-up answers";
     }
     if (!mStoppedAccepting) {
-      mStoppedAccepting = true;
+      mStoppedAccepting = aNow;
       mCallers.StopAccepting();
     }
+    if (aNow < *mStoppedAccepting + kLastRequests) {
+      return "requests that are just arriving";
+    }
     std::chrono::milliseconds grace =
       mKernel.Settings().mBounds.mGrace - kExitMargin;
     std::size_t requests = mCallers.InFlight();
@@ -147,6 +150,8 @@
   static constexpr std::chrono::milliseconds kTakesOn{ 2600 };
   // Look-up answers are short-lived, so that callers soon learn of changes.
   static constexpr std::chrono::milliseconds kAnswerLife{ 2000 };
+  // For headers to be read on connections that were just accepted.
+  static constexpr std::chrono::milliseconds kLastRequests{ 250 };
   // From the last wait to the end of the process.
   static constexpr std::chrono::milliseconds kExitMargin{ 300 };
   // Callers may reuse a connection until just before the idle timeout.
@@ -211,7 +216,7 @@
   http_server<directory_door> mDirectory;
   http_server<ready_door> mReady;
   instant mLeftAt{};
-  bool mStoppedAccepting = false;
+  std::optional<instant> mStoppedAccepting;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -275,6 +275,11 @@
     });
     aRequest.mTried.push_back(aTarget.mId);
     mKernel.Counters().Add("attempts_total", ToString(outcome.mEnd));
+    if (outcome.mEnd == attempt_end::Answered) {
+      mKernel.Latencies().Record(
+        "priority_" + std::to_string(aRequest.mRoute->mPriority),
+        now - aRequest.mReceived);
+    }
     LogAttempt(aRequest, aTarget, outcome, now - begun);
     co_return outcome;
   }
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -1,6 +1,7 @@
 // Lock order, counters, log lines, INI text, settings and the registry.
 #include "laburnumdyke/kernel/counters.h"
 #include "laburnumdyke/kernel/event_log.h"
+#include "laburnumdyke/kernel/line_budget.h"
 #include "laburnumdyke/kernel/guarded.h"
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/kernel/settings.h"
@@ -192,3 +193,21 @@
     [](recording_state& aState) { return aState.mCalls; });
   CHECK_EQUAL(std::string(), others);
 }
+
+TEST_GROUP(LineBudget){};
+
+TEST(LineBudget, LinesAreBoundedAndThoseLeftOutAreCounted)
+{
+  line_budget budget({ 10, 20 });
+  line_budget::instant now{};
+  int taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += budget.Take(now) ? 1 : 0;
+  }
+  LONGS_EQUAL(20, taken);
+  now += std::chrono::seconds(1);
+  CHECK(budget.Take(now) == std::optional<std::uint64_t>(80));
+  CHECK(budget.Take(now) == std::optional<std::uint64_t>(0));
+  budget.Skip();
+  CHECK(budget.Take(now) == std::optional<std::uint64_t>(1));
+}
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -446,6 +446,16 @@
   }
 }
 
+// A flood on two upstreams that nobody has asked yet: what one instance sends,
+// the seven others send too, and together they must not overfill the queues.
+TEST(FloodReplay, InTheFirstMomentTheQueuesAreNotOverfilled)
+{
+  for (unsigned seed = 1; seed <= 5; ++seed) {
+    flood_replay replay(8, 2, seed);
+    LONGS_EQUAL(0, replay.Run(120, 1s).mShed);
+  }
+}
+
 // One and a half times the capacity: what can't be on time is turned away, so
 // that those which are served are on time.
 TEST(FloodReplay, PastCapacityServedRequestsAreStillOnTime)
