--- a/laburnumdyke/decision/cold_gate.cc
+++ b/laburnumdyke/decision/cold_gate.cc
@@ -57,8 +57,8 @@
     return true;
   }
   double bound = aRate * mOptions.mOvershoot + mOptions.mSlack;
-  std::size_t senders = std::max<std::size_t>(
-    1, static_cast<std::size_t>(bound * kDealtPart));
+  std::size_t senders =
+    std::max<std::size_t>(1, static_cast<std::size_t>(bound * kDealtPart));
   auto last = mLast.find(aUpstream);
   bool rested = last == mLast.end() || aNow - last->second >= kGap;
   return rested && IsSender(aUpstream, aRegion, senders);
--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -34,10 +34,10 @@
     listed.insert(member.mInstance);
     Put(member);
   }
-  std::erase_if(
-    mMembers, [&](const std::pair<const instance_id, member_state>& aOne) {
-      return listed.count(aOne.first) == 0;
-    });
+  std::erase_if(mMembers,
+                [&](const std::pair<const instance_id, member_state>& aOne) {
+                  return listed.count(aOne.first) == 0;
+                });
 }
 
 bool
@@ -62,9 +62,7 @@
 fleet_beat
 fleet_view::Beat() const
 {
-  return {
-    mOptions.mSelf, IsServing(), mLeaving, mControlVersion, mSettled
-  };
+  return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion, mSettled };
 }
 
 std::vector<fleet_member>
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -43,7 +43,7 @@
   bool mServing = false; // takes requests
   bool mLeaving = false;
   std::uint64_t mControlVersion = 0; // of what the operator asks for
-  bool mSettled = false; // knows the upstreams as the platform does
+  bool mSettled = false;             // knows the upstreams as the platform does
 };
 
 struct fleet_options
--- a/laburnumdyke/decision/upstream_load.cc
+++ b/laburnumdyke/decision/load_estimate.cc
@@ -1,6 +1,6 @@
 // Exponential decay from the last report to the mean, both in closed form, so
 // that an estimate costs no bookkeeping between reports.
-#include "laburnumdyke/decision/upstream_load.h"
+#include "laburnumdyke/decision/load_estimate.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,15 +13,15 @@
 double
 Decay(duration aAge, duration aOver)
 {
-  double ages = std::chrono::duration<double>(aAge) /
-                std::chrono::duration<double>(aOver);
+  double ages =
+    std::chrono::duration<double>(aAge) / std::chrono::duration<double>(aOver);
   return std::exp(-std::max(0.0, ages));
 }
 
 } // namespace
 
 void
-upstream_load::Report(const load_report& aReport, instant aNow)
+load_estimate::Report(const reported_load& aReport, instant aNow)
 {
   double all = static_cast<double>(aReport.mRunning) + aReport.mWaiting;
   mOthers = std::max(0.0, all - mOwn);
@@ -32,7 +32,7 @@
 }
 
 double
-upstream_load::Estimate(std::size_t aSenders, instant aNow) const
+load_estimate::Estimate(std::size_t aSenders, instant aNow) const
 {
   if (!mHasReport) {
     return static_cast<double>(mOwn) * static_cast<double>(aSenders);
--- a/laburnumdyke/decision/upstream_load.h
+++ b/laburnumdyke/decision/load_estimate.h
@@ -17,14 +17,14 @@
 
 namespace laburnumdyke {
 
-struct load_report
+struct reported_load
 {
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0;
 };
 
-class upstream_load
+class load_estimate
 {
 public:
   // About the time that one request takes, after which a report says little.
@@ -37,7 +37,7 @@
   std::uint32_t Own() const { return mOwn; }
 
   // A report that came with an answer, after End of its request.
-  void Report(const load_report& aReport, instant aNow);
+  void Report(const reported_load& aReport, instant aNow);
 
   // Requests of all instances that run or wait there. aSenders: instances
   // that send to it, this one included.
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -34,7 +34,7 @@
   bool mDraining = false;
   std::chrono::milliseconds mColdLeft{ 0 }; // when the entry was written
   std::uint64_t mSequence = 0;              // grows with each writing
-  std::chrono::milliseconds mBorn{ 0 }; // since the epoch; zero: not known
+  std::chrono::milliseconds mBorn{ 0 };     // since the epoch; zero: not known
 };
 
 enum class upstream_change_kind
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -58,8 +58,7 @@
 upstream_steering::upstream_steering(steering_options aOptions)
   : mOptions(std::move(aOptions))
   , mDirectory(mOptions.mDirectory)
-  , mColdGate(
-      { mOptions.mSelf, mOptions.mColdOvershoot, mOptions.mColdSlack })
+  , mColdGate({ mOptions.mSelf, mOptions.mColdOvershoot, mOptions.mColdSlack })
   , mRandom(mOptions.mSeed)
 {
 }
@@ -89,8 +88,7 @@
 {
   service_rules rules =
     mRoutes ? mRoutes->Rules(aUpstream.mEntry.mService) : service_rules();
-  aUpstream.mColdUntil =
-    std::max(aUpstream.mColdUntil, aNow + rules.mColdTime);
+  aUpstream.mColdUntil = std::max(aUpstream.mColdUntil, aNow + rules.mColdTime);
 }
 
 void
@@ -117,8 +115,8 @@
 {
   mRegionSenders = 1;
   for (const fleet_place& place : aFleet) {
-    bool isPeer = place.mRegion == mOptions.mRegion &&
-                  place.mInstance != mOptions.mSelf;
+    bool isPeer =
+      place.mRegion == mOptions.mRegion && place.mInstance != mOptions.mSelf;
     mRegionSenders += isPeer ? 1 : 0;
   }
   mColdGate.SetFleet(std::move(aFleet));
@@ -245,10 +243,11 @@
   weighed.mWait =
     ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
   bool isFirst = aRanked.mReach == reach::Own && aRanked.mRank == 0;
-  bool knows = isFirst || aRequest.mObject.empty() ||
-               target.mRecent.Has(aRequest.mObject);
+  bool knows =
+    isFirst || aRequest.mObject.empty() || target.mRecent.Has(aRequest.mObject);
   seconds_d work = knows ? aWork.Known() : aWork.Unknown();
-  work *= slowness * (isFirst ? 1 : kLaterChoice) * (IsCold(target, aNow) ? kColdFactor : 1);
+  work *= slowness * (isFirst ? 1 : kLaterChoice) *
+          (IsCold(target, aNow) ? kColdFactor : 1);
   auto trip = mTrips.find(entry.mDomain);
   seconds_d distance = trip != mTrips.end() ? trip->second
                        : weighed.mOutside   ? mOptions.mFarTrip
@@ -300,8 +299,8 @@
   if (!hasInside) {
     return outside;
   }
-  bool wants = outside != nullptr &&
-               (inside == nullptr || outside->mCost < inside->mCost);
+  bool wants =
+    outside != nullptr && (inside == nullptr || outside->mCost < inside->mCost);
   region_spill& spill =
     mSpills.try_emplace(aRequest.mService, mOptions.mSpill).first->second;
   if (inside == nullptr && outside == nullptr) {
@@ -353,14 +352,13 @@
   const upstream_entry& entry = picked->mUpstream->mEntry;
   steering_choice choice;
   choice.mCandidates = candidates.size();
-  choice.mTarget =
-    steering_target{ entry.mId,
-                     entry.mAddress,
-                     entry.mDomain,
-                     aRequest.mRoute.mName,
-                     std::string(aRequest.mObject),
-                     entry.mBorn,
-                     picked->mWait };
+  choice.mTarget = steering_target{ entry.mId,
+                                    entry.mAddress,
+                                    entry.mDomain,
+                                    aRequest.mRoute.mName,
+                                    std::string(aRequest.mObject),
+                                    entry.mBorn,
+                                    picked->mWait };
   return choice;
 }
 
@@ -423,8 +421,8 @@
                        instant aNow)
 {
   if (aReport.mConnect) {
-    duration& trip = mTrips.try_emplace(aTarget.mDomain, *aReport.mConnect)
-                       .first->second;
+    duration& trip =
+      mTrips.try_emplace(aTarget.mDomain, *aReport.mConnect).first->second;
     trip += ToDuration(seconds_d(*aReport.mConnect - trip) * kTripWeight);
   }
   upstream* target = Find(aTarget);
@@ -445,8 +443,7 @@
     return;
   }
   bool wasIll = target->mHealth.State(aNow) != health_state::Usable;
-  target->mHealth.Judge(
-    aReport.mResult, std::chrono::milliseconds(0), aNow);
+  target->mHealth.Judge(aReport.mResult, std::chrono::milliseconds(0), aNow);
   if (wasIll && aReport.mResult == attempt_result::Answered) {
     DoubtWarmth(*target, aNow);
   }
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -22,12 +22,12 @@
 #pragma once
 
 #include "laburnumdyke/decision/cold_gate.h"
+#include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/decision/recent_objects.h"
 #include "laburnumdyke/decision/region_spill.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 #include "laburnumdyke/decision/upstream_health.h"
-#include "laburnumdyke/decision/upstream_load.h"
 #include "laburnumdyke/decision/work_estimate.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
@@ -95,9 +95,9 @@
   attempt_result mResult = attempt_result::Abandoned;
   duration mTook{};
   std::size_t mBytes = 0; // of a whole answer
-  std::optional<load_report> mLoad;
-  bool mFull = false;          // it refused the request before any work
-  bool mWrongInstance = false; // another upstream has its address
+  std::optional<reported_load> mLoad;
+  bool mFull = false;               // it refused the request before any work
+  bool mWrongInstance = false;      // another upstream has its address
   std::optional<duration> mConnect; // of a new connection
 };
 
@@ -132,7 +132,7 @@
   {
     upstream_entry mEntry;
     upstream_health mHealth;
-    upstream_load mLoad;
+    load_estimate mLoad;
     instant mColdUntil{};
     bool mMisdirected = false; // until it registers anew
     double mSlowness = 1;      // its work against that of the route
--- a/laburnumdyke/kernel/event_log.cc
+++ b/laburnumdyke/kernel/event_log.cc
@@ -95,16 +95,15 @@
                  std::string_view aEvent,
                  std::initializer_list<log_pair> aPairs)
 {
-  std::optional<std::uint64_t> skipped =
-    mBudget.With([](line_budget& aBudget) {
-      std::optional<std::uint64_t> taken =
-        aBudget.Take(std::chrono::steady_clock::now());
-      if (taken && !CanWrite()) {
-        aBudget.Skip();
-        taken.reset();
-      }
-      return taken;
-    });
+  std::optional<std::uint64_t> skipped = mBudget.With([](line_budget& aBudget) {
+    std::optional<std::uint64_t> taken =
+      aBudget.Take(std::chrono::steady_clock::now());
+    if (taken && !CanWrite()) {
+      aBudget.Skip();
+      taken.reset();
+    }
+    return taken;
+  });
   if (!skipped) {
     return;
   }
--- a/laburnumdyke/kernel/kernel.h
+++ b/laburnumdyke/kernel/kernel.h
@@ -61,17 +61,18 @@
   template<shared_state T>
   table<T>& Table()
   {
-    std::shared_ptr<void> found = mTables.With([&](table_directory& aDirectory) {
-      std::shared_ptr<void>& slot = aDirectory[std::type_index(typeid(T))];
-      if (!slot) {
-        if constexpr (std::is_constructible_v<T, const settings&>) {
-          slot = std::make_shared<table<T>>(mSettings);
-        } else {
-          slot = std::make_shared<table<T>>();
+    std::shared_ptr<void> found =
+      mTables.With([&](table_directory& aDirectory) {
+        std::shared_ptr<void>& slot = aDirectory[std::type_index(typeid(T))];
+        if (!slot) {
+          if constexpr (std::is_constructible_v<T, const settings&>) {
+            slot = std::make_shared<table<T>>(mSettings);
+          } else {
+            slot = std::make_shared<table<T>>();
+          }
         }
-      }
-      return slot;
-    });
+        return slot;
+      });
     return *static_cast<table<T>*>(found.get());
   }
 
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -197,32 +197,44 @@
       "most_shift",
       false,
       kNumber,
-      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mMostShift, aT); } },
+      [](settings& aS, text aT) {
+        return TakeNumber(aS.mBounds.mMostShift, aT);
+      } },
     { "bounds",
       "cold_overshoot",
       false,
       kNumber,
-      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mColdOvershoot, aT); } },
+      [](settings& aS, text aT) {
+        return TakeNumber(aS.mBounds.mColdOvershoot, aT);
+      } },
     { "bounds",
       "cold_slack",
       false,
       kNumber,
-      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mColdSlack, aT); } },
+      [](settings& aS, text aT) {
+        return TakeNumber(aS.mBounds.mColdSlack, aT);
+      } },
     { "bounds",
       "repeat_ratio",
       false,
       kNumber,
-      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mRepeatRatio, aT); } },
+      [](settings& aS, text aT) {
+        return TakeNumber(aS.mBounds.mRepeatRatio, aT);
+      } },
     { "bounds",
       "repeat_extra",
       false,
       kNumber,
-      [](settings& aS, text aT) { return TakeNumber(aS.mBounds.mRepeatExtra, aT); } },
+      [](settings& aS, text aT) {
+        return TakeNumber(aS.mBounds.mRepeatExtra, aT);
+      } },
     { "bounds",
       "repeat_window",
       false,
       kTime,
-      [](settings& aS, text aT) { return TakeTime(aS.mBounds.mRepeatWindow, aT); } },
+      [](settings& aS, text aT) {
+        return TakeTime(aS.mBounds.mRepeatWindow, aT);
+      } },
     { "bounds",
       "grace",
       false,
@@ -232,7 +244,9 @@
       "longest_answer_life",
       false,
       kTime,
-      [](settings& aS, text aT) { return TakeTime(aS.mBounds.mLongestAnswerLife, aT); } },
+      [](settings& aS, text aT) {
+        return TakeTime(aS.mBounds.mLongestAnswerLife, aT);
+      } },
   };
   return kKeys;
 }
@@ -256,8 +270,7 @@
   if (!IsName(aEntry.mKey) || !IsName(aEntry.mValue)) {
     return "a failure domain and its region";
   }
-  bool isNew =
-    aSettings.mDomains.emplace(aEntry.mKey, aEntry.mValue).second;
+  bool isNew = aSettings.mDomains.emplace(aEntry.mKey, aEntry.mValue).second;
   return isNew ? std::nullopt
                : std::optional<std::string_view>("the domain only once");
 }
@@ -314,7 +327,8 @@
     if (entry.mSection == "domains") {
       std::optional<std::string_view> expected = TakeDomain(parsed, entry);
       if (expected) {
-        result.mFaults.push_back({ entry.mLine, field, std::string(*expected) });
+        result.mFaults.push_back(
+          { entry.mLine, field, std::string(*expected) });
       }
       continue;
     }
--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -100,10 +100,10 @@
 asio::awaitable<void>
 InviteBody(http_exchange& aExchange)
 {
-  bool waits = aExchange.Head().version() == 11 &&
-               beast::iequals(aExchange.Head()[http::field::expect],
-                              "100-continue") &&
-               !aExchange.mParser.is_done() && aExchange.mBuffer.size() == 0;
+  bool waits =
+    aExchange.Head().version() == 11 &&
+    beast::iequals(aExchange.Head()[http::field::expect], "100-continue") &&
+    !aExchange.mParser.is_done() && aExchange.mBuffer.size() == 0;
   if (!waits) {
     co_return;
   }
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -92,10 +92,7 @@
     return failure;
   }
 
-  void Leave(instant)
-  {
-    asio::co_spawn(mStrand, Withdraw(), asio::detached);
-  }
+  void Leave(instant) { asio::co_spawn(mStrand, Withdraw(), asio::detached); }
 
   std::string Waiting(instant) { return {}; }
   void Stop() { mViewServer.Close(); }
@@ -244,8 +241,7 @@
     request.mTo = aPeer.mRelay;
     request.mTarget = std::string(kViewTarget);
     request.mTimeout = kViewTimeout;
-    std::optional<client_answer> answer =
-      co_await Exchange(std::move(request));
+    std::optional<client_answer> answer = co_await Exchange(std::move(request));
     if (!answer || answer->mStatus != 200) {
       mKernel.Counters().Add("views_total", "no_answer");
       mKernel.Log().Warn("view_unanswered",
@@ -261,8 +257,7 @@
           { "version", std::to_string(view.mControl.mHead.mVersion) } });
       TakeControl(view.mControl);
     }
-    if (mUpstreams.IsLost() &&
-        mUpstreams.TakeFromPeer(view.mUpstreams.mHead)) {
+    if (mUpstreams.IsLost() && mUpstreams.TakeFromPeer(view.mUpstreams.mHead)) {
       TakeUpstreams(view.mUpstreams, Now());
     }
   }
--- a/laburnumdyke/plugin/steered_front.h
+++ b/laburnumdyke/plugin/steered_front.h
@@ -21,10 +21,10 @@
 };
 
 template<class T>
-concept front_dialect =
-  steering_dialect<T> && requires(std::string_view aTarget,
-                                  const std::vector<endpoint>& aNames,
-                                  std::chrono::milliseconds aLife)
+concept front_dialect = steering_dialect<T> &&
+  requires(std::string_view aTarget,
+           const std::vector<endpoint>& aNames,
+           std::chrono::milliseconds aLife)
 {
   {
     T::kFrontName
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -6,7 +6,7 @@
 namespace {
 
 bool
-HasRoom(const std::optional<load_report>& aLoad)
+HasRoom(const std::optional<reported_load>& aLoad)
 {
   return aLoad && aLoad->mWaiting == 0 && aLoad->mRunning < aLoad->mSlots;
 }
@@ -17,21 +17,21 @@
 ResultOf(const attempt_outcome& aOutcome)
 {
   switch (aOutcome.mEnd) {
-    case attempt_end::Answered:
+    case attempt_ending::Answered:
       return aOutcome.mStatus >= 500 ? attempt_result::Errored
-                            : attempt_result::Answered;
-    case attempt_end::Errored:
+                                     : attempt_result::Answered;
+    case attempt_ending::Errored:
       return attempt_result::Errored;
-    case attempt_end::NotRun:
+    case attempt_ending::NotRun:
       return HasRoom(aOutcome.mLoad) ? attempt_result::Errored
                                      : attempt_result::Abandoned;
-    case attempt_end::NotSent:
-    case attempt_end::Lost:
-    case attempt_end::TimedOut:
+    case attempt_ending::NotSent:
+    case attempt_ending::Lost:
+    case attempt_ending::TimedOut:
       return attempt_result::Failed;
-    case attempt_end::WrongInstance:
-    case attempt_end::CutShort:
-    case attempt_end::CallerGone:
+    case attempt_ending::WrongInstance:
+    case attempt_ending::CutShort:
+    case attempt_ending::CallerGone:
       return attempt_result::Abandoned;
   }
   return attempt_result::Abandoned;
@@ -41,15 +41,13 @@
 RetryAfterText(std::chrono::milliseconds aAfter)
 {
   char text[32];
-  std::snprintf(text,
-                sizeof text,
-                "%.3f",
-                std::chrono::duration<double>(aAfter).count());
+  std::snprintf(
+    text, sizeof text, "%.3f", std::chrono::duration<double>(aAfter).count());
   return text;
 }
 
 std::string
-LoadText(const std::optional<load_report>& aLoad)
+LoadText(const std::optional<reported_load>& aLoad)
 {
   if (!aLoad) {
     return {};
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -5,8 +5,8 @@
 // attempt. Tests give mocks for both.
 //
 // Usage:
-//   steered_pipeline<my_dialect, upstream_transport> pipeline(kernel, transport);
-//   co_await pipeline.Serve(exchange);
+//   steered_pipeline<my_dialect, upstream_transport> pipeline(kernel,
+//   transport); co_await pipeline.Serve(exchange);
 //
 // A request that has not run and will not is answered 503 with a time to come
 // back; one that may have run 502, or 504 at its deadline; 404 where the
@@ -51,7 +51,7 @@
     } -> std::same_as<header_list>;
   {
     T::ReadAnswer(aAnswer, aId)
-    } -> std::same_as<upstream_answer>;
+    } -> std::same_as<answer_facts>;
 };
 
 template<class T>
@@ -108,7 +108,7 @@
 
 // "running,waiting,slots"; empty where the upstream doesn't tell.
 std::string
-LoadText(const std::optional<load_report>& aLoad);
+LoadText(const std::optional<reported_load>& aLoad);
 
 template<steering_dialect Dialect, attempt_transport Transport>
 class steered_pipeline
@@ -135,8 +135,8 @@
                       kNoDocumentRetry);
       co_return;
     }
-    request.mRoute = routes->Find(request.mCaller.mHost,
-                                  FromBeast(aExchange.Head().target()));
+    request.mRoute =
+      routes->Find(request.mCaller.mHost, FromBeast(aExchange.Head().target()));
     if (request.mRoute == nullptr) {
       co_await Refuse(aExchange,
                       request,
@@ -212,10 +212,9 @@
 
   steering_choice Choose(const steered_request& aRequest, instant aNow)
   {
-    steering_request question{
-      *aRequest.mRoute,   aRequest.mService,  aRequest.mCaller.mObject,
-      aRequest.mReceived, aRequest.mDeadline, aRequest.mTried
-    };
+    steering_request question{ *aRequest.mRoute,         aRequest.mService,
+                               aRequest.mCaller.mObject, aRequest.mReceived,
+                               aRequest.mDeadline,       aRequest.mTried };
     return mTables.Steering().With([&](steering_state& aSteering) {
       steering_choice choice = aSteering.Choose(question, aNow);
       if (choice.mTarget) {
@@ -250,8 +249,8 @@
     upstream_attempt attempt;
     attempt.mTo = aTarget.mAddress;
     attempt.mBody = aRequest.mBody;
-    attempt.mHeaders = Dialect::UpstreamHeaders(
-      aTarget.mId, Whole(aRequest.mDeadline - begun));
+    attempt.mHeaders =
+      Dialect::UpstreamHeaders(aTarget.mId, Whole(aRequest.mDeadline - begun));
     attempt.mRead = [&aRequest](const upstream_head& aHead) {
       return Dialect::ReadAnswer(aHead, aRequest.mCaller.mId);
     };
@@ -259,26 +258,24 @@
     attempt.mIdempotent = aRequest.mRoute->mIdempotent;
     attempt.mHoldErrors = aRequest.mRoute->mIdempotent &&
                           aRequest.mRuns + 1 < aRequest.mRoute->mMostAttempts;
-    attempt_outcome outcome =
-      co_await mTransport.Attempt(aExchange, attempt);
+    attempt_outcome outcome = co_await mTransport.Attempt(aExchange, attempt);
     instant now = Now();
     attempt_report report;
     report.mResult = ResultOf(outcome);
     report.mTook = now - begun;
     report.mBytes = outcome.mBytes;
     report.mLoad = outcome.mLoad;
-    report.mFull = outcome.mEnd == attempt_end::NotRun;
-    report.mWrongInstance = outcome.mEnd == attempt_end::WrongInstance;
+    report.mFull = outcome.mEnd == attempt_ending::NotRun;
+    report.mWrongInstance = outcome.mEnd == attempt_ending::WrongInstance;
     report.mConnect = outcome.mConnect;
-    mTables.Steering().With([&](steering_state& aSteering) {
-      aSteering.End(aTarget, report, now);
-    });
+    mTables.Steering().With(
+      [&](steering_state& aSteering) { aSteering.End(aTarget, report, now); });
     aRequest.mTried.push_back(aTarget.mId);
     mKernel.Counters().Add("attempts_total", ToString(outcome.mEnd));
-    if (outcome.mEnd == attempt_end::Answered) {
-      mKernel.Latencies().Record(
-        "priority_" + std::to_string(aRequest.mRoute->mPriority),
-        now - aRequest.mReceived);
+    if (outcome.mEnd == attempt_ending::Answered) {
+      mKernel.Latencies().Record("priority_" +
+                                   std::to_string(aRequest.mRoute->mPriority),
+                                 now - aRequest.mReceived);
     }
     LogAttempt(aRequest, aTarget, outcome, now - begun);
     co_return outcome;
@@ -287,18 +284,18 @@
   // Notes what an attempt came to. True where the request has ended.
   bool Take(steered_request& aRequest, const attempt_outcome& aOutcome)
   {
-    bool sent = aOutcome.mEnd != attempt_end::NotSent;
-    bool refused = aOutcome.mEnd == attempt_end::NotRun ||
-                   aOutcome.mEnd == attempt_end::WrongInstance;
+    bool sent = aOutcome.mEnd != attempt_ending::NotSent;
+    bool refused = aOutcome.mEnd == attempt_ending::NotRun ||
+                   aOutcome.mEnd == attempt_ending::WrongInstance;
     aRequest.mSends += sent ? 1 : 0;
     if (sent && !refused) {
       ++aRequest.mRuns;
       aRequest.mMayHaveRun = true;
     }
-    aRequest.mTimedOut = aOutcome.mEnd == attempt_end::TimedOut;
-    return aOutcome.mEnd == attempt_end::Answered ||
-           aOutcome.mEnd == attempt_end::CutShort ||
-           aOutcome.mEnd == attempt_end::CallerGone;
+    aRequest.mTimedOut = aOutcome.mEnd == attempt_ending::TimedOut;
+    return aOutcome.mEnd == attempt_ending::Answered ||
+           aOutcome.mEnd == attempt_ending::CutShort ||
+           aOutcome.mEnd == attempt_ending::CallerGone;
   }
 
   // The final answer to a request that no upstream has answered.
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -32,9 +32,9 @@
 FleetOptions(const settings& aSettings)
 {
   fleet_options options;
-  options.mSelf = { { aSettings.mInstance },    aSettings.mIncarnation,
-                    { aSettings.mRegion },      { aSettings.mFailureDomain },
-                    aSettings.mCaller,          aSettings.mPeer,
+  options.mSelf = { { aSettings.mInstance }, aSettings.mIncarnation,
+                    { aSettings.mRegion },   { aSettings.mFailureDomain },
+                    aSettings.mCaller,       aSettings.mPeer,
                     aSettings.mRelay };
   return options;
 }
@@ -54,8 +54,7 @@
 }
 
 rotation_state::rotation_state(const settings& aSettings)
-  : service_rotation(
-      KeyOf({ aSettings.mInstance }, aSettings.mIncarnation))
+  : service_rotation(KeyOf({ aSettings.mInstance }, aSettings.mIncarnation))
 {
 }
 
@@ -91,12 +90,10 @@
 {
   std::vector<fleet_place> places =
     mFleet.With([](fleet_state& aFleet) { return aFleet.Places(); });
-  mBudget.With([&](repeat_budget& aBudget) {
-    aBudget.SetFleetSize(places.size());
-  });
-  mSteering.With([&](steering_state& aSteering) {
-    aSteering.SetFleet(std::move(places));
-  });
+  mBudget.With(
+    [&](repeat_budget& aBudget) { aBudget.SetFleetSize(places.size()); });
+  mSteering.With(
+    [&](steering_state& aSteering) { aSteering.SetFleet(std::move(places)); });
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -43,7 +43,7 @@
   beast::flat_buffer mBuffer;
   std::unique_ptr<answer_parser> mParser;
   bool mClean = true; // nothing foreign was read from it
-  upstream_answer mAnswer;
+  answer_facts mAnswer;
 };
 
 void
@@ -53,8 +53,7 @@
   aSocket.set_option(tcp::no_delay(true), ignored);
   int handle = aSocket.native_handle();
   unsigned unacked = static_cast<unsigned>(kUnackedTimeout.count());
-  ::setsockopt(
-    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
   int on = 1;
   int second = 1;
   ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
@@ -174,7 +173,7 @@
       continue; // interim: the answer is still to come
     }
     aLink.mAnswer = aAttempt.mRead(aLink.mParser->get());
-    if (aLink.mAnswer.mBelongs != upstream_answer::belongs::ToAnother) {
+    if (aLink.mAnswer.mBelongs != answer_facts::belongs::ToAnother) {
       co_return error_code();
     }
     aLink.mClean = false;
@@ -203,8 +202,7 @@
     if (failure && failure != http::error::need_buffer) {
       co_return failure;
     }
-    aHeld.append(chunk.data(),
-                 chunk.size() - aLink.mParser->get().body().size);
+    aHeld.append(chunk.data(), chunk.size() - aLink.mParser->get().body().size);
   }
   co_return error_code();
 }
@@ -222,8 +220,7 @@
   }
   EraseHopByHop(head);
   bool endsByLength =
-    from.has_content_length() ||
-    HasNoBody(aExchange.Head().method(), from);
+    from.has_content_length() || HasNoBody(aExchange.Head().method(), from);
   if (!endsByLength) {
     head.chunked(aExchange.Head().version() == 11);
   }
@@ -243,8 +240,7 @@
     MakeCallerHead(aExchange, *aLink.mParser);
   http::response_serializer<http::buffer_body> serializer(head);
   error_code failure;
-  bool noBody =
-    HasNoBody(aExchange.Head().method(), aLink.mParser->get());
+  bool noBody = HasNoBody(aExchange.Head().method(), aLink.mParser->get());
   if (noBody) {
     aExchange.mStream.expires_at(aAttempt.mDeadline);
     co_await http::async_write_header(
@@ -305,34 +301,34 @@
   });
 }
 
-attempt_end
+attempt_ending
 EndOf(error_code aFailure)
 {
-  return aFailure == beast::error::timeout ? attempt_end::TimedOut
-                                           : attempt_end::Lost;
+  return aFailure == beast::error::timeout ? attempt_ending::TimedOut
+                                           : attempt_ending::Lost;
 }
 
 // What the header alone decides. Nothing where the answer is to be passed on.
-std::optional<attempt_end>
+std::optional<attempt_ending>
 Judge(const upstream_link& aLink, const upstream_attempt& aAttempt)
 {
-  const upstream_answer& answer = aLink.mAnswer;
+  const answer_facts& answer = aLink.mAnswer;
   // On a connection that carried something foreign an unnamed refusal may be
   // that of another request.
-  bool isNamed = answer.mBelongs == upstream_answer::belongs::ToThisRequest;
+  bool isNamed = answer.mBelongs == answer_facts::belongs::ToThisRequest;
   bool believed = isNamed || aLink.mClean;
   if (answer.mWrongInstance && believed) {
-    return attempt_end::WrongInstance;
+    return attempt_ending::WrongInstance;
   }
   if (answer.mNotRun && believed) {
-    return attempt_end::NotRun;
+    return attempt_ending::NotRun;
   }
   if (!answer.mSound || !isNamed) {
-    return attempt_end::Lost;
+    return attempt_ending::Lost;
   }
   bool isError = aLink.mParser->get().result_int() >= 500;
   if (isError && aAttempt.mHoldErrors) {
-    return attempt_end::Errored;
+    return attempt_ending::Errored;
   }
   return std::nullopt;
 }
@@ -340,26 +336,26 @@
 } // namespace
 
 std::string_view
-ToString(attempt_end aEnd)
+ToString(attempt_ending aEnd)
 {
   switch (aEnd) {
-    case attempt_end::Answered:
+    case attempt_ending::Answered:
       return "answered";
-    case attempt_end::NotSent:
+    case attempt_ending::NotSent:
       return "not_sent";
-    case attempt_end::NotRun:
+    case attempt_ending::NotRun:
       return "not_run";
-    case attempt_end::WrongInstance:
+    case attempt_ending::WrongInstance:
       return "wrong_instance";
-    case attempt_end::Errored:
+    case attempt_ending::Errored:
       return "errored";
-    case attempt_end::Lost:
+    case attempt_ending::Lost:
       return "lost";
-    case attempt_end::TimedOut:
+    case attempt_ending::TimedOut:
       return "timed_out";
-    case attempt_end::CutShort:
+    case attempt_ending::CutShort:
       return "cut_short";
-    case attempt_end::CallerGone:
+    case attempt_ending::CallerGone:
       return "caller_gone";
   }
   return "unknown";
@@ -382,12 +378,11 @@
     co_return outcome;
   }
   if (aAttempt.mIdempotent) {
-    std::variant<error_code, std::monostate> first =
-      co_await (ReadAnswerHead(aExchange, aAttempt, link) ||
-                WaitCallerGone(aExchange));
+    std::variant<error_code, std::monostate> first = co_await (
+      ReadAnswerHead(aExchange, aAttempt, link) || WaitCallerGone(aExchange));
     if (first.index() == 1) {
       aExchange.mKeepAlive = false;
-      outcome.mEnd = attempt_end::CallerGone;
+      outcome.mEnd = attempt_ending::CallerGone;
       co_return outcome;
     }
     failure = std::get<0>(first);
@@ -400,10 +395,10 @@
   }
   outcome.mStatus = link.mParser->get().result_int();
   outcome.mLoad = link.mAnswer.mLoad;
-  std::optional<attempt_end> judged = Judge(link, aAttempt);
+  std::optional<attempt_ending> judged = Judge(link, aAttempt);
   if (judged) {
     outcome.mEnd = *judged;
-    if (*judged != attempt_end::Lost) {
+    if (*judged != attempt_ending::Lost) {
       failure = co_await PassOver(link);
       if (!failure) {
         KeepLink(aPool, aAttempt, link);
@@ -420,10 +415,10 @@
   failure = co_await PassOn(aExchange, aAttempt, link, held, outcome);
   if (failure) {
     aExchange.mKeepAlive = false;
-    outcome.mEnd = attempt_end::CutShort;
+    outcome.mEnd = attempt_ending::CutShort;
     co_return outcome;
   }
-  outcome.mEnd = attempt_end::Answered;
+  outcome.mEnd = attempt_ending::Answered;
   KeepLink(aPool, aAttempt, link);
   co_return outcome;
 }
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -13,7 +13,7 @@
 // Errors are the attempt's end; nothing is thrown.
 #pragma once
 
-#include "laburnumdyke/decision/upstream_load.h"
+#include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/plugin/connection_pool.h"
 #include "laburnumdyke/plugin/http_forward.h"
 
@@ -24,7 +24,7 @@
 namespace laburnumdyke {
 
 // What an upstream's header says, in terms of the product.
-struct upstream_answer
+struct answer_facts
 {
   enum class belongs
   {
@@ -37,7 +37,7 @@
   bool mSound = true;          // may be passed on as the upstream's answer
   bool mNotRun = false;        // the upstream will not run the request
   bool mWrongInstance = false; // another upstream has the address
-  std::optional<load_report> mLoad;
+  std::optional<reported_load> mLoad;
   // For how long the connection stays open without a request.
   std::optional<std::chrono::milliseconds> mIdleLife;
 };
@@ -49,13 +49,13 @@
   endpoint mTo;
   std::string mBody;    // of the request, whole
   header_list mHeaders; // set on the forwarded request
-  std::function<upstream_answer(const upstream_head&)> mRead;
+  std::function<answer_facts(const upstream_head&)> mRead;
   instant mDeadline{};      // for the whole answer
   bool mIdempotent = false; // may use an idle connection, may be dropped
   bool mHoldErrors = false; // a server error is not passed on
 };
 
-enum class attempt_end
+enum class attempt_ending
 {
   Answered,      // the whole answer was passed on
   NotSent,       // no byte of the request was written
@@ -69,14 +69,14 @@
 };
 
 std::string_view
-ToString(attempt_end aEnd);
+ToString(attempt_ending aEnd);
 
 struct attempt_outcome
 {
-  attempt_end mEnd = attempt_end::NotSent;
+  attempt_ending mEnd = attempt_ending::NotSent;
   unsigned mStatus = 0; // of the upstream, where there was an answer
   std::size_t mBytes = 0;
-  std::optional<load_report> mLoad;
+  std::optional<reported_load> mLoad;
   std::optional<duration> mConnect; // of a new connection
 };
 
--- a/laburnumdyke/testing/header_dialect_test.cc
+++ b/laburnumdyke/testing/header_dialect_test.cc
@@ -49,8 +49,8 @@
 
 TEST(HeaderDialect, AnAnswerBelongsToTheRequestThatItNames)
 {
-  using belongs = upstream_answer::belongs;
-  upstream_answer answer = header_dialect::ReadAnswer(
+  using belongs = answer_facts::belongs;
+  answer_facts answer = header_dialect::ReadAnswer(
     Answer(200, { { "X-Request-Id", "7" }, { "X-Server-Stamp", "s" } }), "7");
   CHECK(answer.mBelongs == belongs::ToThisRequest && answer.mSound);
   answer = header_dialect::ReadAnswer(
@@ -65,23 +65,23 @@
   CHECK_FALSE(
     header_dialect::ReadAnswer(Answer(200, { { "X-Request-Id", "7" } }), "7")
       .mSound);
-  CHECK_FALSE(header_dialect::ReadAnswer(Answer(200,
-                                                { { "X-Request-Id", "7" },
-                                                  { "X-Server-Stamp", "s" },
-                                                  { "Content-Encoding",
-                                                    "gzip" } }),
-                                         "7")
-                .mSound);
+  CHECK_FALSE(
+    header_dialect::ReadAnswer(Answer(200,
+                                      { { "X-Request-Id", "7" },
+                                        { "X-Server-Stamp", "s" },
+                                        { "Content-Encoding", "gzip" } }),
+                               "7")
+      .mSound);
 }
 
 TEST(HeaderDialect, RefusalsLoadsAndIdleTimesAreRead)
 {
-  upstream_answer answer =
-    header_dialect::ReadAnswer(Answer(503,
-                                      { { "X-Not-Executed", "1" },
-                                        { "X-Server-Load", "3,9,3" },
-                                        { "Keep-Alive", "timeout=10, max=5" } }),
-                               "7");
+  answer_facts answer = header_dialect::ReadAnswer(
+    Answer(503,
+           { { "X-Not-Executed", "1" },
+             { "X-Server-Load", "3,9,3" },
+             { "Keep-Alive", "timeout=10, max=5" } }),
+    "7");
   CHECK(answer.mNotRun && !answer.mWrongInstance);
   LONGS_EQUAL(9, answer.mLoad->mWaiting);
   CHECK(answer.mIdleLife == std::optional<std::chrono::milliseconds>(10s));
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -1,9 +1,9 @@
 // Lock order, counters, log lines, INI text, settings and the registry.
 #include "laburnumdyke/kernel/counters.h"
 #include "laburnumdyke/kernel/event_log.h"
-#include "laburnumdyke/kernel/line_budget.h"
 #include "laburnumdyke/kernel/guarded.h"
 #include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/kernel/line_budget.h"
 #include "laburnumdyke/kernel/settings.h"
 
 #include <string>
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -59,8 +59,8 @@
     body += R"({"table":"t","part":"","key":")" + aRows[i].first +
             R"(","value":")" + EncodeBase64(aRows[i].second) + R"(","ver":1})";
   }
-  body += "]" + aMore + ",\"ver\":" + std::to_string(aVersion) +
-          ",\"now-ms\":1}";
+  body +=
+    "]" + aMore + ",\"ver\":" + std::to_string(aVersion) + ",\"now-ms\":1}";
   return { 200, body };
 }
 
@@ -267,9 +267,10 @@
 
 TEST(StoreClient, PagesAreReadToTheLast)
 {
-  mHttp.mAnswers = { Rows(8, { { "a", "1" }, { "b", "2" } },
-                          ",\"truncated\":true"),
-                     Rows(9, { { "b", "2" }, { "c", "3" } }) };
+  mHttp.mAnswers = {
+    Rows(8, { { "a", "1" }, { "b", "2" } }, ",\"truncated\":true"),
+    Rows(9, { { "b", "2" }, { "c", "3" } })
+  };
   store_answer answer = Wait(mStore.ReadAll("t"));
   CHECK(answer.mStatus == reading_status::Read);
   LONGS_EQUAL(4, answer.mRows.size());
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -133,8 +133,8 @@
                         " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 77\r\n"
                         "X-Affinity-Key: 1\r\nX-Deadline-Ms: 2000\r\n"
                         "Connection: close\r\n";
-  return request + (aMethod == "POST" ? "Content-Length: 4\r\n\r\nbody"
-                                      : "\r\n");
+  return request +
+         (aMethod == "POST" ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
 }
 
 routing_document
@@ -174,9 +174,10 @@
     mSettings.mReady = FreeEndpoint();
     mSettings.mDirectory = FreeEndpoint();
     mSettings.mDomains = { { "east-a", "east" } };
-    mKernel = std::make_unique<kernel>(
-      mSettings,
-      std::vector<plugin_record>{ MakeRecord<steered_front<header_dialect>>() });
+    mKernel =
+      std::make_unique<kernel>(mSettings,
+                               std::vector<plugin_record>{
+                                 MakeRecord<steered_front<header_dialect>>() });
     CHECK(!mKernel->Start(std::chrono::steady_clock::now()));
   }
 
@@ -201,8 +202,7 @@
       aSteering.SetRules(routes);
       aSteering.Apply(aSteering.Directory().Replace(entries, now), now);
     });
-    tables.Fleet().With(
-      [](fleet_state& aFleet) { aFleet.SetServing(true); });
+    tables.Fleet().With([](fleet_state& aFleet) { aFleet.SetServing(true); });
   }
 
   static upstream_entry Entry(const std::string& aId, const endpoint& aAddress)
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -96,13 +96,9 @@
 
   steering_choice Choose(const std::string& aObject, instant aNow = kStart)
   {
-    return mSteering.Choose({ mRoute,
-                              { "sheets" },
-                              aObject,
-                              aNow,
-                              aNow + mRoute.mTimeout,
-                              mTried },
-                            aNow);
+    return mSteering.Choose(
+      { mRoute, { "sheets" }, aObject, aNow, aNow + mRoute.mTimeout, mTried },
+      aNow);
   }
 
   std::string Chosen(const std::string& aObject, instant aNow = kStart)
@@ -356,7 +352,7 @@
     }
   }
 
-  static load_report Load(const model_upstream& aUpstream)
+  static reported_load Load(const model_upstream& aUpstream)
   {
     return { aUpstream.mRunning,
              static_cast<std::uint32_t>(aUpstream.mWaiting.size()),
