Begin with the part that evens out load where a region has few upstreams

Cause: connacht and kumamoto have a quarter of the others' slots before the same traffic; from nothing, the part that leaves them took ten seconds to climb at the allowed speed, and their callers were turned away meanwhile. Change: an instance begins with 0.6 of the part that evens out load, taking the entry instances of a region for its share of demand. Ruled out: a faster climb, which SHIFT bounds.

--- a/laburnumdyke/decision/region_spill.h
+++ b/laburnumdyke/decision/region_spill.h
@@ -23,6 +23,8 @@
   // Most by which the part may change from one window to the next.
   double mMostShift = 0.15;
   std::chrono::milliseconds mWindow{ 2000 };
+  // The part that leaves before anything is known of the load.
+  double mFirstShare = 0;
 };
 
 enum class spill_side
@@ -37,6 +39,8 @@
 public:
   explicit region_spill(region_spill_options aOptions = {})
     : mOptions(aOptions)
+    , mWanted(aOptions.mFirstShare)
+    , mShare(aOptions.mFirstShare)
   {
   }
 
@@ -48,8 +52,8 @@
 
 private:
   region_spill_options mOptions;
-  double mWanted = 0; // part of the requests that would leave
-  double mShare = 0;  // part that leaves
+  double mWanted; // part of the requests that would leave
+  double mShare;  // part that leaves
   double mCredit = 0; // requests that may leave
   instant mLast{};
   bool mStarted = false;
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -31,6 +31,7 @@
 constexpr seconds_d kCrossingByte{ 4e-6 };
 // Requests that wait at an upstream for each of its slots; beyond it refuses.
 constexpr double kMostWaitingPerSlot = 2;
+constexpr double kFirstSharePart = 0.6;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMostRetryAfter{ 1000 };
 constexpr double kTripWeight = 0.2;
@@ -114,6 +115,7 @@
 upstream_steering::SetFleet(std::vector<fleet_place> aFleet)
 {
   mRegionSenders = 1;
+  mSenders = std::max<std::size_t>(1, aFleet.size());
   for (const fleet_place& place : aFleet) {
     bool isPeer =
       place.mRegion == mOptions.mRegion && place.mInstance != mOptions.mSelf;
@@ -281,6 +283,40 @@
   return candidates;
 }
 
+// The part that evens out load where the demand of a region follows its entry
+// instances, or kFirstSharePart of it: at low load less has to leave.
+double
+upstream_steering::FirstShare(const service_id& aService) const
+{
+  double own = 0;
+  double all = 0;
+  for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
+    const upstream_entry& entry = known.second.mEntry;
+    if (entry.mService == aService && !entry.mDraining) {
+      all += entry.mSlots;
+      own += RegionOf(entry.mDomain) == mOptions.mRegion ? entry.mSlots : 0;
+    }
+  }
+  double demand =
+    static_cast<double>(mRegionSenders) / static_cast<double>(mSenders);
+  if (all == 0 || own / all >= demand) {
+    return 0;
+  }
+  return (1 - own / all / demand) * kFirstSharePart;
+}
+
+region_spill&
+upstream_steering::SpillOf(const service_id& aService)
+{
+  auto found = mSpills.find(aService);
+  if (found == mSpills.end()) {
+    region_spill_options options = mOptions.mSpill;
+    options.mFirstShare = FirstShare(aService);
+    found = mSpills.emplace(aService, region_spill(options)).first;
+  }
+  return found->second;
+}
+
 const upstream_steering::candidate*
 upstream_steering::Pick(const std::vector<candidate>& aCandidates,
                         const steering_request& aRequest,
@@ -301,12 +337,11 @@
   }
   bool wants =
     outside != nullptr && (inside == nullptr || outside->mCost < inside->mCost);
-  region_spill& spill =
-    mSpills.try_emplace(aRequest.mService, mOptions.mSpill).first->second;
   if (inside == nullptr && outside == nullptr) {
     return nullptr;
   }
-  spill_side side = spill.Decide(wants, inside != nullptr, aNow);
+  spill_side side =
+    SpillOf(aRequest.mService).Decide(wants, inside != nullptr, aNow);
   if (side == spill_side::Outside && outside != nullptr) {
     return outside;
   }
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -168,6 +168,8 @@
   };
 
   region_id RegionOf(const domain_id& aDomain) const;
+  region_spill& SpillOf(const service_id& aService);
+  double FirstShare(const service_id& aService) const;
   bool IsCold(const upstream& aUpstream, instant aNow) const;
   bool IsOpen(const upstream& aUpstream,
               const steering_request& aRequest,
@@ -204,6 +206,7 @@
   upstream_directory mDirectory;
   cold_gate mColdGate;
   std::size_t mRegionSenders = 1; // instances of the region
+  std::size_t mSenders = 1;       // of all regions
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
   std::set<domain_id> mEvacuated;
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -203,6 +203,23 @@
   CHECK(turnedAway >= 18);
 }
 
+TEST(UpstreamSteering, ARegionWithFewUpstreamsIsHelpedFromTheFirstRequestOn)
+{
+  // Half of the instances stand before a tenth of the slots.
+  std::vector<upstream_entry> entries = { Upstream("e1", "east-a") };
+  for (int i = 0; i < 9; ++i) {
+    entries.push_back(Upstream("w" + std::to_string(i), "west-a"));
+  }
+  Register(entries);
+  mSteering.SetFleet({ { { "one" }, { "east" } }, { { "two" }, { "west" } } });
+  int outside = 0;
+  for (int i = 0; i < 100; ++i) {
+    std::string chosen = Chosen(std::to_string(i), kStart + i * 1ms);
+    outside += chosen[0] == 'w' ? 1 : 0;
+  }
+  CHECK(outside > 30 && outside < 70);
+}
+
 TEST(UpstreamSteering, TurnedAwayOnesGetSpreadTimesToComeBack)
 {
   Register({ Upstream("e1", "east-a") });
