--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -299,7 +299,9 @@
   }
   double demand =
     static_cast<double>(mRegionSenders) / static_cast<double>(mSenders);
-  if (all == 0 || own / all >= demand) {
+  // Without instances elsewhere nothing is known of the demand there.
+  bool knowsOthers = mSenders > mRegionSenders;
+  if (!knowsOthers || all == 0 || own / all >= demand) {
     return 0;
   }
   return (1 - own / all / demand) * kFirstSharePart;
