Read who has registered at a pace, wait longer for changes, find silent connections by probes

Change: the fleet's rows are read at once, twice more soon and then each 10 s; the operator's feed waits 4 s, with probes on the connection and peers that tell when they are ahead; spills begin anew once the fleet is known.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -115,7 +115,11 @@
 upstream_steering::SetFleet(std::vector<fleet_place> aFleet)
 {
   mRegionSenders = 1;
+  bool knewOthers = mSenders > 1;
   mSenders = std::max<std::size_t>(1, aFleet.size());
+  if (!knewOthers && mSenders > 1) {
+    mSpills.clear(); // begun without knowing the demand elsewhere
+  }
   for (const fleet_place& place : aFleet) {
     bool isPeer =
       place.mRegion == mOptions.mRegion && place.mInstance != mOptions.mSelf;
@@ -299,9 +303,7 @@
   }
   double demand =
     static_cast<double>(mRegionSenders) / static_cast<double>(mSenders);
-  // Without instances elsewhere nothing is known of the demand there.
-  bool knowsOthers = mSenders > mRegionSenders;
-  if (!knowsOthers || all == 0 || own / all >= demand) {
+  if (all == 0 || own / all >= demand) {
     return 0;
   }
   return (1 - own / all / demand) * kFirstSharePart;
@@ -313,7 +315,9 @@
   auto found = mSpills.find(aService);
   if (found == mSpills.end()) {
     region_spill_options options = mOptions.mSpill;
-    options.mFirstShare = FirstShare(aService);
+    // Without instances elsewhere nothing is known of the demand there.
+    bool knowsOthers = mSenders > mRegionSenders;
+    options.mFirstShare = knowsOthers ? FirstShare(aService) : 0;
     found = mSpills.emplace(aService, region_spill(options)).first;
   }
   return found->second;
--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -1,6 +1,8 @@
 // Connect, write, read under one deadline; any failure is no answer.
 #include "laburnumdyke/plugin/http_client.h"
 
+#include "laburnumdyke/plugin/http_parts.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -17,6 +19,7 @@
   if (failure) {
     co_return std::nullopt;
   }
+  DetectLoss(stream.socket());
   http::request<http::string_body> request(
     aRequest.mMethod, aRequest.mTarget, 11);
   request.set(http::field::host, aRequest.mTo.Text());
--- a/laburnumdyke/plugin/http_parts.cc
+++ b/laburnumdyke/plugin/http_parts.cc
@@ -4,6 +4,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <string>
 #include <vector>
@@ -23,6 +26,9 @@
   http::field::upgrade,
 };
 
+// A peer that acknowledges nothing for so long is taken for unreachable.
+constexpr std::chrono::milliseconds kUnackedTimeout{ 1500 };
+
 } // namespace
 
 void
@@ -54,6 +60,23 @@
          aHead.result() == http::status::not_modified;
 }
 
+void
+DetectLoss(tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  int handle = aSocket.native_handle();
+  unsigned unacked = static_cast<unsigned>(kUnackedTimeout.count());
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+  int on = 1;
+  int second = 1;
+  int probes = 2;
+  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof second);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 asio::awaitable<void>
 WaitCallerGone(http_exchange& aExchange)
 {
--- a/laburnumdyke/plugin/http_parts.h
+++ b/laburnumdyke/plugin/http_parts.h
@@ -14,6 +14,11 @@
 bool
 HasNoBody(http::verb aMethod, const http::response_header<>& aHead);
 
+// Has the system find out that a peer is gone: it resets a connection whose
+// peer acknowledges neither data nor probes.
+void
+DetectLoss(tcp::socket& aSocket);
+
 // Ends when the caller has closed its connection; otherwise waits until it is
 // cancelled.
 asio::awaitable<void>
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -111,13 +111,17 @@
 
 private:
   static constexpr std::string_view kViewTarget = "/v1/view";
-  // The platform answers sooner where there is a change. Short, since a
-  // connection may fall silent without a reset.
-  static constexpr std::chrono::milliseconds kControlWait{ 1500 };
-  static constexpr std::chrono::milliseconds kFleetWait{ 10000 };
+  // The platform answers sooner where there is a change. A connection that
+  // falls silent is found by its probes, and a peer that is ahead tells too.
+  static constexpr std::chrono::milliseconds kControlWait{ 4000 };
+  // Who has registered is read at a pace: each change would else wake every
+  // instance, and newcomers are heard by their heartbeats before.
+  static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
+  static constexpr std::chrono::milliseconds kFleetPace{ 10000 };
   // Upstreams write all the time, so they are read at a pace: often enough
   // that a draining one is known well within its time.
-  static constexpr std::chrono::milliseconds kUpstreamPace{ 1000 };
+  static constexpr std::chrono::milliseconds kUpstreamPace{ 1100 };
+  static constexpr int kFirstFleetReadings = 3;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
@@ -169,19 +173,22 @@
     fleet_member self =
       mTables.Fleet().With([](fleet_state& aFleet) { return aFleet.Self(); });
     bool registered = false;
+    int readings = 0;
     while (true) {
       if (!registered && !mLeaving) {
         registered = co_await mSource.Register(self);
       }
       std::optional<std::uint64_t> after = mFleet.After();
-      fleet_reading reading = co_await mSource.ReadFleet(after, kFleetWait);
-      bool answered = mFleet.Take(reading.mHead, Now());
-      if (answered) {
+      fleet_reading reading =
+        co_await mSource.ReadFleet(after, std::chrono::milliseconds(0));
+      if (mFleet.Take(reading.mHead, Now())) {
+        ++readings;
         TakeFleet(reading);
       }
-      if (!answered || !registered) {
-        co_await SleepFor(Jittered(kRetryAfter));
-      }
+      // Instances often start together: soon after the first reading the rows
+      // of the others are there too.
+      bool isSettled = registered && readings >= kFirstFleetReadings;
+      co_await SleepFor(Jittered(isSettled ? kFleetPace : kFirstFleetPace));
     }
   }
 
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -7,9 +7,6 @@
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -30,8 +27,8 @@
 // A connection takes a round trip and the upstream's accept; a lost packet is
 // sent again after a second, and another upstream is asked sooner than that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
-// A peer that acknowledges nothing for so long is taken for unreachable.
-constexpr std::chrono::milliseconds kUnackedTimeout{ 1500 };
+// A caller that takes nothing of its answer for so long is given up.
+constexpr std::chrono::milliseconds kCallerTimeout{ 1500 };
 // Shorter than what upstreams that state no time keep idle connections for.
 constexpr std::chrono::milliseconds kUnsaidIdleLife{ 3000 };
 // For a close that is on its way while the next request is written.
@@ -46,21 +43,6 @@
   answer_facts mAnswer;
 };
 
-void
-DetectLoss(tcp::socket& aSocket)
-{
-  error_code ignored;
-  aSocket.set_option(tcp::no_delay(true), ignored);
-  int handle = aSocket.native_handle();
-  unsigned unacked = static_cast<unsigned>(kUnackedTimeout.count());
-  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
-  int on = 1;
-  int second = 1;
-  ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
-  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof second);
-}
-
 asio::awaitable<error_code>
 Connect(table<connection_pool>& aPool,
         const upstream_attempt& aAttempt,
@@ -255,7 +237,7 @@
     head.body().more = !aLink.mParser->is_done();
     aOutcome.mBytes += aHeld.size();
     aExchange.mStream.expires_at(
-      std::max(aAttempt.mDeadline, clock::now() + kUnackedTimeout));
+      std::max(aAttempt.mDeadline, clock::now() + kCallerTimeout));
     co_await http::async_write(
       aExchange.mStream,
       serializer,
@@ -266,7 +248,7 @@
     aHeld.clear();
     if (!aLink.mParser->is_done()) {
       aLink.mStream->expires_at(
-        std::max(aAttempt.mDeadline, clock::now() + kUnackedTimeout));
+        std::max(aAttempt.mDeadline, clock::now() + kCallerTimeout));
       failure = co_await HoldBody(aLink, aHeld);
       if (failure) {
         co_return failure;
