--- /dev/null
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -0,0 +1,296 @@
+// The watch over the platform with a scripted source in its place: what comes
+// in force, what an outage leaves, and what peers' views change.
+#include "laburnumdyke/plugin/fleet_codec.h"
+#include "laburnumdyke/plugin/platform_watch.h"
+#include "laburnumdyke/testing/harness/deployment.h"
+#include "laburnumdyke/testing/harness/one_kernel.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What the scripted platform holds. A reading repeats until it is changed.
+struct scripted_platform
+{
+  std::mutex mMutex;
+  control_reading mControl;
+  upstream_reading mUpstreams;
+  view_reading mPeerView;
+  int mRegistered = 0;
+  int mWithdrawn = 0;
+
+  template<class Function>
+  auto With(Function aFunction)
+  {
+    std::scoped_lock lock(mMutex);
+    return aFunction(*this);
+  }
+};
+
+// Satisfies platform_source. A watch makes its source of settings alone, so
+// that the platform of the running test is found here.
+struct scripted_source
+{
+  static constexpr std::string_view kWatchName = "scripted_watch";
+  static inline scripted_platform* sPlatform = nullptr;
+
+  explicit scripted_source(const settings&) {}
+
+  asio::awaitable<control_reading> ReadControl(std::optional<std::uint64_t>,
+                                               std::chrono::milliseconds)
+  {
+    co_await SleepFor(20ms);
+    co_return sPlatform->With(
+      [](scripted_platform& aPlatform) { return aPlatform.mControl; });
+  }
+
+  asio::awaitable<upstream_reading> ReadUpstreams(std::optional<std::uint64_t>,
+                                                  std::chrono::milliseconds)
+  {
+    co_return sPlatform->With(
+      [](scripted_platform& aPlatform) { return aPlatform.mUpstreams; });
+  }
+
+  asio::awaitable<fleet_reading> ReadFleet(std::optional<std::uint64_t>,
+                                           std::chrono::milliseconds)
+  {
+    co_return fleet_reading{ { reading_status::Read, true, 1 }, {}, {} };
+  }
+
+  asio::awaitable<bool> Register(fleet_member)
+  {
+    co_return sPlatform->With(
+      [](scripted_platform& aPlatform) { return ++aPlatform.mRegistered > 1; });
+  }
+
+  asio::awaitable<bool> Withdraw(instance_id)
+  {
+    co_return sPlatform->With(
+      [](scripted_platform& aPlatform) { return ++aPlatform.mWithdrawn > 0; });
+  }
+
+  std::string View() { return "a view"; }
+
+  view_reading TakeView(const std::string& aView)
+  {
+    STRCMP_EQUAL("a view", aView.c_str());
+    return sPlatform->With(
+      [](scripted_platform& aPlatform) { return aPlatform.mPeerView; });
+  }
+};
+
+static_assert(platform_source<scripted_source>);
+
+control_reading
+Control(std::uint64_t aStoreVersion, std::uint64_t aVersion)
+{
+  control_reading reading;
+  reading.mHead = { reading_status::Read, true, aStoreVersion };
+  reading.mDocument = routing_document();
+  reading.mDocument->mVersion = aVersion;
+  return reading;
+}
+
+upstream_reading
+Upstreams(std::uint64_t aStoreVersion, std::vector<std::string> aIds)
+{
+  upstream_reading reading;
+  reading.mHead = { reading_status::Read, true, aStoreVersion };
+  for (const std::string& id : aIds) {
+    upstream_entry entry;
+    entry.mId = { id };
+    entry.mService = { "s" };
+    entry.mDomain = { "east-a" };
+    entry.mSequence = 1;
+    reading.mEntries.push_back(entry);
+  }
+  return reading;
+}
+
+} // namespace
+
+TEST_GROUP(PlatformWatch)
+{
+  scripted_platform mPlatform;
+  settings mSettings;
+  std::unique_ptr<kernel> mKernel;
+  std::unique_ptr<kernel> mPeer; // answers with its view
+
+  void setup() override
+  {
+    scripted_source::sPlatform = &mPlatform;
+    mSettings = FreeSettings("one", "east-a", "east");
+    mKernel = Start(mSettings);
+  }
+
+  void teardown() override
+  {
+    mKernel->Stop();
+    if (mPeer) {
+      mPeer->Stop();
+    }
+  }
+
+  static std::unique_ptr<kernel> Start(const settings& aSettings)
+  {
+    std::unique_ptr<kernel> started = std::make_unique<kernel>(
+      aSettings,
+      std::vector<plugin_record>{
+        MakeRecord<platform_watch<scripted_source>>() });
+    CHECK(!started->Start(std::chrono::steady_clock::now()));
+    return started;
+  }
+
+  void Set(const control_reading& aControl)
+  {
+    mPlatform.With(
+      [&](scripted_platform& aPlatform) { aPlatform.mControl = aControl; });
+  }
+
+  void Set(const upstream_reading& aUpstreams)
+  {
+    mPlatform.With(
+      [&](scripted_platform& aPlatform) { aPlatform.mUpstreams = aUpstreams; });
+  }
+
+  std::uint64_t VersionInForce()
+  {
+    std::shared_ptr<const route_table> routes =
+      steering_tables(*mKernel).Routes();
+    return routes ? routes->Version() : 0;
+  }
+
+  bool WaitForVersion(std::uint64_t aVersion)
+  {
+    return WaitUntil([&]() { return VersionInForce() == aVersion; }, 10s);
+  }
+
+  std::size_t Known()
+  {
+    return steering_tables(*mKernel).Steering().With(
+      [](steering_state& aSteering) { return aSteering.Size(); });
+  }
+
+  bool WaitForKnown(std::size_t aCount)
+  {
+    return WaitUntil([&]() { return Known() == aCount; }, 10s);
+  }
+
+  bool IsServing()
+  {
+    return steering_tables(*mKernel).Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.IsServing(); });
+  }
+};
+
+TEST(PlatformWatch, VersionsOnlyGrowAndUnreadableOnesChangeNothing)
+{
+  CHECK_FALSE(IsServing());
+  Set(Control(5, 3));
+  CHECK(WaitForVersion(3));
+  CHECK(WaitUntil([&]() { return IsServing(); }, 10s));
+  control_reading unreadable = Control(6, 9);
+  unreadable.mDocument.reset();
+  unreadable.mUnreadable = 1;
+  Set(unreadable);
+  std::this_thread::sleep_for(200ms);
+  LONGS_EQUAL(3, VersionInForce());
+  Set(Control(7, 2));
+  std::this_thread::sleep_for(200ms);
+  LONGS_EQUAL(3, VersionInForce());
+  Set(Control(8, 4));
+  CHECK(WaitForVersion(4));
+}
+
+TEST(PlatformWatch, AnOutageKeepsUpstreams)
+{
+  Set(Upstreams(5, { "a", "b" }));
+  CHECK(WaitForKnown(2));
+  Set(upstream_reading());
+  std::this_thread::sleep_for(2500ms);
+  LONGS_EQUAL(2, Known());
+  // One of them registers again in time.
+  Set(Upstreams(6, { "a" }));
+  std::this_thread::sleep_for(1000ms);
+  LONGS_EQUAL(2, Known());
+  CHECK(WaitForKnown(1));
+}
+
+TEST(PlatformWatch, ItRegistersUntilThatIsCertainAndWithdraws)
+{
+  auto count = [&](int scripted_platform::*aMember) {
+    return mPlatform.With(
+      [&](scripted_platform& aPlatform) { return aPlatform.*aMember; });
+  };
+  CHECK(WaitUntil([&]() { return count(&scripted_platform::mRegistered) == 2; },
+                  10s));
+  mKernel->Leave(std::chrono::steady_clock::now());
+  CHECK(WaitUntil([&]() { return count(&scripted_platform::mWithdrawn) == 1; },
+                  10s));
+}
+
+// The store turns this instance away; a peer's heartbeat says that the peer
+// is ahead, and its view is taken.
+TEST(PlatformWatch, WhatAPeerKnowsIsTakenWhileThePlatformIsLost)
+{
+  Set(Control(5, 3));
+  CHECK(WaitForVersion(3));
+  Set(control_reading());
+  settings peer = FreeSettings("two", "east-a", "east");
+  mPeer = Start(peer);
+  mPlatform.With([&](scripted_platform& aPlatform) {
+    aPlatform.mPeerView = { Control(9, 7), Upstreams(9, { "a" }) };
+    aPlatform.mPeerView.mControl.mEvacuated = { { "east-b" } };
+  });
+  fleet_beat beat;
+  beat.mSender = { { "two" },    1,          { "east" }, { "east-a" },
+                   peer.mCaller, peer.mPeer, peer.mRelay };
+  beat.mServing = true;
+  beat.mControlVersion = 9;
+  bool taken = WaitUntil(
+    [&]() {
+      steering_tables(*mKernel).Fleet().With([&](fleet_state& aFleet) {
+        aFleet.Hear(beat, std::chrono::steady_clock::now());
+      });
+      return VersionInForce() == 7;
+    },
+    10s);
+  CHECK(taken);
+  std::set<domain_id> evacuated = steering_tables(*mKernel).InForce().With(
+    [](routes_in_force& aInForce) { return aInForce.mEvacuated; });
+  CHECK(evacuated == std::set<domain_id>{ { "east-b" } });
+}
+
+TEST_GROUP(FleetCodec){};
+
+TEST(FleetCodec, HeartbeatsAreReadAsTheyWereWritten)
+{
+  fleet_beat beat;
+  beat.mSender = { { "one" },          7,
+                   { "east" },         { "east-a" },
+                   { "127.0.0.1", 1 }, { "127.0.0.1", 2 },
+                   { "127.0.0.1", 3 } };
+  beat.mServing = true;
+  beat.mSettled = true;
+  beat.mControlVersion = 1234567;
+  std::string bytes = EncodeFleetBeat(beat);
+  std::optional<fleet_beat> read = DecodeFleetBeat(bytes);
+  CHECK(read.has_value());
+  CHECK(read->mSender == beat.mSender);
+  CHECK(read->mServing && read->mSettled && !read->mLeaving);
+  LONGS_EQUAL(1234567, read->mControlVersion);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    DecodeFleetBeat(std::string_view(bytes).substr(0, size));
+  }
+  CHECK_FALSE(DecodeFleetBeat("").has_value());
+  CHECK_FALSE(DecodeFleetBeat(std::string(5000, 'x')).has_value());
+}
