--- a/laburnumdyke/decision/watch_state.h
+++ b/laburnumdyke/decision/watch_state.h
@@ -38,6 +38,13 @@
   std::uint64_t Version() const { return mVersion; }
   bool IsLost() const { return mFailures >= kLostAfter; }
 
+  // How long a reading may wait for a change: not at all after a failure, so
+  // that a platform that falls silent is found back soon after its return.
+  std::chrono::milliseconds MayWait(std::chrono::milliseconds aLongest) const
+  {
+    return mFailures == 0 ? aLongest : std::chrono::milliseconds(0);
+  }
+
   // Whether a peer may be asked now; counts the question.
   bool MayAskPeer(instant aNow);
 
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -113,7 +113,7 @@
   static constexpr std::string_view kViewTarget = "/v1/view";
   // The platform answers sooner where there is a change. A connection that
   // falls silent is found by its probes, and a peer that is ahead tells too.
-  static constexpr std::chrono::milliseconds kControlWait{ 4000 };
+  static constexpr std::chrono::milliseconds kControlWait{ 3000 };
   // Who has registered is read at a pace: each change would else wake every
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
@@ -140,7 +140,7 @@
     while (true) {
       std::optional<std::uint64_t> after = mControl.After();
       control_reading reading =
-        co_await mSource.ReadControl(after, kControlWait);
+        co_await mSource.ReadControl(after, mControl.MayWait(kControlWait));
       bool answered = mControl.Take(reading.mHead, Now());
       NoteAnswer(mControl, "control");
       if (answered) {
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -25,6 +25,7 @@
   control_reading mControl;
   upstream_reading mUpstreams;
   view_reading mPeerView;
+  std::chrono::milliseconds mLastWait{ 0 }; // of a reading of mControl
   int mRegistered = 0;
   int mWithdrawn = 0;
 
@@ -46,11 +47,13 @@
   explicit scripted_source(const settings&) {}
 
   asio::awaitable<control_reading> ReadControl(std::optional<std::uint64_t>,
-                                               std::chrono::milliseconds)
+                                               std::chrono::milliseconds aWait)
   {
     co_await SleepFor(20ms);
-    co_return sPlatform->With(
-      [](scripted_platform& aPlatform) { return aPlatform.mControl; });
+    co_return sPlatform->With([&](scripted_platform& aPlatform) {
+      aPlatform.mLastWait = aWait;
+      return aPlatform.mControl;
+    });
   }
 
   asio::awaitable<upstream_reading> ReadUpstreams(std::optional<std::uint64_t>,
@@ -211,6 +214,21 @@
   CHECK(WaitForVersion(4));
 }
 
+TEST(PlatformWatch, WithoutAnswersItAsksWithoutWaiting)
+{
+  auto lastWait = [&]() {
+    return mPlatform.With(
+      [](scripted_platform& aPlatform) { return aPlatform.mLastWait; });
+  };
+  Set(Control(5, 3));
+  CHECK(WaitUntil([&]() { return lastWait() > 0ms; }, 10s));
+  Set(control_reading());
+  CHECK(WaitUntil([&]() { return lastWait() == 0ms; }, 10s));
+  Set(Control(6, 4));
+  CHECK(WaitForVersion(4));
+  CHECK(WaitUntil([&]() { return lastWait() > 0ms; }, 10s));
+}
+
 TEST(PlatformWatch, AnOutageKeepsUpstreams)
 {
   Set(Upstreams(5, { "a", "b" }));
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -482,6 +482,18 @@
   CHECK(mState.TakeTurn() == std::optional<bool>(false));
 }
 
+// The platform fell silent for eight seconds: a reading that waits for changes
+// meets the silence for its whole wait each time, and found it back five
+// seconds after its return.
+TEST(WatchState, AfterAFailureAReadingDoesNotWait)
+{
+  CHECK(mState.MayWait(3s) == 3s);
+  CHECK_FALSE(mState.Take({}, kStart));
+  CHECK(mState.MayWait(3s) == 0s);
+  CHECK(mState.Take(Whole(1), kStart));
+  CHECK(mState.MayWait(3s) == 3s);
+}
+
 TEST(WatchState, APeersCopyIsTakenOnlyWhereItIsLater)
 {
   CHECK(mState.Take(Whole(50), kStart));
