--- a/laburnumdyke/decision/region_spill.h
+++ b/laburnumdyke/decision/region_spill.h
@@ -52,8 +52,8 @@
 
 private:
   region_spill_options mOptions;
-  double mWanted; // part of the requests that would leave
-  double mShare;  // part that leaves
+  double mWanted;     // part of the requests that would leave
+  double mShare;      // part that leaves
   double mCredit = 0; // requests that may leave
   instant mLast{};
   bool mStarted = false;
