--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -235,6 +235,13 @@
       [](settings& aS, text aT) {
         return TakeTime(aS.mBounds.mRepeatWindow, aT);
       } },
+    { "bounds",
+      "drain_timeout",
+      false,
+      kTime,
+      [](settings& aS, text aT) {
+        return TakeTime(aS.mBounds.mDrainTimeout, aT);
+      } },
     { "bounds",
       "grace",
       false,
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -30,6 +30,7 @@
 //   repeat_ratio = 0.2
 //   repeat_extra = 112
 //   repeat_window = 10s
+//   drain_timeout = 2s
 //   grace = 6s
 //   longest_answer_life = 5s
 //
@@ -69,6 +70,8 @@
   double mRepeatRatio = 0.2;   // repeats of the fleet for each request
   double mRepeatExtra = 100;   // repeats of the fleet in a window besides
   std::chrono::milliseconds mRepeatWindow{ 10000 };
+  // From an upstream's word that it leaves until it must get nothing more.
+  std::chrono::milliseconds mDrainTimeout{ 2000 };
   // From the signal to stop until the process is killed.
   std::chrono::milliseconds mGrace{ 6000 };
   std::chrono::milliseconds mLongestAnswerLife{ 5000 }; // of a look-up
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -118,9 +118,10 @@
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
   static constexpr std::chrono::milliseconds kFleetPace{ 10000 };
-  // Upstreams write all the time, so they are read at a pace: often enough
-  // that a draining one is known well within its time.
-  static constexpr std::chrono::milliseconds kUpstreamPace{ 1100 };
+  // Upstreams write all the time, so they are read at a pace. As a part of the
+  // time in which a leaving one must get nothing more: with the jitter, the
+  // reading itself and requests on their way it is known well within.
+  static constexpr double kUpstreamPacePart = 0.55;
   static constexpr int kFirstFleetReadings = 3;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
@@ -135,6 +136,13 @@
     return std::chrono::milliseconds(part(mRandom));
   }
 
+  std::chrono::milliseconds UpstreamPace()
+  {
+    std::chrono::duration<double, std::milli> pace =
+      mKernel.Settings().mBounds.mDrainTimeout * kUpstreamPacePart;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(pace);
+  }
+
   asio::awaitable<void> WatchControl()
   {
     while (true) {
@@ -164,7 +172,7 @@
       if (answered) {
         TakeUpstreams(reading, now);
       }
-      co_await SleepFor(Jittered(answered ? kUpstreamPace : kRetryAfter));
+      co_await SleepFor(Jittered(answered ? UpstreamPace() : kRetryAfter));
     }
   }
 
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -30,10 +30,70 @@
                                            "[peers]\n"
                                            "seeds = 127.0.0.1:7013, [::1]:1\n";
 
+// What an instance that steers by host and path has besides, each section once
+// more.
+const std::string kHostsSettings = "[instance]\n"
+                                   "front = hosts\n"
+                                   "[listen]\n"
+                                   "ready = 127.0.0.1:7005\n"
+                                   "directory = 127.0.0.1:7006\n"
+                                   "[domains]\n"
+                                   "leinster-a = leinster\n"
+                                   "munster-a = munster\n"
+                                   "[bounds]\n"
+                                   "most_shift = 0.25\n"
+                                   "drain_timeout = 2500ms\n"
+                                   "grace = 7s\n";
+
+std::string
+HostsSettings(const std::string& aOld, const std::string& aNew)
+{
+  std::string text = std::string(kGoodSettings) + kHostsSettings;
+  std::size_t at = text.find(aOld);
+  CHECK_TEXT(at != std::string::npos, aOld.c_str());
+  return text.replace(at, aOld.size(), aNew);
+}
+
 } // namespace
 
 TEST_GROUP(Settings){};
 
+TEST(Settings, AnInstanceThatSteersByHostHasItsOwn)
+{
+  settings_result result = ParseSettings(HostsSettings("hosts", "hosts"));
+  CHECK(result.mSettings.has_value());
+  const settings& read = *result.mSettings;
+  CHECK(read.mFront == front_kind::Hosts);
+  LONGS_EQUAL(7006, read.mDirectory.mPort);
+  CHECK_EQUAL(std::string("munster"), read.mDomains.at("munster-a"));
+  DOUBLES_EQUAL(0.25, read.mBounds.mMostShift, 1e-9);
+  CHECK(read.mBounds.mDrainTimeout == std::chrono::milliseconds(2500));
+  CHECK(read.mBounds.mGrace == std::chrono::seconds(7));
+}
+
+TEST(Settings, FaultsOfAnInstanceThatSteersByHostAreNamed)
+{
+  const char* rows[][3] = {
+    { "front = hosts", "front = host", "instance.front" },
+    { "ready = 127.0.0.1:7005\n", "", "listen.ready" },
+    { "directory = 127.0.0.1:7006\n", "", "listen.directory" },
+    { "leinster-a = leinster\nm", "m", "domains" },
+    { "munster-a = munster", "munster-a = Munster", "domains.munster-a" },
+    { "munster-a = munster", "leinster-a = munster", "domains.leinster-a" },
+    { "0.25", "-1", "bounds.most_shift" },
+    { "0.25", "0.25x", "bounds.most_shift" },
+    { "2500ms", "2500", "bounds.drain_timeout" },
+    { "7s", "7m", "bounds.grace" },
+    { "7s", "soon", "bounds.grace" },
+  };
+  for (const char* const(&row)[3] : rows) {
+    settings_result result = ParseSettings(HostsSettings(row[0], row[1]));
+    CHECK_TEXT(!result.mSettings.has_value(), row[1]);
+    LONGS_EQUAL_TEXT(1, result.mFaults.size(), row[1]);
+    CHECK_EQUAL(std::string(row[2]), result.mFaults[0].mField);
+  }
+}
+
 TEST(Settings, ReadsEverySetting)
 {
   settings_result result = ParseSettings(kGoodSettings);
