--- a/laburnumdyke/testing/process_stop_test.cc
+++ b/laburnumdyke/testing/process_stop_test.cc
@@ -36,6 +36,29 @@
   CHECK(report.mAnswered > 0);
 }
 
+// SIGHUP once ended the process.
+TEST(ProcessStop, ReloadSignalChecksTheSettingsAndEndsNothing)
+{
+  deployment deployed;
+  PlanTwoDomains(deployed, 1);
+  CHECK(StartTwoDomains(deployed));
+  process& daemon = deployed.Daemon("leinster-a-1");
+  daemon.Signal(SIGHUP);
+  bool logged = WaitUntil(
+    [&]() {
+      return deployed.ReadLog("leinster-a-1.log").find("settings_reloaded") !=
+             std::string::npos;
+    },
+    kEventLimit);
+  CHECK(logged);
+  call_request request;
+  request.mTo = deployed.Addresses("leinster-a-1").mCaller;
+  request.mTarget = "/v1/request/report/work?ms=20&bytes=100";
+  CHECK_EQUAL(200, CallNow(request).mStatus);
+  daemon.Signal(SIGTERM);
+  CHECK_EQUAL(0, daemon.Wait(kEventLimit).value_or(-1));
+}
+
 TEST(ProcessStop, SecondSignalSaysWhatTheStopWaitsFor)
 {
   deployment deployed;
