--- a/laburnumdyke/decision/fleet_budget.h
+++ b/laburnumdyke/decision/fleet_budget.h
@@ -33,7 +33,6 @@
   {
   }
 
-  void SetOptions(fleet_budget_options aOptions) { mOptions = aOptions; }
   void SetFleetSize(std::size_t aInstances);
 
   void CountRequest(const service_id& aService, instant aNow);
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -79,7 +79,6 @@
   void BeginLeaving() { mLeaving = true; }
   bool IsServing() const { return mServing && !mLeaving; }
   void SetControlVersion(std::uint64_t aVersion) { mControlVersion = aVersion; }
-  std::uint64_t ControlVersion() const { return mControlVersion; }
   void SetSettled(bool aSettled) { mSettled = aSettled; }
   fleet_beat Beat() const;
 
