--- a/laburnumdyke/kernel/ranked_mutex.cc
+++ b/laburnumdyke/kernel/ranked_mutex.cc
@@ -11,12 +11,12 @@
 
 namespace {
 
-constexpr std::size_t kRankCount = 100;
+constexpr std::size_t kLockRankCount = 100;
 
-std::bitset<kRankCount>&
+std::bitset<kLockRankCount>&
 HeldByThisThread()
 {
-  thread_local std::bitset<kRankCount> sHeld;
+  thread_local std::bitset<kLockRankCount> sHeld;
   return sHeld;
 }
 
@@ -25,7 +25,7 @@
 void
 held_ranks::Acquire(lock_rank aRank)
 {
-  std::bitset<kRankCount>& held = HeldByThisThread();
+  std::bitset<kLockRankCount>& held = HeldByThisThread();
   std::size_t rank = static_cast<std::size_t>(aRank);
   bool outermost = (held >> rank).none();
   if (!outermost) {
--- a/laburnumdyke/testing/soak/deployment.cc
+++ b/laburnumdyke/testing/soak/deployment.cc
@@ -14,7 +14,7 @@
 constexpr std::array<std::string_view, kSoakDomains> kRegions = { "north",
                                                                   "north",
                                                                   "south" };
-constexpr std::string_view kEntryPrefix = "entry-";
+constexpr std::string_view kInstancePrefix = "entry-";
 constexpr std::string_view kUpstreamPrefix = "upstream-";
 constexpr std::string_view kEntryNet = "127.0.1.";
 
@@ -113,7 +113,7 @@
 {
   std::size_t domain = DomainOfEntry(aEntry);
   member self;
-  self.mInstance.mValue = std::string(kEntryPrefix) + std::to_string(aEntry);
+  self.mInstance.mValue = std::string(kInstancePrefix) + std::to_string(aEntry);
   self.mIncarnation = aIncarnation;
   self.mRegion.mValue = kRegions.at(domain);
   self.mDomain.mValue = kDomains.at(domain);
@@ -138,7 +138,7 @@
 std::optional<std::size_t>
 EntryIndex(const instance_id& aInstance)
 {
-  return IndexAfter(aInstance.mValue, kEntryPrefix);
+  return IndexAfter(aInstance.mValue, kInstancePrefix);
 }
 
 std::optional<std::size_t>
