One instance of a failure domain reads upstreams for the others

Change: the oldest instance of a failure domain that knows the platform reads; the others wait at its relay address for news, typed and without heartbeats of upstreams, and read for themselves where none come in 0.75 of the drain bound. upstream_watch is now apart from platform_watch; changes that are heartbeats alone have a kind of their own.

Ruled out: the same by messages on the peers' link, which drops what a slow target can't take and would need a wake from one plug-in to another; the whole copy of a peer, 130 kB a change at 322 upstreams.

--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -4,6 +4,7 @@
 #include "laburnumdyke/decision/fleet_view.h"
 
 #include <set>
+#include <tuple>
 
 namespace laburnumdyke {
 
@@ -89,6 +90,31 @@
   return false;
 }
 
+std::optional<fleet_member>
+fleet_view::Reader(instant aNow) const
+{
+  auto isOlder = [](const fleet_member& aOne, const fleet_member& aOther) {
+    return std::tie(aOne.mIncarnation, aOne.mInstance) <
+           std::tie(aOther.mIncarnation, aOther.mInstance);
+  };
+  std::optional<fleet_member> oldest;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const member_state& state = one.second;
+    if (state.mMember.mDomain != mOptions.mSelf.mDomain || state.mLeaving ||
+        !state.mSettled || !IsLive(state, aNow)) {
+      continue;
+    }
+    if (!oldest || isOlder(state.mMember, *oldest)) {
+      oldest = state.mMember;
+    }
+  }
+  bool selfReads = mSettled && !mLeaving;
+  if (oldest && selfReads && isOlder(mOptions.mSelf, *oldest)) {
+    return std::nullopt;
+  }
+  return oldest;
+}
+
 std::vector<endpoint>
 fleet_view::Targets() const
 {
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -89,6 +89,12 @@
   // Live peers that know a later version of what the operator asks for.
   std::vector<fleet_member> Ahead(instant aNow) const;
 
+  // The live peer of this instance's own failure domain that reads upstreams
+  // for the domain; nothing where that is this instance itself. The oldest
+  // that knows the upstreams as the platform does reads, so that newcomers
+  // change nothing.
+  std::optional<fleet_member> Reader(instant aNow) const;
+
   // To whom heartbeats go.
   std::vector<endpoint> Targets() const;
 
--- a/laburnumdyke/decision/upstream_directory.cc
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -19,6 +19,24 @@
   return otherStart || otherPlace || aNew.mSequence < aOld.mSequence;
 }
 
+bool
+IsHeartbeat(const upstream_entry& aOld, const upstream_entry& aNew)
+{
+  upstream_entry renewed = aOld;
+  renewed.mSequence = aNew.mSequence;
+  return renewed == aNew;
+}
+
+upstream_change_kind
+KindOf(const upstream_entry& aOld, const upstream_entry& aNew)
+{
+  if (IsRestart(aOld, aNew)) {
+    return upstream_change_kind::Restarted;
+  }
+  return IsHeartbeat(aOld, aNew) ? upstream_change_kind::Renewed
+                                 : upstream_change_kind::Updated;
+}
+
 } // namespace
 
 std::string_view
@@ -31,6 +49,8 @@
       return "restarted";
     case upstream_change_kind::Updated:
       return "updated";
+    case upstream_change_kind::Renewed:
+      return "renewed";
     case upstream_change_kind::Left:
       return "left";
   }
@@ -46,12 +66,9 @@
     return { { upstream_change_kind::Joined, std::move(aEntry) } };
   }
   known_upstream& known = found->second;
-  upstream_change_kind kind = IsRestart(known.mEntry, aEntry)
-                                ? upstream_change_kind::Restarted
-                                : upstream_change_kind::Updated;
-  bool isNews = known.mMissing || kind == upstream_change_kind::Restarted ||
-                aEntry.mSequence != known.mEntry.mSequence ||
-                aEntry.mDraining != known.mEntry.mDraining;
+  upstream_change_kind kind = KindOf(known.mEntry, aEntry);
+  bool isNews = known.mMissing || kind != upstream_change_kind::Renewed ||
+                aEntry.mSequence != known.mEntry.mSequence;
   known = { aEntry, false };
   if (!isNews) {
     return {};
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -35,6 +35,8 @@
   std::chrono::milliseconds mColdLeft{ 0 }; // when the entry was written
   std::uint64_t mSequence = 0;              // grows with each writing
   std::chrono::milliseconds mBorn{ 0 };     // since the epoch; zero: not known
+
+  bool operator==(const upstream_entry&) const = default;
 };
 
 enum class upstream_change_kind
@@ -42,6 +44,7 @@
   Joined,
   Restarted, // another incarnation under the same name
   Updated,
+  Renewed, // a heartbeat: nothing has changed but its sequence
   Left,
 };
 
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -1,9 +1,10 @@
 // Keeps what the platform tells in force: configuration, evacuations,
-// upstreams, instances.
+// instances and, by upstream_watch, upstreams.
 //
-// The source reads; watch_state and the directory decide what a reading
-// means. Where the platform turns this instance away, or a peer knows of a
-// later change, the peer's copy is read instead.
+// The source reads; watch_state decides what a reading means. Where the
+// platform turns this instance away, or a peer knows of a later change, the
+// peer's copy is read instead. The relay address answers peers: with this
+// instance's copy, and with news of upstreams.
 //
 // A source registers the watch:
 //   const registered<platform_watch<my_source>> kRegistered;
@@ -13,15 +14,16 @@
 #include "laburnumdyke/decision/watch_state.h"
 #include "laburnumdyke/plugin/http_client.h"
 #include "laburnumdyke/plugin/http_server.h"
+#include "laburnumdyke/plugin/jitter.h"
 #include "laburnumdyke/plugin/sleep.h"
 #include "laburnumdyke/plugin/steering_tables.h"
+#include "laburnumdyke/plugin/upstream_watch.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 
@@ -74,18 +76,19 @@
     , mTables(aKernel)
     , mSource(aKernel.Settings())
     , mStrand(asio::make_strand(aKernel.Context()))
-    , mViewServer(aKernel, *this)
-    , mRandom(aKernel.Settings().mIncarnation)
+    , mPeerServer(aKernel, *this)
+    , mJitter(aKernel.Settings().mIncarnation)
+    , mUpstreams(aKernel, mSource, mStrand)
   {
   }
 
   std::optional<std::string> Start(instant)
   {
     std::optional<std::string> failure =
-      mViewServer.Listen(mKernel.Settings().mRelay);
+      mPeerServer.Listen(mKernel.Settings().mRelay);
     if (!failure) {
       asio::co_spawn(mStrand, WatchControl(), asio::detached);
-      asio::co_spawn(mStrand, WatchUpstreams(), asio::detached);
+      asio::co_spawn(mStrand, mUpstreams.Watch(), asio::detached);
       asio::co_spawn(mStrand, WatchFleet(), asio::detached);
       asio::co_spawn(mStrand, AskPeers(), asio::detached);
     }
@@ -95,16 +98,23 @@
   void Leave(instant) { asio::co_spawn(mStrand, Withdraw(), asio::detached); }
 
   std::string Waiting(instant) { return {}; }
-  void Stop() { mViewServer.Close(); }
+  void Stop() { mPeerServer.Close(); }
 
-  // A peer asks for this instance's copy.
+  // A peer asks for this instance's copy, or for news of upstreams.
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
-    bool known = aExchange.Head().target() == ToBeast(kViewTarget);
-    string_answer answer(known ? http::status::ok : http::status::not_found,
-                         11);
-    if (known) {
+    std::string target(FromBeast(aExchange.Head().target()));
+    std::optional<std::uint64_t> after = ReadNewsTarget(target);
+    string_answer answer(http::status::not_found, 11);
+    if (target == kViewTarget) {
+      answer.result(http::status::ok);
       answer.body() = mSource.View();
+    } else if (after) {
+      std::optional<upstream_news> news = co_await asio::co_spawn(
+        mStrand, mUpstreams.NewsSince(*after), asio::use_awaitable);
+      answer.result(news ? http::status::ok
+                         : http::status::service_unavailable);
+      answer.body() = news ? EncodeNews(*news) : std::string();
     }
     co_await WriteAnswer(aExchange, std::move(answer));
   }
@@ -118,10 +128,6 @@
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
   static constexpr std::chrono::milliseconds kFleetPace{ 10000 };
-  // Upstreams write all the time, so they are read at a pace. As a part of the
-  // time in which a leaving one must get nothing more: with the jitter, the
-  // reading itself and requests on their way it is known well within.
-  static constexpr double kUpstreamPacePart = 0.55;
   static constexpr int kFirstFleetReadings = 3;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
@@ -129,20 +135,6 @@
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
-  std::chrono::milliseconds Jittered(std::chrono::milliseconds aTime)
-  {
-    std::uniform_int_distribution<std::int64_t> part(aTime.count() * 3 / 4,
-                                                     aTime.count() * 5 / 4);
-    return std::chrono::milliseconds(part(mRandom));
-  }
-
-  std::chrono::milliseconds UpstreamPace()
-  {
-    std::chrono::duration<double, std::milli> pace =
-      mKernel.Settings().mBounds.mDrainTimeout * kUpstreamPacePart;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(pace);
-  }
-
   asio::awaitable<void> WatchControl()
   {
     while (true) {
@@ -150,29 +142,12 @@
       control_reading reading =
         co_await mSource.ReadControl(after, mControl.MayWait(kControlWait));
       bool answered = mControl.Take(reading.mHead, Now());
-      NoteAnswer(mControl, "control");
+      LogTurn(mKernel, mControl, "control");
       if (answered) {
         TakeControl(reading);
       } else {
-        co_await SleepFor(Jittered(kRetryAfter));
-      }
-    }
-  }
-
-  asio::awaitable<void> WatchUpstreams()
-  {
-    while (true) {
-      std::optional<std::uint64_t> after = mUpstreams.After();
-      upstream_reading reading =
-        co_await mSource.ReadUpstreams(after, std::chrono::milliseconds(0));
-      instant now = Now();
-      bool answered = mUpstreams.Take(reading.mHead, now);
-      NoteAnswer(mUpstreams, "upstreams");
-      NotePlatform(mUpstreams.IsLost(), now);
-      if (answered) {
-        TakeUpstreams(reading, now);
+        co_await SleepFor(mJitter(kRetryAfter));
       }
-      co_await SleepFor(Jittered(answered ? UpstreamPace() : kRetryAfter));
     }
   }
 
@@ -196,7 +171,7 @@
       // Instances often start together: soon after the first reading the rows
       // of the others are there too.
       bool isSettled = registered && readings >= kFirstFleetReadings;
-      co_await SleepFor(Jittered(isSettled ? kFleetPace : kFirstFleetPace));
+      co_await SleepFor(mJitter(isSettled ? kFleetPace : kFirstFleetPace));
     }
   }
 
@@ -206,11 +181,11 @@
   {
     bool wasAhead = false;
     while (true) {
-      co_await SleepFor(Jittered(kPeerPace));
+      co_await SleepFor(mJitter(kPeerPace));
       instant now = Now();
       std::vector<fleet_member> peers = mTables.Fleet().With(
         [&](fleet_state& aFleet) { return aFleet.Ahead(now); });
-      Settle(now);
+      mUpstreams.Settle(now);
       bool isAhead = !peers.empty();
       bool ask = isAhead && wasAhead;
       wasAhead = isAhead;
@@ -220,36 +195,11 @@
         ask = !peers.empty();
       }
       if (ask) {
-        std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
-        co_await ReadView(peers[any(mRandom)]);
+        co_await ReadView(peers[mJitter.Pick(peers.size())]);
       }
     }
   }
 
-  // Drops upstreams that are gone for certain, and tells peers whether this
-  // instance knows them all.
-  void Settle(instant aNow)
-  {
-    bool peerSettled = mTables.Fleet().With(
-      [&](fleet_state& aFleet) { return aFleet.HasSettledPeer(aNow); });
-    std::vector<upstream_change> changes;
-    bool settled = mTables.Steering().With([&](steering_state& aSteering) {
-      upstream_directory& directory = aSteering.Directory();
-      if (peerSettled) {
-        directory.EndGrace(aNow);
-      }
-      changes = directory.Expire(aNow);
-      aSteering.Apply(changes, aNow);
-      return directory.IsSettled(aNow);
-    });
-    for (const upstream_change& change : changes) {
-      LogUpstream(change);
-    }
-    mTables.Fleet().With([&](fleet_state& aFleet) {
-      aFleet.SetSettled(settled && mUpstreams.After().has_value());
-    });
-  }
-
   asio::awaitable<void> ReadView(fleet_member aPeer)
   {
     client_request request;
@@ -272,9 +222,7 @@
           { "version", std::to_string(view.mControl.mHead.mVersion) } });
       TakeControl(view.mControl);
     }
-    if (mUpstreams.IsLost() && mUpstreams.TakeFromPeer(view.mUpstreams.mHead)) {
-      TakeUpstreams(view.mUpstreams, Now());
-    }
+    mUpstreams.TakeFromPeer(view.mUpstreams, Now());
   }
 
   asio::awaitable<void> Withdraw()
@@ -338,58 +286,6 @@
     }
   }
 
-  void TakeUpstreams(upstream_reading& aReading, instant aNow)
-  {
-    std::vector<upstream_change> changes;
-    mTables.Steering().With([&](steering_state& aSteering) {
-      upstream_directory& directory = aSteering.Directory();
-      if (aReading.mHead.mWhole) {
-        changes = directory.Replace(std::move(aReading.mEntries), aNow);
-      } else {
-        changes = TakeChanges(directory, aReading, aNow);
-      }
-      aSteering.Apply(changes, aNow);
-    });
-    for (const upstream_change& change : changes) {
-      LogUpstream(change);
-    }
-  }
-
-  static std::vector<upstream_change> TakeChanges(
-    upstream_directory& aDirectory,
-    upstream_reading& aReading,
-    instant aNow)
-  {
-    std::vector<upstream_change> changes;
-    for (upstream_entry& entry : aReading.mEntries) {
-      for (upstream_change& one : aDirectory.Put(std::move(entry), aNow)) {
-        changes.push_back(std::move(one));
-      }
-    }
-    for (const upstream_id& gone : aReading.mGone) {
-      for (upstream_change& one : aDirectory.Remove(gone, aNow)) {
-        changes.push_back(std::move(one));
-      }
-    }
-    return changes;
-  }
-
-  void LogUpstream(const upstream_change& aChange)
-  {
-    const upstream_entry& entry = aChange.mEntry;
-    if (aChange.mKind == upstream_change_kind::Updated && !entry.mDraining) {
-      return; // a heartbeat
-    }
-    mKernel.Log().Info(
-      "upstream_changed",
-      { { "upstream", entry.mId.mValue },
-        { "change", std::string(ToString(aChange.mKind)) },
-        { "service", entry.mService.mValue },
-        { "failure_domain", entry.mDomain.mValue },
-        { "draining", entry.mDraining ? "yes" : "no" },
-        { "cold_left_ms", std::to_string(entry.mColdLeft.count()) } });
-  }
-
   void TakeFleet(const fleet_reading& aReading)
   {
     mTables.Fleet().With([&](fleet_state& aFleet) {
@@ -407,34 +303,14 @@
     mTables.SpreadFleet();
   }
 
-  void NotePlatform(bool aLost, instant aNow)
-  {
-    mTables.Steering().With([&](steering_state& aSteering) {
-      if (aLost) {
-        aSteering.Directory().PlatformLost(aNow);
-      } else {
-        aSteering.Directory().PlatformBack(aNow);
-      }
-    });
-  }
-
-  void NoteAnswer(watch_state& aState, std::string_view aWhat)
-  {
-    std::optional<bool> turned = aState.TakeTurn();
-    if (turned) {
-      mKernel.Log().Warn(*turned ? "platform_lost" : "platform_back",
-                         { { "reading", std::string(aWhat) } });
-    }
-  }
-
   kernel& mKernel;
   steering_tables mTables;
   Source mSource;
   asio::strand<asio::io_context::executor_type> mStrand;
-  http_server<platform_watch> mViewServer;
-  std::mt19937_64 mRandom;
+  http_server<platform_watch> mPeerServer;
+  jitter mJitter;
+  upstream_watch<Source> mUpstreams;
   watch_state mControl;
-  watch_state mUpstreams;
   watch_state mFleet;
   bool mLeaving = false;
 };
--- /dev/null
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -0,0 +1,295 @@
+// Keeps the upstreams that have registered themselves in force: by readings of
+// the platform, or by the news of the instance that reads for its failure
+// domain.
+//
+// The source reads; watch_state, the directory and the news' log decide what a
+// reading means. An instance that gets no news in time reads the platform
+// itself, so that a lost reader delays nothing beyond the bound.
+//
+// Usage, all on one strand:
+//   upstream_watch<my_source> upstreams(kernel, source, strand);
+//   asio::co_spawn(strand, upstreams.Watch(), asio::detached);
+//   std::optional<upstream_news> news = co_await upstreams.NewsSince(version);
+#pragma once
+
+#include "laburnumdyke/decision/platform_news.h"
+#include "laburnumdyke/decision/upstream_news.h"
+#include "laburnumdyke/decision/watch_state.h"
+#include "laburnumdyke/plugin/http_client.h"
+#include "laburnumdyke/plugin/jitter.h"
+#include "laburnumdyke/plugin/news_codec.h"
+#include "laburnumdyke/plugin/sleep.h"
+#include "laburnumdyke/plugin/steering_tables.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace laburnumdyke {
+
+// Logs that a kind of reading has lost the platform, or has it back.
+inline void
+LogTurn(kernel& aKernel, watch_state& aState, std::string_view aReading)
+{
+  std::optional<bool> turned = aState.TakeTurn();
+  if (turned) {
+    aKernel.Log().Warn(*turned ? "platform_lost" : "platform_back",
+                       { { "reading", std::string(aReading) } });
+  }
+}
+
+template<class Source>
+class upstream_watch
+{
+public:
+  using strand = asio::strand<asio::io_context::executor_type>;
+
+  upstream_watch(kernel& aKernel, Source& aSource, const strand& aStrand)
+    : mKernel(aKernel)
+    , mTables(aKernel)
+    , mSource(aSource)
+    , mWake(aStrand, instant::max())
+    , mJitter(aKernel.Settings().mIncarnation)
+  {
+  }
+
+  asio::awaitable<void> Watch()
+  {
+    while (true) {
+      bool followed = co_await Follow();
+      if (followed && !mState.IsLost()) {
+        continue;
+      }
+      bool answered = co_await ReadPlatform();
+      co_await SleepFor(mJitter(answered ? Pace() : kRetryAfter));
+    }
+  }
+
+  // What follows aVersion: at once where something does, otherwise as of the
+  // next reading; nothing where it is not to be had here.
+  asio::awaitable<std::optional<upstream_news>> NewsSince(
+    std::uint64_t aVersion)
+  {
+    if (mLog.Version() && *mLog.Version() <= aVersion) {
+      error_code woken;
+      co_await mWake.async_wait(
+        asio::redirect_error(asio::use_awaitable, woken));
+    }
+    co_return mLog.Since(aVersion);
+  }
+
+  bool IsLost() const { return mState.IsLost(); }
+  bool MayAskPeer(instant aNow) { return mState.MayAskPeer(aNow); }
+
+  // A peer's copy, of an instance that has lost the platform.
+  void TakeFromPeer(upstream_reading& aReading, instant aNow)
+  {
+    if (mState.IsLost() && mState.TakeFromPeer(aReading.mHead)) {
+      Take(aReading, aNow);
+    }
+  }
+
+  // Drops upstreams that are gone for certain, and tells peers whether this
+  // instance knows them all.
+  void Settle(instant aNow)
+  {
+    bool peerSettled = mTables.Fleet().With(
+      [&](fleet_state& aFleet) { return aFleet.HasSettledPeer(aNow); });
+    std::vector<upstream_change> changes;
+    bool settled = mTables.Steering().With([&](steering_state& aSteering) {
+      upstream_directory& directory = aSteering.Directory();
+      if (peerSettled) {
+        directory.EndGrace(aNow);
+      }
+      changes = directory.Expire(aNow);
+      aSteering.Apply(changes, aNow);
+      return directory.IsSettled(aNow);
+    });
+    Log(changes);
+    mSettled = settled && mState.After().has_value();
+    mTables.Fleet().With(
+      [&](fleet_state& aFleet) { aFleet.SetSettled(mSettled); });
+  }
+
+private:
+  // Upstreams write all the time, so they are read at a pace. As a part of the
+  // time in which a leaving one must get nothing more: with the jitter, the
+  // reading itself and requests on their way it is known well within.
+  static constexpr double kPacePart = 0.55;
+  // How long news are waited for, as a part of the same time: longer than a
+  // reader takes, and a reading of our own still comes in time.
+  static constexpr double kFollowPart = 0.75;
+  static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
+
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
+  std::chrono::milliseconds PartOfDrain(double aPart) const
+  {
+    std::chrono::duration<double, std::milli> part =
+      mKernel.Settings().mBounds.mDrainTimeout * aPart;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(part);
+  }
+
+  std::chrono::milliseconds Pace() const { return PartOfDrain(kPacePart); }
+
+  // Whether the reader of the failure domain told what is new.
+  asio::awaitable<bool> Follow()
+  {
+    std::optional<std::uint64_t> after = mState.After();
+    std::optional<fleet_member> reader = mTables.Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.Reader(Now()); });
+    Note(after ? reader : std::nullopt);
+    if (!after || !reader) {
+      co_return false;
+    }
+    Forget(); // others are told by the reader
+    client_request request;
+    request.mTo = reader->mRelay;
+    request.mTarget = NewsTarget(*after);
+    request.mTimeout = PartOfDrain(kFollowPart);
+    std::optional<client_answer> answer = co_await Exchange(std::move(request));
+    std::optional<upstream_news> news;
+    if (answer && answer->mStatus == 200) {
+      news = DecodeNews(answer->mBody);
+    }
+    mKernel.Counters().Add("upstream_news_total", news ? "taken" : "none");
+    co_return news&& TakeNews(std::move(*news));
+  }
+
+  bool TakeNews(upstream_news aNews)
+  {
+    upstream_reading reading;
+    reading.mHead = { reading_status::Read, false, aNews.mVersion };
+    reading.mEntries = std::move(aNews.mEntries);
+    reading.mGone = std::move(aNews.mGone);
+    std::optional<std::uint64_t> known = mState.After();
+    if (!known || aNews.mAfter > *known || aNews.mVersion < *known) {
+      return false;
+    }
+    if (mState.TakeFromPeer(reading.mHead)) {
+      Take(reading, Now());
+    }
+    return true;
+  }
+
+  asio::awaitable<bool> ReadPlatform()
+  {
+    std::optional<std::uint64_t> after = mState.After();
+    upstream_reading reading =
+      co_await mSource.ReadUpstreams(after, std::chrono::milliseconds(0));
+    instant now = Now();
+    bool answered = mState.Take(reading.mHead, now);
+    LogTurn(mKernel, mState, "upstreams");
+    NotePlatform(now);
+    std::vector<upstream_change> changes;
+    if (answered) {
+      changes = Take(reading, now);
+    }
+    if (answered && after && mSettled) {
+      mLog.Add(ToNews(*after, reading.mHead.mVersion, changes));
+      mWake.cancel();
+    } else {
+      Forget();
+    }
+    co_return answered;
+  }
+
+  // There are no news to be had here: who waits for them reads for itself.
+  void Forget()
+  {
+    mLog.Clear();
+    mWake.cancel();
+  }
+
+  std::vector<upstream_change> Take(upstream_reading& aReading, instant aNow)
+  {
+    std::vector<upstream_change> changes;
+    mTables.Steering().With([&](steering_state& aSteering) {
+      upstream_directory& directory = aSteering.Directory();
+      changes = aReading.mHead.mWhole
+                  ? directory.Replace(std::move(aReading.mEntries), aNow)
+                  : TakeChanges(directory, aReading, aNow);
+      aSteering.Apply(changes, aNow);
+    });
+    Log(changes);
+    return changes;
+  }
+
+  static std::vector<upstream_change> TakeChanges(
+    upstream_directory& aDirectory,
+    upstream_reading& aReading,
+    instant aNow)
+  {
+    std::vector<upstream_change> changes;
+    for (upstream_entry& entry : aReading.mEntries) {
+      for (upstream_change& one : aDirectory.Put(std::move(entry), aNow)) {
+        changes.push_back(std::move(one));
+      }
+    }
+    for (const upstream_id& gone : aReading.mGone) {
+      for (upstream_change& one : aDirectory.Remove(gone, aNow)) {
+        changes.push_back(std::move(one));
+      }
+    }
+    return changes;
+  }
+
+  void Log(const std::vector<upstream_change>& aChanges)
+  {
+    for (const upstream_change& change : aChanges) {
+      const upstream_entry& entry = change.mEntry;
+      bool isNews =
+        change.mKind != upstream_change_kind::Renewed &&
+        (change.mKind != upstream_change_kind::Updated || entry.mDraining);
+      if (!isNews) {
+        continue;
+      }
+      mKernel.Log().Info(
+        "upstream_changed",
+        { { "upstream", entry.mId.mValue },
+          { "change", std::string(ToString(change.mKind)) },
+          { "service", entry.mService.mValue },
+          { "failure_domain", entry.mDomain.mValue },
+          { "draining", entry.mDraining ? "yes" : "no" },
+          { "cold_left_ms", std::to_string(entry.mColdLeft.count()) } });
+    }
+  }
+
+  // Logs where upstreams are read from now on.
+  void Note(const std::optional<fleet_member>& aReader)
+  {
+    std::string from = aReader ? aReader->mInstance.mValue : "platform";
+    if (from != mReadFrom) {
+      mReadFrom = from;
+      mKernel.Log().Info("upstreams_read_from", { { "source", from } });
+    }
+  }
+
+  void NotePlatform(instant aNow)
+  {
+    mTables.Steering().With([&](steering_state& aSteering) {
+      if (mState.IsLost()) {
+        aSteering.Directory().PlatformLost(aNow);
+      } else {
+        aSteering.Directory().PlatformBack(aNow);
+      }
+    });
+  }
+
+  kernel& mKernel;
+  steering_tables mTables;
+  Source& mSource;
+  asio::steady_timer mWake; // never expires; cancelled where there is news
+  jitter mJitter;
+  watch_state mState;
+  news_log mLog;
+  bool mSettled = false;
+  std::string mReadFrom;
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -5,8 +5,10 @@
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,6 +26,10 @@
   std::mutex mMutex;
   control_reading mControl;
   upstream_reading mUpstreams;
+  // In place of mUpstreams, where there are any: the change of each version
+  // from 1 on. A reading holds those after the version that it names.
+  std::vector<upstream_reading> mChanges;
+  std::set<std::string> mTurnedAway; // instances that get no answer
   view_reading mPeerView;
   std::chrono::milliseconds mLastWait{ 0 }; // of a reading of mControl
   int mRegistered = 0;
@@ -44,7 +50,10 @@
   static constexpr std::string_view kWatchName = "scripted_watch";
   static inline scripted_platform* sPlatform = nullptr;
 
-  explicit scripted_source(const settings&) {}
+  explicit scripted_source(const settings& aSettings)
+    : mInstance(aSettings.mInstance)
+  {
+  }
 
   asio::awaitable<control_reading> ReadControl(std::optional<std::uint64_t>,
                                                std::chrono::milliseconds aWait)
@@ -56,11 +65,18 @@
     });
   }
 
-  asio::awaitable<upstream_reading> ReadUpstreams(std::optional<std::uint64_t>,
-                                                  std::chrono::milliseconds)
+  asio::awaitable<upstream_reading> ReadUpstreams(
+    std::optional<std::uint64_t> aAfter,
+    std::chrono::milliseconds)
   {
-    co_return sPlatform->With(
-      [](scripted_platform& aPlatform) { return aPlatform.mUpstreams; });
+    co_return sPlatform->With([&](scripted_platform& aPlatform) {
+      if (aPlatform.mTurnedAway.count(mInstance) > 0) {
+        return upstream_reading();
+      }
+      return aPlatform.mChanges.empty()
+               ? aPlatform.mUpstreams
+               : Merge(aPlatform.mChanges, aAfter.value_or(0), !aAfter);
+    });
   }
 
   asio::awaitable<fleet_reading> ReadFleet(std::optional<std::uint64_t>,
@@ -75,6 +91,22 @@
       [](scripted_platform& aPlatform) { return ++aPlatform.mRegistered > 1; });
   }
 
+  static upstream_reading Merge(const std::vector<upstream_reading>& aChanges,
+                                std::uint64_t aAfter,
+                                bool aWhole)
+  {
+    upstream_reading merged;
+    merged.mHead = { reading_status::Read, aWhole, aChanges.size() };
+    for (std::size_t i = aAfter; i < aChanges.size(); ++i) {
+      const upstream_reading& one = aChanges[i];
+      merged.mEntries.insert(
+        merged.mEntries.end(), one.mEntries.begin(), one.mEntries.end());
+      merged.mGone.insert(
+        merged.mGone.end(), one.mGone.begin(), one.mGone.end());
+    }
+    return merged;
+  }
+
   asio::awaitable<bool> Withdraw(instance_id)
   {
     co_return sPlatform->With(
@@ -89,6 +121,8 @@
     return sPlatform->With(
       [](scripted_platform& aPlatform) { return aPlatform.mPeerView; });
   }
+
+  std::string mInstance;
 };
 
 static_assert(platform_source<scripted_source>);
@@ -113,6 +147,7 @@
     entry.mId = { id };
     entry.mService = { "s" };
     entry.mDomain = { "east-a" };
+    entry.mAddress = { "127.0.0.1", 1 };
     entry.mSequence = 1;
     reading.mEntries.push_back(entry);
   }
@@ -177,17 +212,70 @@
     return WaitUntil([&]() { return VersionInForce() == aVersion; }, 10s);
   }
 
-  std::size_t Known()
+  static std::size_t KnownTo(kernel & aKernel)
   {
-    return steering_tables(*mKernel).Steering().With(
+    return steering_tables(aKernel).Steering().With(
       [](steering_state& aSteering) { return aSteering.Size(); });
   }
 
+  std::size_t Known()
+  {
+    return KnownTo(*mKernel);
+  }
+
   bool WaitForKnown(std::size_t aCount)
   {
     return WaitUntil([&]() { return Known() == aCount; }, 10s);
   }
 
+  // A change of the platform: an upstream registers itself.
+  void Join(const std::string& aId)
+  {
+    mPlatform.With([&](scripted_platform& aPlatform) {
+      aPlatform.mChanges.push_back(Upstreams(0, { aId }));
+    });
+  }
+
+  static void Hear(kernel & aKernel, kernel & aSender)
+  {
+    fleet_beat beat = steering_tables(aSender).Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.Beat(); });
+    steering_tables(aKernel).Fleet().With([&](fleet_state& aFleet) {
+      aFleet.Hear(beat, std::chrono::steady_clock::now());
+    });
+  }
+
+  // Waits while mPeer and mKernel hear each other.
+  bool WaitTogether(const std::function<bool()>& aCondition)
+  {
+    return WaitUntil(
+      [&]() {
+        Hear(*mPeer, *mKernel);
+        Hear(*mKernel, *mPeer);
+        return aCondition();
+      },
+      10s);
+  }
+
+  // Whether mKernel reads upstreams and mPeer is told by it.
+  bool IsFollowed()
+  {
+    instant now = std::chrono::steady_clock::now();
+    auto reader = [&](kernel& aKernel) {
+      return steering_tables(aKernel).Fleet().With(
+        [&](fleet_state& aFleet) { return aFleet.Reader(now); });
+    };
+    std::optional<fleet_member> ofPeer = reader(*mPeer);
+    return !reader(*mKernel) && ofPeer && ofPeer->mInstance.mValue == "one";
+  }
+
+  void StartPeer()
+  {
+    settings peer = FreeSettings("two", "east-a", "east");
+    peer.mIncarnation = mSettings.mIncarnation + 1;
+    mPeer = Start(peer);
+  }
+
   bool IsServing()
   {
     return steering_tables(*mKernel).Fleet().With(
@@ -288,6 +376,90 @@
   CHECK(evacuated == std::set<domain_id>{ { "east-b" } });
 }
 
+TEST(PlatformWatch, OneInstanceOfADomainReadsUpstreamsForTheOthers)
+{
+  Join("a");
+  StartPeer();
+  CHECK(WaitTogether([&]() { return IsFollowed() && KnownTo(*mPeer) == 1; }));
+  // Only the reader is answered, and both learn of the change.
+  mPlatform.With(
+    [](scripted_platform& aPlatform) { aPlatform.mTurnedAway = { "two" }; });
+  Join("b");
+  CHECK(WaitTogether([&]() { return KnownTo(*mPeer) == 2; }));
+  LONGS_EQUAL(2, Known());
+}
+
+TEST(PlatformWatch, AFollowerReadsForItselfWhereItsReaderIsLost)
+{
+  Join("a");
+  StartPeer();
+  CHECK(WaitTogether([&]() { return IsFollowed() && KnownTo(*mPeer) == 1; }));
+  // The reader still lives, and is heard, but the platform turns it away.
+  mPlatform.With(
+    [](scripted_platform& aPlatform) { aPlatform.mTurnedAway = { "one" }; });
+  Join("b");
+  CHECK(WaitTogether([&]() { return KnownTo(*mPeer) == 2; }));
+  // From then on it is the other way round.
+  Join("c");
+  CHECK(WaitTogether([&]() { return Known() == 3; }));
+}
+
+TEST_GROUP(NewsCodec){};
+
+TEST(NewsCodec, NewsAreReadAsTheyWereWrittenOrNotAtAll)
+{
+  upstream_news news;
+  news.mAfter = 7;
+  news.mVersion = 9;
+  news.mEntries.push_back({ { "a" },
+                            { "s" },
+                            { "east-a" },
+                            { "127.0.0.1", 1 },
+                            4,
+                            true,
+                            2500ms,
+                            11,
+                            1234567ms });
+  news.mGone = { { "b" }, { "c" } };
+  std::string bytes = EncodeNews(news);
+  std::optional<upstream_news> read = DecodeNews(bytes);
+  CHECK(read.has_value());
+  CHECK(read->mEntries == news.mEntries);
+  CHECK(read->mGone == news.mGone);
+  LONGS_EQUAL(7, read->mAfter);
+  LONGS_EQUAL(9, read->mVersion);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    DecodeNews(std::string_view(bytes).substr(0, size));
+  }
+  news.mEntries[0].mId.mValue.clear();
+  CHECK_FALSE(DecodeNews(EncodeNews(news)).has_value());
+  news.mEntries.clear();
+  news.mVersion = 6;
+  CHECK_FALSE(DecodeNews(EncodeNews(news)).has_value());
+}
+
+TEST(NewsCodec, OnlyAWholeQuestionIsOne)
+{
+  struct row
+  {
+    std::string mTarget;
+    std::optional<std::uint64_t> mAfter;
+  };
+  const row kRows[] = {
+    { NewsTarget(12), 12 },
+    { NewsTarget(0), 0 },
+    { "/v1/news?after=", std::nullopt },
+    { "/v1/news?after=1x", std::nullopt },
+    { "/v1/news?after=-1", std::nullopt },
+    { "/v1/news?after=99999999999999999999", std::nullopt },
+    { "/v1/view", std::nullopt },
+    { "", std::nullopt },
+  };
+  for (const row& row : kRows) {
+    CHECK(ReadNewsTarget(row.mTarget) == row.mAfter);
+  }
+}
+
 TEST_GROUP(FleetCodec){};
 
 TEST(FleetCodec, HeartbeatsAreReadAsTheyWereWritten)
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -231,8 +231,16 @@
   upstream_directory directory;
   directory.Put(first, kStart);
   CHECK(Kinds(directory.Put(Entry("a", 6), kStart)) ==
-        std::vector<upstream_change_kind>{ upstream_change_kind::Updated });
+        std::vector<upstream_change_kind>{ upstream_change_kind::Renewed });
   CHECK(directory.Put(Entry("a", 6), kStart).empty());
+  upstream_entry draining = Entry("a", 7);
+  draining.mDraining = true;
+  upstream_entry cold = draining;
+  cold.mColdLeft = 900ms;
+  for (const upstream_entry& next : { draining, cold }) {
+    CHECK(Kinds(directory.Put(next, kStart)) ==
+          std::vector<upstream_change_kind>{ upstream_change_kind::Updated });
+  }
 }
 
 TEST_GROUP(RegionSpill){};
--- /dev/null
+++ b/laburnumdyke/testing/upstream_news_test.cc
@@ -0,0 +1,224 @@
+// Who reads the upstreams for a failure domain, and what it tells the others.
+#include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/upstream_news.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant kStart = instant() + 1h;
+
+upstream_entry
+Entry(const std::string& aId, std::uint64_t aSequence)
+{
+  upstream_entry entry;
+  entry.mId = { aId };
+  entry.mSequence = aSequence;
+  return entry;
+}
+
+// What is known of the upstreams at a version.
+using known_upstreams = std::map<upstream_id, upstream_entry>;
+
+void
+Apply(known_upstreams& aKnown, const upstream_news& aNews)
+{
+  for (const upstream_entry& entry : aNews.mEntries) {
+    aKnown[entry.mId] = entry;
+  }
+  for (const upstream_id& gone : aNews.mGone) {
+    aKnown.erase(gone);
+  }
+}
+
+// A reading in which some of a few upstreams changed or went.
+upstream_news
+RandomNews(std::uint64_t aAfter, std::mt19937_64& aRandom)
+{
+  upstream_news news;
+  news.mAfter = aAfter;
+  news.mVersion = aAfter + aRandom() % 4;
+  bool isEmpty = news.mVersion == aAfter;
+  for (int i = 0; i < 5 && !isEmpty; ++i) {
+    std::string id(1, static_cast<char>('a' + i));
+    switch (aRandom() % 4) {
+      case 0:
+        news.mEntries.push_back(Entry(id, aRandom()));
+        break;
+      case 1:
+        news.mGone.push_back({ id });
+        break;
+      default:
+        break;
+    }
+  }
+  return news;
+}
+
+fleet_member
+Member(const std::string& aName, std::uint64_t aIncarnation)
+{
+  fleet_member member;
+  member.mInstance = { aName };
+  member.mIncarnation = aIncarnation;
+  member.mRegion = { "leinster" };
+  member.mDomain = { "leinster-a" };
+  return member;
+}
+
+fleet_beat
+Settled(const fleet_member& aMember)
+{
+  fleet_beat beat;
+  beat.mSender = aMember;
+  beat.mSettled = true;
+  return beat;
+}
+
+} // namespace
+
+TEST_GROUP(NewsLog){};
+
+TEST(NewsLog, WhatItDoesNotReachBackToItDoesNotTell)
+{
+  news_log log;
+  CHECK_FALSE(log.Since(0).has_value());
+  log.Add({ 5, 7, { Entry("a", 1) }, {} });
+  CHECK_FALSE(log.Since(4).has_value());
+  CHECK(log.Since(5).has_value());
+  CHECK(log.Since(7)->mEntries.empty());
+  CHECK_FALSE(log.Since(8).has_value());
+  LONGS_EQUAL(7, *log.Version());
+  // Versions 8 and 9 are missing: what was kept is of no more use.
+  log.Add({ 9, 10, {}, { { "a" } } });
+  CHECK_FALSE(log.Since(7).has_value());
+  CHECK(log.Since(9).has_value());
+  log.Clear();
+  CHECK_FALSE(log.Version().has_value());
+}
+
+TEST(NewsLog, OfAnUpstreamTheLastChangeStands)
+{
+  news_log log;
+  log.Add({ 1, 2, { Entry("a", 1), Entry("b", 1) }, {} });
+  log.Add({ 2, 3, { Entry("b", 2) }, { { "a" } } });
+  upstream_news news = *log.Since(1);
+  LONGS_EQUAL(1, news.mEntries.size());
+  LONGS_EQUAL(2, news.mEntries[0].mSequence);
+  CHECK(news.mGone == std::vector<upstream_id>{ { "a" } });
+  LONGS_EQUAL(3, news.mVersion);
+}
+
+TEST(NewsLog, HeartbeatsAreNoNews)
+{
+  upstream_entry draining = Entry("c", 4);
+  draining.mDraining = true;
+  upstream_news news =
+    ToNews(3,
+           8,
+           { { upstream_change_kind::Joined, Entry("a", 1) },
+             { upstream_change_kind::Renewed, Entry("b", 2) },
+             { upstream_change_kind::Updated, draining },
+             { upstream_change_kind::Restarted, Entry("d", 1) },
+             { upstream_change_kind::Left, Entry("d", 1) } });
+  LONGS_EQUAL(3, news.mAfter);
+  LONGS_EQUAL(8, news.mVersion);
+  LONGS_EQUAL(2, news.mEntries.size());
+  CHECK(news.mEntries[1].mDraining);
+  CHECK(news.mGone == std::vector<upstream_id>{ { "d" } });
+}
+
+// Oracle: every reading applied in turn, and what was known at each version.
+TEST(NewsLog, AFollowerKnowsWhatItsReaderKnowsWhateverItMissed)
+{
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    news_log log;
+    std::map<std::uint64_t, known_upstreams> known{ { 0, {} } };
+    std::uint64_t version = 0;
+    for (int i = 0; i < 30; ++i) {
+      upstream_news news = RandomNews(version, random);
+      known_upstreams next = known[version];
+      Apply(next, news);
+      version = news.mVersion;
+      known[version] = next;
+      log.Add(std::move(news));
+      for (const std::pair<const std::uint64_t, known_upstreams>& follower :
+           known) {
+        std::optional<upstream_news> told = log.Since(follower.first);
+        if (told) {
+          known_upstreams its = follower.second;
+          Apply(its, *told);
+          CHECK(its == next);
+          CHECK(told->mVersion == version);
+        }
+      }
+      CHECK(log.Since(version).has_value());
+    }
+  }
+}
+
+TEST_GROUP(FleetReader)
+{
+  fleet_view mFleet{ { Member("self", 5) } };
+
+  std::string Reader(instant aNow)
+  {
+    std::optional<fleet_member> reader = mFleet.Reader(aNow);
+    return reader ? reader->mInstance.mValue : "self";
+  }
+};
+
+TEST(FleetReader, TheOldestThatKnowsThePlatformReads)
+{
+  mFleet.SetSettled(true);
+  STRCMP_EQUAL("self", Reader(kStart).c_str());
+  mFleet.Hear(Settled(Member("younger", 6)), kStart);
+  STRCMP_EQUAL("self", Reader(kStart).c_str());
+  mFleet.Hear(Settled(Member("old", 4)), kStart);
+  mFleet.Hear(Settled(Member("older", 3)), kStart);
+  STRCMP_EQUAL("older", Reader(kStart).c_str());
+  // Of the same age: by name, the same for all.
+  mFleet.Hear(Settled(Member("elder", 3)), kStart);
+  STRCMP_EQUAL("elder", Reader(kStart).c_str());
+}
+
+TEST(FleetReader, WhoIsSilentLeavesOrHasLostThePlatformDoesNotRead)
+{
+  mFleet.SetSettled(true);
+  mFleet.Hear(Settled(Member("old", 4)), kStart);
+  STRCMP_EQUAL("old", Reader(kStart + 1s).c_str());
+  STRCMP_EQUAL("self", Reader(kStart + 2s).c_str());
+  fleet_beat lost = Settled(Member("old", 4));
+  lost.mSettled = false;
+  mFleet.Hear(lost, kStart + 3s);
+  STRCMP_EQUAL("self", Reader(kStart + 3s).c_str());
+  fleet_beat leaving = Settled(Member("old", 4));
+  leaving.mLeaving = true;
+  mFleet.Hear(leaving, kStart + 4s);
+  STRCMP_EQUAL("self", Reader(kStart + 4s).c_str());
+}
+
+TEST(FleetReader, WhoHasLostThePlatformFollowsEvenAYoungerOne)
+{
+  mFleet.Hear(Settled(Member("younger", 6)), kStart);
+  STRCMP_EQUAL("younger", Reader(kStart).c_str());
+  mFleet.SetSettled(true);
+  STRCMP_EQUAL("self", Reader(kStart).c_str());
+}
+
+TEST(FleetReader, AnotherFailureDomainDoesNotReadForThisOne)
+{
+  fleet_member other = Member("other", 1);
+  other.mDomain = { "leinster-b" };
+  mFleet.Hear(Settled(other), kStart);
+  STRCMP_EQUAL("self", Reader(kStart).c_str());
+}
