Tell a follower that is far behind the whole, and leave upstreams out of peers' views

Change: the copy for peers holds what the operator asks for alone, which every instance reads itself. Upstreams reach an instance that has lost the platform by the news of a peer that reads, of its failure domain or else of its region; where the news don't reach back to its version they are the whole of what the peer has in force.

WhatAFollowerPassesOnIsWhole starts an instance that the platform turns away, beside one that knows an upstream by news alone.

--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -8,6 +8,17 @@
 
 namespace laburnumdyke {
 
+namespace {
+
+bool
+IsOlder(const fleet_member& aOne, const fleet_member& aOther)
+{
+  return std::tie(aOne.mIncarnation, aOne.mInstance) <
+         std::tie(aOther.mIncarnation, aOther.mInstance);
+}
+
+} // namespace
+
 void
 fleet_view::Put(const fleet_member& aMember)
 {
@@ -90,29 +101,34 @@
   return false;
 }
 
+bool
+fleet_view::MayRead(const member_state& aState, instant aNow) const
+{
+  return aState.mSettled && !aState.mLeaving && IsLive(aState, aNow);
+}
+
 std::optional<fleet_member>
 fleet_view::Reader(instant aNow) const
 {
-  auto isOlder = [](const fleet_member& aOne, const fleet_member& aOther) {
-    return std::tie(aOne.mIncarnation, aOne.mInstance) <
-           std::tie(aOther.mIncarnation, aOther.mInstance);
-  };
-  std::optional<fleet_member> oldest;
+  std::optional<fleet_member> ofDomain;
+  std::optional<fleet_member> ofRegion;
   for (const std::pair<const instance_id, member_state>& one : mMembers) {
-    const member_state& state = one.second;
-    if (state.mMember.mDomain != mOptions.mSelf.mDomain || state.mLeaving ||
-        !state.mSettled || !IsLive(state, aNow)) {
+    const fleet_member& member = one.second.mMember;
+    if (!MayRead(one.second, aNow)) {
       continue;
     }
-    if (!oldest || isOlder(state.mMember, *oldest)) {
-      oldest = state.mMember;
+    bool isNear = member.mDomain == mOptions.mSelf.mDomain;
+    std::optional<fleet_member>& oldest = isNear ? ofDomain : ofRegion;
+    if (!oldest || IsOlder(member, *oldest)) {
+      oldest = member;
     }
   }
   bool selfReads = mSettled && !mLeaving;
-  if (oldest && selfReads && isOlder(mOptions.mSelf, *oldest)) {
-    return std::nullopt;
+  if (!selfReads) {
+    return ofDomain ? ofDomain : ofRegion;
   }
-  return oldest;
+  bool isFirst = ofDomain && IsOlder(mOptions.mSelf, *ofDomain);
+  return isFirst ? std::nullopt : ofDomain;
 }
 
 std::vector<endpoint>
@@ -176,16 +192,4 @@
   return places;
 }
 
-std::vector<fleet_member>
-fleet_view::LivePeers(instant aNow) const
-{
-  std::vector<fleet_member> peers;
-  for (const std::pair<const instance_id, member_state>& one : mMembers) {
-    if (IsLive(one.second, aNow) && !one.second.mLeaving) {
-      peers.push_back(one.second.mMember);
-    }
-  }
-  return peers;
-}
-
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -89,10 +89,11 @@
   // Live peers that know a later version of what the operator asks for.
   std::vector<fleet_member> Ahead(instant aNow) const;
 
-  // The live peer of this instance's own failure domain that reads upstreams
-  // for the domain; nothing where that is this instance itself. The oldest
-  // that knows the upstreams as the platform does reads, so that newcomers
-  // change nothing.
+  // The live peer that reads upstreams for this instance; nothing where it
+  // reads them itself. In each failure domain the oldest that knows the
+  // upstreams as the platform does reads, so that newcomers change nothing.
+  // Where this instance doesn't and nobody in its domain does, the oldest of
+  // the region.
   std::optional<fleet_member> Reader(instant aNow) const;
 
   // To whom heartbeats go.
@@ -105,9 +106,6 @@
   // Everyone registered, self included.
   std::vector<fleet_place> Places() const;
 
-  // Live peers that can tell what is known of the platform.
-  std::vector<fleet_member> LivePeers(instant aNow) const;
-
 private:
   struct member_state
   {
@@ -120,6 +118,7 @@
   };
 
   bool IsLive(const member_state& aState, instant aNow) const;
+  bool MayRead(const member_state& aState, instant aNow) const;
 
   fleet_options mOptions;
   bool mServing = false;
--- a/laburnumdyke/decision/platform_news.h
+++ b/laburnumdyke/decision/platform_news.h
@@ -54,11 +54,4 @@
   std::size_t mUnreadable = 0;
 };
 
-// What a peer's copy of the platform tells.
-struct view_reading
-{
-  control_reading mControl;
-  upstream_reading mUpstreams;
-};
-
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_directory.cc
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -118,6 +118,18 @@
   return changes;
 }
 
+std::vector<upstream_entry>
+upstream_directory::Entries() const
+{
+  std::vector<upstream_entry> entries;
+  for (const std::pair<const upstream_id, known_upstream>& known : mKnown) {
+    if (!known.second.mMissing) {
+      entries.push_back(known.second.mEntry);
+    }
+  }
+  return entries;
+}
+
 void
 upstream_directory::PlatformLost(instant aNow)
 {
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -91,6 +91,9 @@
   // Removes upstreams that did not come back in time.
   std::vector<upstream_change> Expire(instant aNow);
 
+  // Everything that is known and not missing.
+  std::vector<upstream_entry> Entries() const;
+
   std::size_t Size() const { return mKnown.size(); }
 
 private:
--- a/laburnumdyke/decision/upstream_news.cc
+++ b/laburnumdyke/decision/upstream_news.cc
@@ -29,12 +29,16 @@
   return mKept.back().mVersion;
 }
 
+bool
+news_log::ReachesBackTo(std::uint64_t aVersion) const
+{
+  return !mKept.empty() && mKept.front().mAfter <= aVersion;
+}
+
 std::optional<upstream_news>
 news_log::Since(std::uint64_t aVersion) const
 {
-  bool reaches = !mKept.empty() && mKept.front().mAfter <= aVersion &&
-                 aVersion <= mKept.back().mVersion;
-  if (!reaches) {
+  if (!ReachesBackTo(aVersion) || aVersion > mKept.back().mVersion) {
     return std::nullopt;
   }
   upstream_news merged;
--- a/laburnumdyke/decision/upstream_news.h
+++ b/laburnumdyke/decision/upstream_news.h
@@ -6,8 +6,7 @@
 //   std::optional<upstream_news> news = log.Since(version of the follower);
 //
 // News continue each other: what follows version V is told as long as the log
-// reaches back to V. Otherwise there is nothing to tell, and the follower
-// reads the platform itself.
+// reaches back to V. A follower that is further behind is told the whole.
 #pragma once
 
 #include "laburnumdyke/decision/upstream_directory.h"
@@ -26,13 +25,14 @@
   std::uint64_t mVersion = 0; // up to this one
   std::vector<upstream_entry> mEntries;
   std::vector<upstream_id> mGone;
+  bool mWhole = false; // what is not named is gone
 };
 
 class news_log
 {
 public:
   // Readings that are kept: a follower that is further behind than a few
-  // seconds does better with a reading of its own.
+  // seconds is told the whole.
   static constexpr std::size_t kMostKept = 8;
 
   // Takes a reading that was made now. One that does not continue the last,
@@ -45,6 +45,9 @@
   // The version of the last reading; nothing where there is none.
   std::optional<std::uint64_t> Version() const;
 
+  // Whether it reaches back to aVersion.
+  bool ReachesBackTo(std::uint64_t aVersion) const;
+
   // Everything after aVersion, as one; nothing where that is not known, as
   // with a version that is later than the last.
   std::optional<upstream_news> Since(std::uint64_t aVersion) const;
--- a/laburnumdyke/decision/watch_state.cc
+++ b/laburnumdyke/decision/watch_state.cc
@@ -41,16 +41,6 @@
   return true;
 }
 
-bool
-watch_state::MayAskPeer(instant aNow)
-{
-  if (aNow - mAsked < kAskEvery) {
-    return false;
-  }
-  mAsked = aNow;
-  return true;
-}
-
 std::optional<bool>
 watch_state::TakeTurn()
 {
--- a/laburnumdyke/decision/watch_state.h
+++ b/laburnumdyke/decision/watch_state.h
@@ -23,8 +23,6 @@
 public:
   // A single call fails now and then; two in a row are an outage.
   static constexpr int kLostAfter = 2;
-  // Between two questions to peers while the platform is lost.
-  static constexpr std::chrono::milliseconds kAskEvery{ 1000 };
 
   // Read changes after this version; nothing: read the whole.
   std::optional<std::uint64_t> After() const;
@@ -45,9 +43,6 @@
     return mFailures == 0 ? aLongest : std::chrono::milliseconds(0);
   }
 
-  // Whether a peer may be asked now; counts the question.
-  bool MayAskPeer(instant aNow);
-
   // Whether the platform was lost or came back since the last call.
   std::optional<bool> TakeTurn();
 
@@ -56,7 +51,6 @@
   bool mNeedsWhole = true;
   int mFailures = 0;
   bool mSaidLost = false;
-  instant mAsked{};
 };
 
 // The failure domains that are evacuated after a reading.
--- a/laburnumdyke/plugin/news_codec.cc
+++ b/laburnumdyke/plugin/news_codec.cc
@@ -62,6 +62,7 @@
   proto::upstream_news message;
   message.set_after(aNews.mAfter);
   message.set_version(aNews.mVersion);
+  message.set_whole(aNews.mWhole);
   for (const upstream_entry& entry : aNews.mEntries) {
     proto::upstream_entry* one = message.add_entries();
     one->set_upstream(entry.mId.mValue);
@@ -91,6 +92,7 @@
   upstream_news news;
   news.mAfter = message.after();
   news.mVersion = message.version();
+  news.mWhole = message.whole();
   for (const proto::upstream_entry& one : message.entries()) {
     std::optional<upstream_entry> entry = ToEntry(one);
     if (!entry) {
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -60,7 +60,7 @@
     } -> std::same_as<std::string>;
   {
     aSource.TakeView(aView)
-    } -> std::same_as<view_reading>;
+    } -> std::same_as<control_reading>;
 };
 
 template<platform_source Source>
@@ -175,8 +175,7 @@
     }
   }
 
-  // Reads a peer's copy while the platform is lost, or where a peer stays
-  // ahead for more than a moment.
+  // Reads a peer's copy where one stays ahead for more than a moment.
   asio::awaitable<void> AskPeers()
   {
     bool wasAhead = false;
@@ -189,11 +188,6 @@
       bool isAhead = !peers.empty();
       bool ask = isAhead && wasAhead;
       wasAhead = isAhead;
-      if (!isAhead && mUpstreams.IsLost() && mUpstreams.MayAskPeer(now)) {
-        peers = mTables.Fleet().With(
-          [&](fleet_state& aFleet) { return aFleet.LivePeers(now); });
-        ask = !peers.empty();
-      }
       if (ask) {
         co_await ReadView(peers[mJitter.Pick(peers.size())]);
       }
@@ -214,15 +208,14 @@
       co_return;
     }
     mKernel.Counters().Add("views_total", "read");
-    view_reading view = mSource.TakeView(answer->mBody);
-    if (mControl.TakeFromPeer(view.mControl.mHead)) {
+    control_reading control = mSource.TakeView(answer->mBody);
+    if (mControl.TakeFromPeer(control.mHead)) {
       mKernel.Log().Info(
         "control_from_peer",
         { { "peer", aPeer.mInstance.mValue },
-          { "version", std::to_string(view.mControl.mHead.mVersion) } });
-      TakeControl(view.mControl);
+          { "version", std::to_string(control.mHead.mVersion) } });
+      TakeControl(control);
     }
-    mUpstreams.TakeFromPeer(view.mUpstreams, Now());
   }
 
   asio::awaitable<void> Withdraw()
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -70,8 +70,8 @@
     }
   }
 
-  // What follows aVersion: at once where something does, otherwise as of the
-  // next reading; nothing where it is not to be had here.
+  // What follows aVersion, or the whole: at once where something does,
+  // otherwise as of the next reading; nothing where it is not to be had here.
   asio::awaitable<std::optional<upstream_news>> NewsSince(
     std::uint64_t aVersion)
   {
@@ -80,18 +80,10 @@
       co_await mWake.async_wait(
         asio::redirect_error(asio::use_awaitable, woken));
     }
-    co_return mLog.Since(aVersion);
-  }
-
-  bool IsLost() const { return mState.IsLost(); }
-  bool MayAskPeer(instant aNow) { return mState.MayAskPeer(aNow); }
-
-  // A peer's copy, of an instance that has lost the platform.
-  void TakeFromPeer(upstream_reading& aReading, instant aNow)
-  {
-    if (mState.IsLost() && mState.TakeFromPeer(aReading.mHead)) {
-      Take(aReading, aNow);
+    if (mLog.Version() && !mLog.ReachesBackTo(aVersion)) {
+      co_return Whole();
     }
+    co_return mLog.Since(aVersion);
   }
 
   // Drops upstreams that are gone for certain, and tells peers whether this
@@ -137,20 +129,32 @@
 
   std::chrono::milliseconds Pace() const { return PartOfDrain(kPacePart); }
 
+  upstream_news Whole()
+  {
+    upstream_news whole;
+    whole.mVersion = *mLog.Version();
+    whole.mWhole = true;
+    whole.mEntries = mTables.Steering().With([](steering_state& aSteering) {
+      return aSteering.Directory().Entries();
+    });
+    return whole;
+  }
+
   // Whether the reader of the failure domain told what is new.
   asio::awaitable<bool> Follow()
   {
-    std::optional<std::uint64_t> after = mState.After();
     std::optional<fleet_member> reader = mTables.Fleet().With(
       [](fleet_state& aFleet) { return aFleet.Reader(Now()); });
-    Note(after ? reader : std::nullopt);
-    if (!after || !reader) {
+    // The first reading is one of our own, unless the platform is lost.
+    bool follows = reader && (mState.After() || mState.IsLost());
+    Note(follows ? reader : std::nullopt);
+    if (!follows) {
       co_return false;
     }
     Forget(); // others are told by the reader
     client_request request;
     request.mTo = reader->mRelay;
-    request.mTarget = NewsTarget(*after);
+    request.mTarget = NewsTarget(mState.Version());
     request.mTimeout = PartOfDrain(kFollowPart);
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
     std::optional<upstream_news> news;
@@ -164,11 +168,12 @@
   bool TakeNews(upstream_news aNews)
   {
     upstream_reading reading;
-    reading.mHead = { reading_status::Read, false, aNews.mVersion };
+    reading.mHead = { reading_status::Read, aNews.mWhole, aNews.mVersion };
     reading.mEntries = std::move(aNews.mEntries);
     reading.mGone = std::move(aNews.mGone);
-    std::optional<std::uint64_t> known = mState.After();
-    if (!known || aNews.mAfter > *known || aNews.mVersion < *known) {
+    std::uint64_t known = mState.Version();
+    bool continues = mState.After() && aNews.mAfter <= known;
+    if (!(aNews.mWhole || continues) || aNews.mVersion < known) {
       return false;
     }
     if (mState.TakeFromPeer(reading.mHead)) {
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -338,17 +338,17 @@
 TEST(PlatformNews, AViewThatWasTakenIsPassedOn)
 {
   row_copy first;
-  first.Take("op", ReadStoreAnswer(Rows(9, { { "config", kConfig } })), true);
+  first.Take(ReadStoreAnswer(Rows(9, { { "config", kConfig } })), true);
   row_copy second;
-  second.Take("op", ReadStoreAnswer(Rows(3, {})), true);
-  second.Take("op", DecodeCopy(first.Encode(), "op"), true);
-  store_answer third = DecodeCopy(second.Encode(), "op");
+  second.Take(ReadStoreAnswer(Rows(3, {})), true);
+  second.Take(DecodeCopy(first.Encode()), true);
+  store_answer third = DecodeCopy(second.Encode());
   LONGS_EQUAL(9, third.mVersion);
   CHECK(ToControl(third, true).mDocument.has_value());
   // An older view changes nothing.
   row_copy old;
-  old.Take("op", ReadStoreAnswer(Rows(2, {})), true);
-  second.Take("op", DecodeCopy(old.Encode(), "op"), true);
-  LONGS_EQUAL(9, DecodeCopy(second.Encode(), "op").mVersion);
-  CHECK(DecodeCopy("nonsense", "op").mStatus == reading_status::NoAnswer);
+  old.Take(ReadStoreAnswer(Rows(2, {})), true);
+  second.Take(DecodeCopy(old.Encode()), true);
+  LONGS_EQUAL(9, DecodeCopy(second.Encode()).mVersion);
+  CHECK(DecodeCopy("nonsense").mStatus == reading_status::NoAnswer);
 }
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -30,7 +30,7 @@
   // from 1 on. A reading holds those after the version that it names.
   std::vector<upstream_reading> mChanges;
   std::set<std::string> mTurnedAway; // instances that get no answer
-  view_reading mPeerView;
+  control_reading mPeerView;
   std::chrono::milliseconds mLastWait{ 0 }; // of a reading of mControl
   int mRegistered = 0;
   int mWithdrawn = 0;
@@ -115,7 +115,7 @@
 
   std::string View() { return "a view"; }
 
-  view_reading TakeView(const std::string& aView)
+  control_reading TakeView(const std::string& aView)
   {
     STRCMP_EQUAL("a view", aView.c_str());
     return sPlatform->With(
@@ -354,8 +354,8 @@
   settings peer = FreeSettings("two", "east-a", "east");
   mPeer = Start(peer);
   mPlatform.With([&](scripted_platform& aPlatform) {
-    aPlatform.mPeerView = { Control(9, 7), Upstreams(9, { "a" }) };
-    aPlatform.mPeerView.mControl.mEvacuated = { { "east-b" } };
+    aPlatform.mPeerView = Control(9, 7);
+    aPlatform.mPeerView.mEvacuated = { { "east-b" } };
   });
   fleet_beat beat;
   beat.mSender = { { "two" },    1,          { "east" }, { "east-a" },
@@ -404,6 +404,23 @@
   CHECK(WaitTogether([&]() { return Known() == 3; }));
 }
 
+// The follower has learned of "b" by news alone, and is asked for the whole by
+// an instance that the platform turns away from its start on.
+TEST(PlatformWatch, WhatAFollowerPassesOnIsWhole)
+{
+  Join("a");
+  StartPeer();
+  CHECK(WaitTogether([&]() { return IsFollowed() && KnownTo(*mPeer) == 1; }));
+  Join("b");
+  CHECK(WaitTogether([&]() { return KnownTo(*mPeer) == 2; }));
+  mKernel->Stop();
+  mPlatform.With(
+    [](scripted_platform& aPlatform) { aPlatform.mTurnedAway = { "one" }; });
+  mSettings.mIncarnation += 2;
+  mKernel = Start(mSettings);
+  CHECK(WaitTogether([&]() { return Known() == 2; }));
+}
+
 TEST_GROUP(NewsCodec){};
 
 TEST(NewsCodec, NewsAreReadAsTheyWereWrittenOrNotAtAll)
--- a/laburnumdyke/testing/upstream_news_test.cc
+++ b/laburnumdyke/testing/upstream_news_test.cc
@@ -92,6 +92,7 @@
   news_log log;
   CHECK_FALSE(log.Since(0).has_value());
   log.Add({ 5, 7, { Entry("a", 1) }, {} });
+  CHECK_FALSE(log.ReachesBackTo(4));
   CHECK_FALSE(log.Since(4).has_value());
   CHECK(log.Since(5).has_value());
   CHECK(log.Since(7)->mEntries.empty());
@@ -215,10 +216,14 @@
   STRCMP_EQUAL("self", Reader(kStart).c_str());
 }
 
-TEST(FleetReader, AnotherFailureDomainDoesNotReadForThisOne)
+TEST(FleetReader, AnotherFailureDomainReadsOnlyWhereNobodyHereCan)
 {
   fleet_member other = Member("other", 1);
   other.mDomain = { "leinster-b" };
   mFleet.Hear(Settled(other), kStart);
+  STRCMP_EQUAL("other", Reader(kStart).c_str());
+  mFleet.Hear(Settled(Member("near", 9)), kStart);
+  STRCMP_EQUAL("near", Reader(kStart).c_str());
+  mFleet.SetSettled(true);
   STRCMP_EQUAL("self", Reader(kStart).c_str());
 }
