Followers wait longer for what the operator asks for

Change: an instance that reads upstreams for its failure domain renews its wait each 2 s, and so finds a platform that fell silent in a wait a second sooner than before; its followers each 10 s, and hear from it that it is ahead. Who has registered is read each 20 s in place of 10.

Ruled out: 10 s for everyone, since after an outage all would wait in silence.

--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -121,13 +121,15 @@
 
 private:
   static constexpr std::string_view kViewTarget = "/v1/view";
-  // The platform answers sooner where there is a change. A connection that
-  // falls silent is found by its probes, and a peer that is ahead tells too.
-  static constexpr std::chrono::milliseconds kControlWait{ 3000 };
+  // The platform answers sooner where there is a change. Where it falls silent
+  // in a wait, the instances that read upstreams find it back soon, and tell
+  // the others by being ahead.
+  static constexpr std::chrono::milliseconds kReaderControlWait{ 2000 };
+  static constexpr std::chrono::milliseconds kControlWait{ 10000 };
   // Who has registered is read at a pace: each change would else wake every
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
-  static constexpr std::chrono::milliseconds kFleetPace{ 10000 };
+  static constexpr std::chrono::milliseconds kFleetPace{ 20000 };
   static constexpr int kFirstFleetReadings = 3;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
@@ -139,8 +141,10 @@
   {
     while (true) {
       std::optional<std::uint64_t> after = mControl.After();
+      std::chrono::milliseconds longest =
+        mUpstreams.IsFollower() ? kControlWait : kReaderControlWait;
       control_reading reading =
-        co_await mSource.ReadControl(after, mControl.MayWait(kControlWait));
+        co_await mSource.ReadControl(after, mControl.MayWait(longest));
       bool answered = mControl.Take(reading.mHead, Now());
       LogTurn(mKernel, mControl, "control");
       if (answered) {
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -86,6 +86,9 @@
     co_return mLog.Since(aVersion);
   }
 
+  // Whether a peer reads upstreams for this instance.
+  bool IsFollower() const { return mReader.has_value(); }
+
   // Drops upstreams that are gone for certain, and tells peers whether this
   // instance knows them all.
   void Settle(instant aNow)
@@ -147,13 +150,13 @@
       [](fleet_state& aFleet) { return aFleet.Reader(Now()); });
     // The first reading is one of our own, unless the platform is lost.
     bool follows = reader && (mState.After() || mState.IsLost());
-    Note(follows ? reader : std::nullopt);
-    if (!follows) {
+    Note(follows ? std::move(reader) : std::nullopt);
+    if (!mReader) {
       co_return false;
     }
     Forget(); // others are told by the reader
     client_request request;
-    request.mTo = reader->mRelay;
+    request.mTo = mReader->mRelay;
     request.mTarget = NewsTarget(mState.Version());
     request.mTimeout = PartOfDrain(kFollowPart);
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
@@ -265,14 +268,15 @@
     }
   }
 
-  // Logs where upstreams are read from now on.
-  void Note(const std::optional<fleet_member>& aReader)
+  // From whom upstreams are read from now on.
+  void Note(std::optional<fleet_member> aReader)
   {
-    std::string from = aReader ? aReader->mInstance.mValue : "platform";
-    if (from != mReadFrom) {
-      mReadFrom = from;
-      mKernel.Log().Info("upstreams_read_from", { { "source", from } });
+    if (aReader != mReader) {
+      mKernel.Log().Info(
+        "upstreams_read_from",
+        { { "source", aReader ? aReader->mInstance.mValue : "platform" } });
     }
+    mReader = std::move(aReader);
   }
 
   void NotePlatform(instant aNow)
@@ -294,7 +298,7 @@
   watch_state mState;
   news_log mLog;
   bool mSettled = false;
-  std::string mReadFrom;
+  std::optional<fleet_member> mReader; // nothing: the platform itself
 };
 
 } // namespace laburnumdyke
