Send brief heartbeats within a region

Change: a heartbeat names its sender by a key of eight bytes; the first six and then each eighth are full, for those that know the sender by neither its registration nor an earlier heartbeat. At most 51 bytes, checked.

Ruled out: a slower pace between failure domains, which keeps dead instances in look-up answers for longer.

Instances of the version before take brief heartbeats for malformed and hear the full ones alone.

--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -52,22 +52,43 @@
                 });
 }
 
+// Null where the beat is not to be heard; the sender of a full one is added.
+fleet_view::member_state*
+fleet_view::FindSender(const fleet_beat& aBeat)
+{
+  const fleet_member& sender = aBeat.mSender;
+  if (sender.mInstance.mValue.empty()) {
+    for (std::pair<const instance_id, member_state>& one : mMembers) {
+      const fleet_member& member = one.second.mMember;
+      if (KeyOf(member.mInstance, member.mIncarnation) == aBeat.mSenderKey) {
+        return &one.second;
+      }
+    }
+    return nullptr;
+  }
+  if (sender.mInstance == mOptions.mSelf.mInstance) {
+    return nullptr;
+  }
+  member_state& state = mMembers[sender.mInstance];
+  if (sender.mIncarnation < state.mMember.mIncarnation) {
+    return nullptr;
+  }
+  state.mMember = sender;
+  return &state;
+}
+
 bool
 fleet_view::Hear(const fleet_beat& aBeat, instant aNow)
 {
-  if (aBeat.mSender.mInstance == mOptions.mSelf.mInstance) {
-    return false;
-  }
-  member_state& state = mMembers[aBeat.mSender.mInstance];
-  if (aBeat.mSender.mIncarnation < state.mMember.mIncarnation) {
+  member_state* sender = FindSender(aBeat);
+  if (sender == nullptr) {
     return false;
   }
-  state.mMember = aBeat.mSender;
-  state.mHeard = aNow;
-  state.mServing = aBeat.mServing;
-  state.mLeaving = aBeat.mLeaving;
-  state.mControlVersion = aBeat.mControlVersion;
-  state.mSettled = aBeat.mSettled;
+  sender->mHeard = aNow;
+  sender->mServing = aBeat.mServing;
+  sender->mLeaving = aBeat.mLeaving;
+  sender->mControlVersion = aBeat.mControlVersion;
+  sender->mSettled = aBeat.mSettled;
   return true;
 }
 
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/cold_gate.h"
+#include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/decision/types.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
@@ -39,11 +40,12 @@
 
 struct fleet_beat
 {
-  fleet_member mSender;
+  fleet_member mSender;  // of a brief one empty, and its key is known
   bool mServing = false; // takes requests
   bool mLeaving = false;
   std::uint64_t mControlVersion = 0; // of what the operator asks for
   bool mSettled = false;             // knows the upstreams as the platform does
+  member_key mSenderKey = 0;
 };
 
 struct fleet_options
@@ -72,7 +74,8 @@
   void Put(const fleet_member& aMember);
   void Remove(const instance_id& aInstance);
 
-  // False where the beat is of an older incarnation.
+  // False where the beat is of an older incarnation, or brief and of one that
+  // is not known.
   bool Hear(const fleet_beat& aBeat, instant aNow);
 
   void SetServing(bool aServing) { mServing = aServing; }
@@ -117,6 +120,7 @@
     bool mSettled = false;
   };
 
+  member_state* FindSender(const fleet_beat& aBeat);
   bool IsLive(const member_state& aState, instant aNow) const;
   bool MayRead(const member_state& aState, instant aNow) const;
 
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -1,22 +1,58 @@
 // Addresses travel as text, so that both families have one form.
 #include "laburnumdyke/plugin/fleet_codec.h"
 
+#include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/proto/peer.pb.h"
 
 namespace laburnumdyke {
 
+namespace {
+
+void
+SetSender(const fleet_member& aMember, proto::member& aSender)
+{
+  aSender.set_instance(aMember.mInstance.mValue);
+  aSender.set_incarnation(aMember.mIncarnation);
+  aSender.set_region(aMember.mRegion.mValue);
+  aSender.set_failure_domain(aMember.mDomain.mValue);
+  aSender.set_caller(aMember.mCaller.Text());
+  aSender.set_relay(aMember.mRelay.Text());
+  aSender.set_peer(aMember.mPeer.Text());
+}
+
+// Nothing where a name or an address is missing.
+std::optional<fleet_member>
+ToMember(const proto::member& aSender)
+{
+  std::optional<endpoint> caller = ParseEndpoint(aSender.caller());
+  std::optional<endpoint> relay = ParseEndpoint(aSender.relay());
+  std::optional<endpoint> peer = ParseEndpoint(aSender.peer());
+  if (aSender.instance().empty() || !caller || !relay || !peer) {
+    return std::nullopt;
+  }
+  fleet_member member;
+  member.mInstance = { aSender.instance() };
+  member.mIncarnation = aSender.incarnation();
+  member.mRegion = { aSender.region() };
+  member.mDomain = { aSender.failure_domain() };
+  member.mCaller = *caller;
+  member.mPeer = *peer;
+  member.mRelay = *relay;
+  return member;
+}
+
+} // namespace
+
 std::string
-EncodeFleetBeat(const fleet_beat& aBeat)
+EncodeFleetBeat(const fleet_beat& aBeat, beat_form aForm)
 {
   proto::fleet_heartbeat message;
-  proto::member* sender = message.mutable_sender();
-  sender->set_instance(aBeat.mSender.mInstance.mValue);
-  sender->set_incarnation(aBeat.mSender.mIncarnation);
-  sender->set_region(aBeat.mSender.mRegion.mValue);
-  sender->set_failure_domain(aBeat.mSender.mDomain.mValue);
-  sender->set_caller(aBeat.mSender.mCaller.Text());
-  sender->set_relay(aBeat.mSender.mRelay.Text());
-  sender->set_peer(aBeat.mSender.mPeer.Text());
+  if (aForm == beat_form::Full) {
+    SetSender(aBeat.mSender, *message.mutable_sender());
+  } else {
+    message.set_sender_key(
+      KeyOf(aBeat.mSender.mInstance, aBeat.mSender.mIncarnation));
+  }
   message.set_serving(aBeat.mServing);
   message.set_leaving(aBeat.mLeaving);
   message.set_control_version(aBeat.mControlVersion);
@@ -34,21 +70,17 @@
   if (!whole) {
     return std::nullopt;
   }
-  const proto::member& sender = message.sender();
-  std::optional<endpoint> caller = ParseEndpoint(sender.caller());
-  std::optional<endpoint> relay = ParseEndpoint(sender.relay());
-  std::optional<endpoint> peer = ParseEndpoint(sender.peer());
-  if (sender.instance().empty() || !caller || !relay || !peer) {
+  fleet_beat beat;
+  if (message.has_sender()) {
+    std::optional<fleet_member> sender = ToMember(message.sender());
+    if (!sender) {
+      return std::nullopt;
+    }
+    beat.mSender = std::move(*sender);
+  } else if (message.sender_key() == 0) {
     return std::nullopt;
   }
-  fleet_beat beat;
-  beat.mSender = { { sender.instance() },
-                   sender.incarnation(),
-                   { sender.region() },
-                   { sender.failure_domain() },
-                   *caller,
-                   *peer,
-                   *relay };
+  beat.mSenderKey = message.sender_key();
   beat.mServing = message.serving();
   beat.mLeaving = message.leaving();
   beat.mControlVersion = message.control_version();
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -1,7 +1,10 @@
 // Heartbeats between the instances of a region that steer by host and path.
 //
 // A full mesh within a region: who is alive is asked of an instance's own
-// region alone. A stopping instance says so at once and more than once.
+// region alone. Most heartbeats are brief, since links between failure domains
+// are scarce; the first and then some are full, for those that know the sender
+// by neither its registration nor an earlier one. A stopping instance says so
+// at once and more than once.
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/sleep.h"
@@ -15,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPeriod{ 500 };
+constexpr int kFirstFullBeats = 6;
+constexpr int kFullBeatEvery = 8;
 constexpr int kLeavingBeats = 3;
 constexpr std::chrono::milliseconds kLeavingGap{ 50 };
 
@@ -65,6 +70,7 @@
     mKernel.Counters().Add("heartbeats_total");
   }
 
+  // On the link's strand.
   void SendBeat()
   {
     std::vector<endpoint> targets;
@@ -72,7 +78,10 @@
       targets = aFleet.Targets();
       return aFleet.Beat();
     });
-    std::string bytes = EncodeFleetBeat(beat);
+    bool full = mSent < kFirstFullBeats || mSent % kFullBeatEvery == 0;
+    ++mSent;
+    std::string bytes =
+      EncodeFleetBeat(beat, full ? beat_form::Full : beat_form::Brief);
     std::vector<addressed_message> messages;
     for (const endpoint& target : targets) {
       messages.push_back({ target, bytes });
@@ -101,6 +110,7 @@
   kernel& mKernel;
   steering_tables mTables;
   message_link mLink;
+  std::uint64_t mSent = 0; // heartbeats
 };
 
 const registered<fleet_link> kRegistered;
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -1,5 +1,6 @@
 // The watch over the platform with a scripted source in its place: what comes
 // in force, what an outage leaves, and what peers' views change.
+#include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/platform_watch.h"
 #include "laburnumdyke/testing/harness/deployment.h"
@@ -489,7 +490,7 @@
   beat.mServing = true;
   beat.mSettled = true;
   beat.mControlVersion = 1234567;
-  std::string bytes = EncodeFleetBeat(beat);
+  std::string bytes = EncodeFleetBeat(beat, beat_form::Full);
   std::optional<fleet_beat> read = DecodeFleetBeat(bytes);
   CHECK(read.has_value());
   CHECK(read->mSender == beat.mSender);
@@ -498,6 +499,16 @@
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     DecodeFleetBeat(std::string_view(bytes).substr(0, size));
   }
+  bytes = EncodeFleetBeat(beat, beat_form::Brief);
+  read = DecodeFleetBeat(bytes);
+  CHECK(read.has_value());
+  CHECK(read->mSender == fleet_member());
+  CHECK(read->mSenderKey ==
+        KeyOf(beat.mSender.mInstance, beat.mSender.mIncarnation));
+  CHECK(read->mServing && read->mSettled && !read->mLeaving);
+  // At 430 instances in four regions, twice a second: 107 others leave 11 KB/s
+  // for control 51 bytes each.
+  CHECK(bytes.size() <= 51);
   CHECK_FALSE(DecodeFleetBeat("").has_value());
   CHECK_FALSE(DecodeFleetBeat(std::string(5000, 'x')).has_value());
 }
--- a/laburnumdyke/testing/upstream_news_test.cc
+++ b/laburnumdyke/testing/upstream_news_test.cc
@@ -1,5 +1,6 @@
 // Who reads the upstreams for a failure domain, and what it tells the others.
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/decision/upstream_news.h"
 
 #include <map>
@@ -85,6 +86,38 @@
 
 } // namespace
 
+TEST_GROUP(BriefBeats)
+{
+  fleet_view mFleet{ { Member("self", 5) } };
+
+  static fleet_beat Brief(const fleet_member& aMember)
+  {
+    fleet_beat beat;
+    beat.mSenderKey = KeyOf(aMember.mInstance, aMember.mIncarnation);
+    beat.mControlVersion = 9;
+    return beat;
+  }
+};
+
+TEST(BriefBeats, TheyAreHeardFromAnIncarnationThatIsKnown)
+{
+  CHECK_FALSE(mFleet.Hear(Brief(Member("peer", 3)), kStart));
+  mFleet.Put(Member("peer", 3)); // its registration
+  CHECK(mFleet.Hear(Brief(Member("peer", 3)), kStart));
+  LONGS_EQUAL(1, mFleet.Ahead(kStart).size());
+  // Another incarnation is another sender until it has said who it is.
+  CHECK_FALSE(mFleet.Hear(Brief(Member("peer", 4)), kStart + 1s));
+  CHECK(mFleet.Hear(Settled(Member("peer", 4)), kStart + 1s));
+  CHECK(mFleet.Hear(Brief(Member("peer", 4)), kStart + 1s));
+  CHECK_FALSE(mFleet.Hear(Brief(Member("peer", 3)), kStart + 1s));
+}
+
+TEST(BriefBeats, AnInstanceDoesNotHearItself)
+{
+  CHECK_FALSE(mFleet.Hear(Brief(Member("self", 5)), kStart));
+  CHECK_FALSE(mFleet.Hear(fleet_beat(), kStart));
+}
+
 TEST_GROUP(NewsLog){};
 
 TEST(NewsLog, WhatItDoesNotReachBackToItDoesNotTell)
