laburnumctl explain: a request's story from the logs of several instances

Prints the attempts and refusals of a request in order of time, each with what the instance believed at that moment. Lines that are cut or foreign are counted and passed over; lines left out by the bound are said. Tested on lines of a daemon and, against the writer's own quoting, on 5,000 random values.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -9,6 +9,7 @@
 // second.
 #pragma once
 
+#include "ctl/explain.h"
 #include "ctl/report.h"
 #include "ctl/wait.h"
 #include "laburnumdyke/plugin/submission_driver.h"
@@ -17,6 +18,7 @@
 
 #include <array>
 #include <fstream>
+#include <iostream>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -57,6 +59,8 @@
         return Ask(*mOptions.mCaller,
                    "/v1/lookup?service=" + mOptions.mService +
                      "&client=" + mOptions.mClient);
+      case command_kind::Explain:
+        return Explain();
       case command_kind::Help:
       case command_kind::Version:
         break;
@@ -95,6 +99,25 @@
     return exit_status::Ok;
   }
 
+  exit_status Explain()
+  {
+    request_story story(mOptions.mRequest);
+    for (const std::string& name : mOptions.mFiles) {
+      std::ifstream file(name, std::ios::binary);
+      if (!file) {
+        mErrors << "laburnumctl: " << name << ": can't be read\n";
+        return exit_status::Usage;
+      }
+      story.Read(file);
+    }
+    if (mOptions.mFiles.empty()) {
+      story.Read(std::cin);
+    }
+    told_story told = story.Tell();
+    ReportStory(mOut, mOptions, told);
+    return told.mSteps.empty() ? exit_status::Refused : exit_status::Ok;
+  }
+
   exit_status Submit()
   {
     std::optional<std::string> text = ReadFile();
--- /dev/null
+++ b/ctl/log_line.cc
@@ -0,0 +1,210 @@
+// A line is a row of key=value pairs with one space between them. Only the
+// writer's own quoting is undone; anything else means that the line is cut.
+#include "ctl/log_line.h"
+
+#include "laburnumdyke/kernel/event_log.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::string_view kTimeKey = "time=";
+constexpr std::size_t kTimeLength = 23; // 2026-03-27T17:53:12.611
+
+// A number of as many digits as the text is long.
+std::optional<int>
+Digits(std::string_view aText)
+{
+  int value = 0;
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result read = std::from_chars(aText.data(), end, value);
+  bool whole = read.ec == std::errc() && read.ptr == end && value >= 0;
+  return whole ? std::optional<int>(value) : std::nullopt;
+}
+
+// The value of \xNN; nothing where aText does not begin with two hex digits.
+std::optional<char>
+HexByte(std::string_view aText)
+{
+  unsigned value = 0;
+  std::string_view digits = aText.substr(0, 2);
+  const char* end = digits.data() + digits.size();
+  std::from_chars_result read = std::from_chars(digits.data(), end, value, 16);
+  bool whole = digits.size() == 2 && read.ec == std::errc() && read.ptr == end;
+  return whole ? std::optional<char>(static_cast<char>(value)) : std::nullopt;
+}
+
+// Takes a quoted value off the front of aText, which begins behind its first
+// quote.
+std::optional<std::string>
+TakeQuoted(std::string_view& aText)
+{
+  std::string value;
+  while (!aText.empty()) {
+    char c = aText.front();
+    aText.remove_prefix(1);
+    if (c == '"') {
+      return value;
+    }
+    if (c != '\\') {
+      value += c;
+      continue;
+    }
+    if (aText.empty()) {
+      break;
+    }
+    char escaped = aText.front();
+    aText.remove_prefix(1);
+    if (escaped == 'x') {
+      std::optional<char> byte = HexByte(aText);
+      if (!byte) {
+        return std::nullopt;
+      }
+      aText.remove_prefix(2);
+      escaped = *byte;
+    }
+    value += escaped;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+TakeValue(std::string_view& aText)
+{
+  if (!aText.empty() && aText.front() == '"') {
+    aText.remove_prefix(1);
+    return TakeQuoted(aText);
+  }
+  std::string_view value = aText.substr(0, aText.find(' '));
+  aText.remove_prefix(value.size());
+  return std::string(value);
+}
+
+// Takes a pair and the space behind it off the front of aText.
+std::optional<std::pair<std::string, std::string>>
+TakePair(std::string_view& aText)
+{
+  std::size_t split = aText.find('=');
+  std::string_view key = aText.substr(0, split);
+  if (split == std::string_view::npos || key.empty() ||
+      key.find(' ') != std::string_view::npos) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(split + 1);
+  std::optional<std::string> value = TakeValue(aText);
+  if (!value || (!aText.empty() && aText.front() != ' ')) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(aText.empty() ? 0 : 1);
+  return std::make_pair(std::string(key), std::move(*value));
+}
+
+} // namespace
+
+std::string_view
+log_line::Value(std::string_view aKey) const
+{
+  for (const std::pair<std::string, std::string>& pair : mPairs) {
+    if (pair.first == aKey) {
+      return pair.second;
+    }
+  }
+  return {};
+}
+
+std::string
+log_line::Text() const
+{
+  std::string text = mEvent;
+  for (const std::pair<std::string, std::string>& pair : mPairs) {
+    text += ' ' + pair.first + '=' + QuoteLogValue(pair.second);
+  }
+  return text;
+}
+
+std::optional<log_time>
+ParseLogTime(std::string_view aText)
+{
+  if (aText.size() != kTimeLength) {
+    return std::nullopt;
+  }
+  std::optional<int> year = Digits(aText.substr(0, 4));
+  std::optional<int> month = Digits(aText.substr(5, 2));
+  std::optional<int> day = Digits(aText.substr(8, 2));
+  std::optional<int> hour = Digits(aText.substr(11, 2));
+  std::optional<int> minute = Digits(aText.substr(14, 2));
+  std::optional<int> second = Digits(aText.substr(17, 2));
+  std::optional<int> milli = Digits(aText.substr(20, 3));
+  if (!year || !month || !day || !hour || !minute || !second || !milli) {
+    return std::nullopt;
+  }
+  std::chrono::year_month_day date{
+    std::chrono::year(*year),
+    std::chrono::month(static_cast<unsigned>(*month)),
+    std::chrono::day(static_cast<unsigned>(*day))
+  };
+  if (!date.ok()) {
+    return std::nullopt;
+  }
+  return std::chrono::sys_days(date) + std::chrono::hours(*hour) +
+         std::chrono::minutes(*minute) + std::chrono::seconds(*second) +
+         std::chrono::milliseconds(*milli);
+}
+
+std::string
+LogTimeText(log_time aTime)
+{
+  std::chrono::sys_days midnight = std::chrono::floor<std::chrono::days>(aTime);
+  std::chrono::year_month_day date(midnight);
+  std::chrono::hh_mm_ss<std::chrono::milliseconds> time(aTime - midnight);
+  char text[64];
+  std::snprintf(text,
+                sizeof text,
+                "%04d-%02u-%02uT%02d:%02d:%02d.%03d",
+                static_cast<int>(date.year()),
+                static_cast<unsigned>(date.month()),
+                static_cast<unsigned>(date.day()),
+                static_cast<int>(time.hours().count()),
+                static_cast<int>(time.minutes().count()),
+                static_cast<int>(time.seconds().count()),
+                static_cast<int>(time.subseconds().count()));
+  return text;
+}
+
+std::optional<log_line>
+ParseLogLine(std::string_view aText)
+{
+  std::size_t begin = aText.find(kTimeKey);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(begin);
+  std::vector<std::pair<std::string, std::string>> pairs;
+  while (!aText.empty()) {
+    std::optional<std::pair<std::string, std::string>> pair = TakePair(aText);
+    if (!pair) {
+      return std::nullopt;
+    }
+    pairs.push_back(std::move(*pair));
+  }
+  constexpr std::size_t kHeads = 4; // time, level, event, instance
+  if (pairs.size() < kHeads || pairs[2].first != "event" ||
+      pairs[3].first != "instance") {
+    return std::nullopt;
+  }
+  std::optional<log_time> time = ParseLogTime(pairs[0].second);
+  if (!time) {
+    return std::nullopt;
+  }
+  log_line line;
+  line.mTime = *time;
+  line.mEvent = pairs[2].second;
+  line.mInstance = pairs[3].second;
+  line.mPairs.assign(pairs.begin() + kHeads, pairs.end());
+  return line;
+}
+
+} // namespace laburnumdyke
--- a/ctl/options.cc
+++ b/ctl/options.cc
@@ -28,6 +28,10 @@
   "  status --operator ADDR                what an instance reports\n"
   "  lookup --caller ADDR --service S --client IP\n"
   "                                        asks which instances to use\n"
+  "  explain ID [LOG...]                   what instances did with a request\n"
+  "                                        and why, by their logs; without "
+  "LOG\n"
+  "                                        by standard input\n"
   "\n"
   "Options:\n"
   "  --platform ADDR    the platform's IP address and port\n"
@@ -41,9 +45,9 @@
   "  --json             prints JSON\n"
   "  --help, --version\n"
   "\n"
-  "Exit status: 0 done; 1 the document or question was refused, or another\n"
-  "change came first; 2 a faulty command line or an unreadable file; 3 no\n"
-  "answer that can be relied on.\n";
+  "Exit status: 0 done; 1 the document or question was refused, another\n"
+  "change came first, or no log has a line of the request; 2 a faulty command\n"
+  "line or an unreadable file; 3 no answer that can be relied on.\n";
 
 enum option_code
 {
@@ -75,20 +79,29 @@
   { nullptr, 0, nullptr, 0 },
 } };
 
+// The words that a command takes behind its name.
+enum class command_words
+{
+  None,
+  File,
+  RequestAndFiles, // any number of files
+};
+
 struct command_rule
 {
   std::string_view mName;
   command_kind mKind;
-  bool mTakesFile;
+  command_words mWords;
 };
 
-constexpr std::array<command_rule, 6> kCommands = { {
-  { "check", command_kind::Check, true },
-  { "submit", command_kind::Submit, true },
-  { "show", command_kind::Show, false },
-  { "history", command_kind::History, false },
-  { "status", command_kind::Status, false },
-  { "lookup", command_kind::Lookup, false },
+constexpr std::array<command_rule, 7> kCommands = { {
+  { "check", command_kind::Check, command_words::File },
+  { "submit", command_kind::Submit, command_words::File },
+  { "show", command_kind::Show, command_words::None },
+  { "history", command_kind::History, command_words::None },
+  { "status", command_kind::Status, command_words::None },
+  { "lookup", command_kind::Lookup, command_words::None },
+  { "explain", command_kind::Explain, command_words::RequestAndFiles },
 } };
 
 bool
@@ -161,6 +174,7 @@
                ? ""
                : "--caller ADDR, --service S and --client IP";
     case command_kind::Check:
+    case command_kind::Explain:
     case command_kind::Help:
     case command_kind::Version:
       break;
@@ -168,6 +182,33 @@
   return "";
 }
 
+// Takes the words behind a command's name. Returns what was expected; empty
+// where they are taken.
+std::string_view
+TakeWords(ctl_options& aOptions,
+          command_words aExpected,
+          const std::vector<std::string>& aWords)
+{
+  switch (aExpected) {
+    case command_words::None:
+      return aWords.empty() ? "" : "no further word";
+    case command_words::File:
+      if (aWords.size() != 1) {
+        return "one FILE";
+      }
+      aOptions.mFile = aWords[0];
+      return "";
+    case command_words::RequestAndFiles:
+      if (aWords.empty()) {
+        return "the ID of a request";
+      }
+      aOptions.mRequest = aWords[0];
+      aOptions.mFiles.assign(aWords.begin() + 1, aWords.end());
+      return "";
+  }
+  return "";
+}
+
 options_result
 Fail(std::string aReason)
 {
@@ -185,15 +226,11 @@
       continue;
     }
     aOptions.mCommand = rule.mKind;
-    std::size_t expected = rule.mTakesFile ? 2 : 1;
-    if (aWords.size() != expected) {
-      return Fail(aWords[0] + ": expected " +
-                  (rule.mTakesFile ? "one FILE" : "no further word"));
-    }
-    if (rule.mTakesFile) {
-      aOptions.mFile = aWords[1];
+    std::vector<std::string> further(aWords.begin() + 1, aWords.end());
+    std::string_view missing = TakeWords(aOptions, rule.mWords, further);
+    if (missing.empty()) {
+      missing = MissingOption(aOptions);
     }
-    std::string_view missing = MissingOption(aOptions);
     if (!missing.empty()) {
       return Fail(aWords[0] + ": expected " + std::string(missing));
     }
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -22,6 +23,7 @@
   History,
   Status,
   Lookup,
+  Explain,
   Help,
   Version,
 };
@@ -38,6 +40,8 @@
 {
   command_kind mCommand = command_kind::Help;
   std::string mFile;
+  std::string mRequest;            // to explain
+  std::vector<std::string> mFiles; // logs; none: standard input
   std::optional<endpoint> mPlatform;
   std::optional<endpoint> mOperator;
   std::optional<endpoint> mCaller;
--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -106,6 +106,7 @@
       "host" },
     { "submit", "a", "--platform", "127.0.0.1:1", "--base", "1x" },
     { "submit", "a", "--platform", "127.0.0.1:1", "--submitter", "a b" },
+    { "explain" },
   };
   for (const std::vector<std::string>& row : kRows) {
     options_result result = Parse(row);
@@ -114,6 +115,16 @@
   }
 }
 
+TEST(CtlOptions, ExplainTakesARequestAndAnyNumberOfLogs)
+{
+  options_result result = Parse({ "explain", "9c41", "a.log", "b.log" });
+  CHECK(result.mOptions.has_value());
+  CHECK(command_kind::Explain == result.mOptions->mCommand);
+  STRCMP_EQUAL("9c41", result.mOptions->mRequest.c_str());
+  LONGS_EQUAL(2, result.mOptions->mFiles.size());
+  CHECK(Parse({ "explain", "9c41" }).mOptions->mFiles.empty());
+}
+
 TEST(CtlOptions, ReadsEveryOption)
 {
   options_result result = Parse({ "submit",
--- /dev/null
+++ b/laburnumdyke/testing/explain_test.cc
@@ -0,0 +1,200 @@
+// laburnumctl explain: lines of a log read back, and the story of a request.
+#include "ctl/explain.h"
+#include "laburnumdyke/kernel/event_log.h"
+
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Lines of a daemon's log on a day of a burst.
+constexpr std::string_view kConnacht =
+  "time=2026-03-27T17:53:04.002 level=INFO event=started "
+  "instance=connacht-b-1 version=0.1.0\n"
+  "time=2026-03-27T17:53:04.634 level=INFO event=configuration_in_force "
+  "instance=connacht-b-1 version=3 routes=21\n"
+  "time=2026-03-27T17:53:06.349 level=INFO event=upstream_changed "
+  "instance=connacht-b-1 upstream=i-d4d9 change=joined service=gozi3b "
+  "failure_domain=connacht-b draining=no cold_left_ms=0\n"
+  "time=2026-03-27T17:53:06.350 level=INFO event=upstream_changed "
+  "instance=connacht-b-1 upstream=i-ffff change=joined service=gozi3b "
+  "failure_domain=connacht-b draining=no cold_left_ms=0\n"
+  "time=2026-03-27T17:53:13.100 level=WARN event=platform_lost "
+  "instance=connacht-b-1 reading=upstreams\n"
+  "time=2026-03-27T17:53:13.751 level=INFO event=configuration_in_force "
+  "instance=connacht-b-1 version=5 routes=21 skipped=12\n"
+  "time=2026-03-27T17:53:14.138 level=INFO event=attempt "
+  "instance=connacht-b-1 request=ecf4 route=r-ry8fkba upstream=i-d4d9 "
+  "failure_domain=connacht-b object=39 load=3,9,3 end=not_run status=503 "
+  "expected_wait_ms=372 took_ms=614\n"
+  "time=2026-03-27T17:53:15.006 level=INFO event=attempt "
+  "instance=connacht-b-1 request=ecf4 route=r-ry8fkba upstream=i-e292 "
+  "failure_domain=leinster-a object=39 load=2,0,3 end=answered status=200 "
+  "expected_wait_ms=0 took_ms=867\n"
+  "time=2026-03-27T17:53:15.100 level=INFO event=attempt "
+  "instance=connacht-b-1 request=9999 route=r-ry8fkba upstream=i-e292 "
+  "failure_domain=leinster-a object=\"\" load=\"\" end=answered status=200 "
+  "expected_wait_ms=0 took_ms=867\n";
+
+constexpr std::string_view kLeinster =
+  "time=2026-03-27T17:53:12.038 level=INFO event=request_refused "
+  "instance=leinster-a-1 request=ecf4 route=r-mgyna5k status=503 "
+  "reason=queue_full sends=0 took_ms=0\n";
+
+told_story
+Tell(const std::string& aRequest, const std::vector<std::string_view>& aLogs)
+{
+  request_story story(aRequest);
+  for (std::string_view log : aLogs) {
+    std::istringstream stream{ std::string(log) };
+    story.Read(stream);
+  }
+  return story.Tell();
+}
+
+std::vector<std::string>
+Events(const std::vector<log_line>& aLines)
+{
+  std::vector<std::string> events;
+  for (const log_line& line : aLines) {
+    events.push_back(line.mEvent);
+  }
+  return events;
+}
+
+std::string
+Head()
+{
+  return "time=2026-03-27T17:53:04.002 level=INFO event=e instance=i";
+}
+
+} // namespace
+
+TEST_GROUP(LogLine){};
+
+TEST(LogLine, WhatACollectorPutsBeforeItIsPassedOver)
+{
+  std::optional<log_line> line = ParseLogLine("  -7.99 host-3 " + Head());
+  CHECK(line.has_value());
+  STRCMP_EQUAL("e", line->mEvent.c_str());
+  STRCMP_EQUAL("i", line->mInstance.c_str());
+  STRCMP_EQUAL("2026-03-27T17:53:04.002", LogTimeText(line->mTime).c_str());
+}
+
+TEST(LogLine, CutAndForeignLinesGiveNothing)
+{
+  const std::vector<std::string> kRows = {
+    "",
+    "Segmentation fault",
+    "time=now level=INFO event=e instance=i",
+    "time=2026-13-27T17:53:04.002 level=INFO event=e instance=i",
+    "time=2026-03-27T17:53:04.002 level=INFO event=e",
+    "time=2026-03-27T17:53:04.002 level=INFO instance=i event=e",
+    Head() + " key",
+    Head() + " key=\"cut",
+    Head() + " key=\"a\"b",
+    Head() + " key=\"\\x4\"",
+    Head() + " key=\"\\",
+    Head() + "  key=1",
+  };
+  for (const std::string& row : kRows) {
+    CHECK_FALSE(ParseLogLine(row).has_value());
+  }
+}
+
+// Oracle: the writer's own quoting.
+TEST(LogLine, EveryValueIsReadAsItWasWritten)
+{
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 5000; ++i) {
+    std::string value;
+    std::size_t size = random() % 12;
+    for (std::size_t j = 0; j < size; ++j) {
+      value += static_cast<char>(random() % 256);
+    }
+    std::string text = Head() + " a=1 key=" + QuoteLogValue(value) + " z=2";
+    std::optional<log_line> line = ParseLogLine(text);
+    CHECK(line.has_value());
+    CHECK(line->Value("key") == value);
+    STRCMP_EQUAL("2", std::string(line->Value("z")).c_str());
+    // However it is cut or changed, it is read or passed over.
+    ParseLogLine(std::string_view(text).substr(0, random() % text.size()));
+    text[random() % text.size()] = static_cast<char>(random() % 256);
+    ParseLogLine(text);
+  }
+}
+
+TEST_GROUP(Explain){};
+
+TEST(Explain, StepsComeInOrderWhateverTheOrderOfTheLogs)
+{
+  told_story story = Tell("ecf4", { kConnacht, kLeinster });
+  LONGS_EQUAL(3, story.mSteps.size());
+  STRCMP_EQUAL("leinster-a-1", story.mSteps[0].mLine.mInstance.c_str());
+  STRCMP_EQUAL("not_run",
+               std::string(story.mSteps[1].mLine.Value("end")).c_str());
+  STRCMP_EQUAL("answered",
+               std::string(story.mSteps[2].mLine.Value("end")).c_str());
+  LONGS_EQUAL(0, story.mForeign);
+}
+
+TEST(Explain, TheLastBeliefOfEachSubjectIsTold)
+{
+  told_story story = Tell("ecf4", { kConnacht });
+  const story_step& first = story.mSteps.at(0);
+  // Not the other upstream, and of the configurations the last.
+  CHECK((Events(first.mBeliefs) ==
+         std::vector<std::string>{ "started",
+                                   "upstream_changed",
+                                   "platform_lost",
+                                   "configuration_in_force" }));
+  STRCMP_EQUAL("i-d4d9",
+               std::string(first.mBeliefs[1].Value("upstream")).c_str());
+  STRCMP_EQUAL("5", std::string(first.mBeliefs[3].Value("version")).c_str());
+  CHECK(first.mLine.mTime - first.mBeliefs[3].mTime == 387ms);
+}
+
+TEST(Explain, BeliefsOfOtherInstancesDoNotCount)
+{
+  told_story story = Tell("ecf4", { kConnacht, kLeinster });
+  CHECK(story.mSteps[0].mBeliefs.empty());
+}
+
+TEST(Explain, WhatIsMissingOrUnreadableIsSaid)
+{
+  std::string log(kConnacht);
+  log += "time=2026-03-27T17:53:15.006 level=INFO event=att\n\nkilled\n";
+  told_story story = Tell("ecf4", { log });
+  LONGS_EQUAL(12, story.mLeftOut);
+  LONGS_EQUAL(2, story.mForeign);
+  story = Tell("ecf4", { kLeinster });
+  LONGS_EQUAL(0, story.mLeftOut);
+  // Of a request without a line any instance may have left it out.
+  story = Tell("0000", { kConnacht });
+  CHECK(story.mSteps.empty());
+  LONGS_EQUAL(12, story.mLeftOut);
+}
+
+TEST(Explain, ItIsPrintedForPeopleAndAsJson)
+{
+  told_story story = Tell("ecf4", { kConnacht });
+  ctl_options options;
+  std::ostringstream text;
+  ReportStory(text, options, story);
+  STRCMP_CONTAINS("  believed  connacht-b-1  configuration_in_force version=5 "
+                  "routes=21 skipped=12  (387 ms before)\n"
+                  "2026-03-27T17:53:14.138  connacht-b-1  attempt request=ecf4",
+                  text.str().c_str());
+  options.mJson = true;
+  std::ostringstream json;
+  ReportStory(json, options, story);
+  STRCMP_CONTAINS(R"("request":"ecf4","steps":[{"time":)", json.str().c_str());
+  STRCMP_CONTAINS(R"("lines_left_out":12)", json.str().c_str());
+}
