--- a/laburnumdyke/kernel/event_log.cc
+++ b/laburnumdyke/kernel/event_log.cc
@@ -92,18 +92,20 @@
 
 void
 event_log::Write(log_level aLevel,
+                 line_kind aKind,
                  std::string_view aEvent,
                  std::initializer_list<log_pair> aPairs)
 {
-  std::optional<std::uint64_t> skipped = mBudget.With([](line_budget& aBudget) {
-    std::optional<std::uint64_t> taken =
-      aBudget.Take(std::chrono::steady_clock::now());
-    if (taken && !CanWrite()) {
-      aBudget.Skip();
-      taken.reset();
-    }
-    return taken;
-  });
+  std::optional<std::uint64_t> skipped =
+    mBudget.With([&](line_budget& aBudget) {
+      std::optional<std::uint64_t> taken =
+        aBudget.Take(aKind, std::chrono::steady_clock::now());
+      if (taken && !CanWrite()) {
+        aBudget.Skip();
+        taken.reset();
+      }
+      return taken;
+    });
   if (!skipped) {
     return;
   }
@@ -118,16 +120,23 @@
   }
 }
 
+void
+event_log::Routine(std::string_view aEvent,
+                   std::initializer_list<log_pair> aPairs)
+{
+  Write(log_level::Info, line_kind::Routine, aEvent, aPairs);
+}
+
 void
 event_log::Info(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
 {
-  Write(log_level::Info, aEvent, aPairs);
+  Write(log_level::Info, line_kind::Notable, aEvent, aPairs);
 }
 
 void
 event_log::Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs)
 {
-  Write(log_level::Warn, aEvent, aPairs);
+  Write(log_level::Warn, line_kind::Notable, aEvent, aPairs);
 }
 
 void
--- a/laburnumdyke/kernel/event_log.h
+++ b/laburnumdyke/kernel/event_log.h
@@ -6,7 +6,7 @@
 // Values that hold a space, a quote, '=' or a control character are quoted
 // and escaped, so that an event is always one line. Lines over the budget, and
 // those that standard output can't take at once, are left out; the next line
-// says how many by "skipped".
+// says how many by "skipped". Routine lines are left out first.
 #pragma once
 
 #include "laburnumdyke/kernel/guarded.h"
@@ -27,6 +27,8 @@
   // aInstance is written with each event.
   explicit event_log(std::string aInstance);
 
+  // What went as usual, at the level of Info.
+  void Routine(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
   void Info(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
   void Warn(std::string_view aEvent, std::initializer_list<log_pair> aPairs);
 
@@ -38,6 +40,7 @@
   };
 
   void Write(log_level aLevel,
+             line_kind aKind,
              std::string_view aEvent,
              std::initializer_list<log_pair> aPairs);
   std::string Line(std::string_view aEvent,
--- a/laburnumdyke/kernel/line_budget.cc
+++ b/laburnumdyke/kernel/line_budget.cc
@@ -6,8 +6,14 @@
 
 namespace laburnumdyke {
 
+namespace {
+
+constexpr double kRoutinePart = 0.5; // of the burst
+
+} // namespace
+
 std::optional<std::uint64_t>
-line_budget::Take(instant aNow)
+line_budget::Take(line_kind aKind, instant aNow)
 {
   if (mStarted) {
     double elapsed = std::chrono::duration<double>(aNow - mLast).count();
@@ -15,7 +21,9 @@
   }
   mStarted = true;
   mLast = aNow;
-  if (mLeft < 1) {
+  bool isRoutine = aKind == line_kind::Routine;
+  double kept = isRoutine ? mOptions.mBurst * (1 - kRoutinePart) : 0;
+  if (mLeft < kept + 1) {
     ++mSkipped;
     return std::nullopt;
   }
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -357,19 +357,24 @@
                   const attempt_outcome& aOutcome,
                   duration aTook)
   {
-    mKernel.Log().Info(
-      "attempt",
-      { { "request", aRequest.mCaller.mId },
-        { "route", aRequest.mRoute->mName },
-        { "upstream", aTarget.mId.mValue },
-        { "failure_domain", aTarget.mDomain.mValue },
-        { "object", aRequest.mCaller.mObject },
-        { "load", LoadText(aOutcome.mLoad) },
-        { "end", std::string(ToString(aOutcome.mEnd)) },
-        { "status", std::to_string(aOutcome.mStatus) },
-        { "expected_wait_ms",
-          std::to_string(Whole(aTarget.mExpectedWait).count()) },
-        { "took_ms", std::to_string(Whole(aTook).count()) } });
+    const std::initializer_list<log_pair> pairs = {
+      { "request", aRequest.mCaller.mId },
+      { "route", aRequest.mRoute->mName },
+      { "upstream", aTarget.mId.mValue },
+      { "failure_domain", aTarget.mDomain.mValue },
+      { "object", aRequest.mCaller.mObject },
+      { "load", LoadText(aOutcome.mLoad) },
+      { "end", std::string(ToString(aOutcome.mEnd)) },
+      { "status", std::to_string(aOutcome.mStatus) },
+      { "expected_wait_ms",
+        std::to_string(Whole(aTarget.mExpectedWait).count()) },
+      { "took_ms", std::to_string(Whole(aTook).count()) }
+    };
+    if (aOutcome.mEnd == attempt_ending::Answered) {
+      mKernel.Log().Routine("attempt", pairs);
+    } else {
+      mKernel.Log().Info("attempt", pairs);
+    }
   }
 
   static constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -262,12 +262,39 @@
   line_budget::instant now{};
   int taken = 0;
   for (int i = 0; i < 100; ++i) {
-    taken += budget.Take(now) ? 1 : 0;
+    taken += budget.Take(line_kind::Notable, now) ? 1 : 0;
   }
   LONGS_EQUAL(20, taken);
   now += std::chrono::seconds(1);
-  CHECK(budget.Take(now) == std::optional<std::uint64_t>(80));
-  CHECK(budget.Take(now) == std::optional<std::uint64_t>(0));
+  CHECK(budget.Take(line_kind::Notable, now) ==
+        std::optional<std::uint64_t>(80));
+  CHECK(budget.Take(line_kind::Notable, now) ==
+        std::optional<std::uint64_t>(0));
   budget.Skip();
-  CHECK(budget.Take(now) == std::optional<std::uint64_t>(1));
+  CHECK(budget.Take(line_kind::Notable, now) ==
+        std::optional<std::uint64_t>(1));
+}
+
+// A flood of successes, 50 for each line that may be written, with failures of
+// up to the rate among them.
+TEST(LineBudget, AFloodOfRoutineLinesPushesOutNoOther)
+{
+  line_budget budget({ 10, 20 });
+  line_budget::instant now{};
+  int routine = 0;
+  int notable = 0;
+  constexpr int kSeconds = 20;
+  for (int i = 0; i < kSeconds * 10; ++i) {
+    now += std::chrono::milliseconds(100);
+    for (int j = 0; j < 50; ++j) {
+      routine += budget.Take(line_kind::Routine, now) ? 1 : 0;
+    }
+    if (i % 2 == 0) {
+      notable += budget.Take(line_kind::Notable, now) ? 1 : 0;
+    }
+  }
+  LONGS_EQUAL(kSeconds * 5, notable);
+  // The rest of the rate is theirs, and half of the burst.
+  CHECK(routine >= kSeconds * 5 - 1);
+  CHECK(routine + notable <= kSeconds * 10 + 20);
 }
