Bound the age of what a follower knows, not only its wait for news

Cause, found by a test with real daemons: a follower that had read for itself slept for the pace of readings and then waited for news for 0.75 of the drain bound. With its reader frozen in that sleep it knew of a draining upstream 2.9 s after its word: 28 requests reached it later than the 2 s of the settings.

Change: news are waited for until what is known is 0.75 of the bound old, and a reader without news is asked again after a moment in place of a pace.

Also taken away: fields and an argument that nobody read.

--- a/laburnumdyke/decision/route_table.h
+++ b/laburnumdyke/decision/route_table.h
@@ -45,7 +45,6 @@
 
 struct service_rules
 {
-  std::string mHealthPath;
   std::chrono::milliseconds mColdTime{ 0 };
   double mColdRate = 0; // requests a second while cold; 0: not limited
 };
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -360,7 +360,6 @@
                             instant aNow)
 {
   steering_choice choice;
-  choice.mCandidates = aCandidates.size();
   choice.mReason = aCandidates.empty() ? refusal_reason::NoUpstream
                                        : refusal_reason::QueueFull;
   duration soonest = kMostRetryAfter;
@@ -392,7 +391,6 @@
   }
   const upstream_entry& entry = picked->mUpstream->mEntry;
   steering_choice choice;
-  choice.mCandidates = candidates.size();
   choice.mTarget = steering_target{ entry.mId,
                                     entry.mAddress,
                                     entry.mDomain,
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -86,7 +86,6 @@
   std::optional<steering_target> mTarget;
   refusal_reason mReason = refusal_reason::None; // where there is no target
   std::chrono::milliseconds mRetryAfter{ 0 };
-  std::size_t mCandidates = 0; // upstreams that were weighed
 };
 
 // How an attempt ended, as far as it tells of the upstream.
--- a/laburnumdyke/decision/watch_state.cc
+++ b/laburnumdyke/decision/watch_state.cc
@@ -11,7 +11,7 @@
 }
 
 bool
-watch_state::Take(const reading_head& aHead, instant)
+watch_state::Take(const reading_head& aHead)
 {
   if (aHead.mStatus == reading_status::NoAnswer) {
     mFailures = mFailures < kLostAfter ? mFailures + 1 : mFailures;
--- a/laburnumdyke/decision/watch_state.h
+++ b/laburnumdyke/decision/watch_state.h
@@ -28,7 +28,7 @@
   std::optional<std::uint64_t> After() const;
 
   // Whether the reading is to be taken.
-  bool Take(const reading_head& aHead, instant aNow);
+  bool Take(const reading_head& aHead);
 
   // The same for a peer's copy, which tells nothing of the platform.
   bool TakeFromPeer(const reading_head& aHead);
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -145,7 +145,7 @@
         mUpstreams.IsFollower() ? kControlWait : kReaderControlWait;
       control_reading reading =
         co_await mSource.ReadControl(after, mControl.MayWait(longest));
-      bool answered = mControl.Take(reading.mHead, Now());
+      bool answered = mControl.Take(reading.mHead);
       LogTurn(mKernel, mControl, "control");
       if (answered) {
         TakeControl(reading);
@@ -168,7 +168,7 @@
       std::optional<std::uint64_t> after = mFleet.After();
       fleet_reading reading =
         co_await mSource.ReadFleet(after, std::chrono::milliseconds(0));
-      if (mFleet.Take(reading.mHead, Now())) {
+      if (mFleet.Take(reading.mHead)) {
         ++readings;
         TakeFleet(reading);
       }
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -25,6 +25,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -65,8 +66,12 @@
       if (followed && !mState.IsLost()) {
         continue;
       }
-      bool answered = co_await ReadPlatform();
-      co_await SleepFor(mJitter(answered ? Pace() : kRetryAfter));
+      // A reader that has no news yet is asked again as long as what is known
+      // is fresh.
+      bool isFresh = mReader && Now() < mKnownAt + Pace();
+      bool answered = isFresh || co_await ReadPlatform();
+      bool reads = answered && !mReader;
+      co_await SleepFor(mJitter(reads ? Pace() : kRetryAfter));
     }
   }
 
@@ -116,9 +121,11 @@
   // time in which a leaving one must get nothing more: with the jitter, the
   // reading itself and requests on their way it is known well within.
   static constexpr double kPacePart = 0.55;
-  // How long news are waited for, as a part of the same time: longer than a
-  // reader takes, and a reading of our own still comes in time.
+  // How old what is known may become while news are waited for, as a part of
+  // the same time: older than a reader lets it become, and a reading of our own
+  // still comes in time.
   static constexpr double kFollowPart = 0.75;
+  static constexpr std::chrono::milliseconds kLeastFollow{ 50 };
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
 
   static instant Now() { return std::chrono::steady_clock::now(); }
@@ -132,6 +139,15 @@
 
   std::chrono::milliseconds Pace() const { return PartOfDrain(kPacePart); }
 
+  // How long news may be waited for.
+  std::chrono::milliseconds MayFollow() const
+  {
+    duration left = mKnownAt + PartOfDrain(kFollowPart) - Now();
+    return std::max(
+      kLeastFollow,
+      std::chrono::duration_cast<std::chrono::milliseconds>(left));
+  }
+
   upstream_news Whole()
   {
     upstream_news whole;
@@ -158,7 +174,7 @@
     client_request request;
     request.mTo = mReader->mRelay;
     request.mTarget = NewsTarget(mState.Version());
-    request.mTimeout = PartOfDrain(kFollowPart);
+    request.mTimeout = MayFollow();
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
     std::optional<upstream_news> news;
     if (answer && answer->mStatus == 200) {
@@ -179,8 +195,9 @@
     if (!(aNews.mWhole || continues) || aNews.mVersion < known) {
       return false;
     }
+    mKnownAt = Now();
     if (mState.TakeFromPeer(reading.mHead)) {
-      Take(reading, Now());
+      Take(reading, mKnownAt);
     }
     return true;
   }
@@ -191,11 +208,12 @@
     upstream_reading reading =
       co_await mSource.ReadUpstreams(after, std::chrono::milliseconds(0));
     instant now = Now();
-    bool answered = mState.Take(reading.mHead, now);
+    bool answered = mState.Take(reading.mHead);
     LogTurn(mKernel, mState, "upstreams");
     NotePlatform(now);
     std::vector<upstream_change> changes;
     if (answered) {
+      mKnownAt = now;
       changes = Take(reading, now);
     }
     if (answered && after && mSettled) {
@@ -297,6 +315,7 @@
   jitter mJitter;
   watch_state mState;
   news_log mLog;
+  instant mKnownAt{}; // when the platform or a reader last told what is new
   bool mSettled = false;
   std::optional<fleet_member> mReader; // nothing: the platform itself
 };
--- /dev/null
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -0,0 +1,244 @@
+// The store and the upstreams share one thread of the test's process; daemons
+// reach them over loopback as they would reach others.
+#include "laburnumdyke/testing/harness/hosts_deployment.h"
+
+#include "laburnumdyke/testing/harness/deployment.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include <csignal>
+
+namespace laburnumdyke {
+
+namespace {
+
+constexpr std::chrono::seconds kStartLimit{ 20 };
+constexpr std::chrono::seconds kStopLimit{ 15 };
+
+constexpr std::string_view kConfig =
+  R"({"version":1,"base-version":0,"limits":{"max-header-bytes":16384,)"
+  R"("max-body-bytes":1048576,"header-timeout-ms":3000,)"
+  R"("idle-timeout-ms":15000},"listeners":[{"host":"a.example","rules":[)"
+  R"({"name":"r","kind":"idempotent","target-latency-ms":1000,"priority":0,)"
+  R"("session-affinity":false,"match":{"prefix":"/x/"},"action":{)"
+  R"("service":"s","timeout-ms":3000,"max-attempts":2,"home-regions":[]}}]}],)"
+  R"("clusters":[{"name":"s","health-path":"/healthz",)"
+  R"("max-connections":100,"protocol":"h1","tls":false,)"
+  R"("cold-start-s":0,"cold-per-s":0}]})";
+
+} // namespace
+
+class host_upstream : public std::enable_shared_from_this<host_upstream>
+{
+public:
+  // For ServeWhole.
+  static constexpr std::uint64_t kMaxBody = 4096;
+
+  explicit host_upstream(boost::asio::io_context& aContext)
+    : mAddress(FreeEndpoint())
+    , mAcceptor(aContext)
+  {
+  }
+
+  std::optional<std::string> Start()
+  {
+    std::optional<std::string> failure = Listen(mAcceptor, mAddress);
+    if (!failure) {
+      std::shared_ptr<host_upstream> self = shared_from_this();
+      boost::asio::co_spawn(
+        mAcceptor.get_executor(),
+        AcceptLoop(self,
+                   mAcceptor,
+                   [self](boost::asio::ip::tcp::socket aSocket) {
+                     return Accepted(self, std::move(aSocket));
+                   }),
+        boost::asio::detached);
+    }
+    return failure;
+  }
+
+  boost::asio::awaitable<std::optional<short_answer>> Perform(
+    whole_request aRequest)
+  {
+    {
+      std::scoped_lock lock(mMutex);
+      mRuns.push_back(std::chrono::steady_clock::now());
+    }
+    short_answer answer =
+      MakeAnswer(http::status::ok, "{}", aRequest.keep_alive());
+    answer.set("X-Request-Id", aRequest["X-Request-Id"]);
+    answer.set("X-Server-Stamp", "s");
+    co_return answer;
+  }
+
+  void Malformed() {}
+
+  std::vector<std::chrono::steady_clock::time_point> Runs()
+  {
+    std::scoped_lock lock(mMutex);
+    return mRuns;
+  }
+
+  const endpoint mAddress;
+
+private:
+  // aSelf keeps the upstream for as long as the connection.
+  static boost::asio::awaitable<void> Accepted(
+    std::shared_ptr<host_upstream> aSelf,
+    boost::asio::ip::tcp::socket aSocket)
+  {
+    co_await ServeWhole(*aSelf, aSelf->mConnections, std::move(aSocket));
+  }
+
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  connection_set mConnections;
+  std::mutex mMutex;
+  std::vector<std::chrono::steady_clock::time_point> mRuns;
+};
+
+namespace {
+
+void
+StopTest(const std::string& aWhat, const std::string& aReason)
+{
+  std::fprintf(stderr, "%s: %s\n", aWhat.c_str(), aReason.c_str());
+  std::exit(2);
+}
+
+} // namespace
+
+hosts_deployment::hosts_deployment()
+  : mContext(1)
+  , mGuard(mContext.get_executor())
+  , mStoreAddress(FreeEndpoint())
+  , mStore(std::make_shared<store_standin>(mContext, mStoreAddress))
+{
+  std::string pattern = "/tmp/laburnumdyke-hosts-XXXXXX";
+  if (::mkdtemp(pattern.data()) == nullptr) {
+    StopTest(pattern, "can't be made");
+  }
+  mFolder = pattern;
+  std::optional<std::string> failure = mStore->Start();
+  if (failure) {
+    StopTest("store", *failure);
+  }
+  mStore->With([](store_model& aRows) {
+    aRows.Put("op", "config", std::string(kConfig));
+  });
+  mThread = std::thread([this]() { mContext.run(); });
+}
+
+hosts_deployment::~hosts_deployment()
+{
+  mDaemons.clear();
+  mGuard.reset();
+  mContext.stop();
+  mThread.join();
+  std::error_code ignored;
+  std::filesystem::remove_all(mFolder, ignored);
+}
+
+void
+hosts_deployment::AddUpstream(const std::string& aId)
+{
+  std::shared_ptr<host_upstream> added =
+    std::make_shared<host_upstream>(mContext);
+  std::optional<std::string> failure = added->Start();
+  if (failure) {
+    StopTest(aId, *failure);
+  }
+  mUpstreams[aId] = added;
+  Register(aId, false);
+}
+
+void
+hosts_deployment::Register(const std::string& aId, bool aDraining)
+{
+  std::string row =
+    R"({"address":")" + mUpstreams.at(aId)->mAddress.Text() +
+    R"(","born":1700000000123,"info":{"service":"s","version":"v1",)"
+    R"("zone":"east-a","slots":8},"status":{"state":")" +
+    (aDraining ? "draining" : "ready") + R"(","sequence":)" +
+    std::to_string(++mSequences[aId]) + R"(,"cold-left-ms":0}})";
+  mStore->With([&](store_model& aRows) { aRows.Put("servers", aId, row); });
+}
+
+std::vector<std::chrono::steady_clock::time_point>
+hosts_deployment::Runs(const std::string& aId) const
+{
+  return mUpstreams.at(aId)->Runs();
+}
+
+std::string
+hosts_deployment::Settings(const std::string& aName,
+                           const hosts_daemon& aDaemon) const
+{
+  return "[instance]\nname = " + aName +
+         "\nregion = east\nfailure_domain = east-a\nworkers = 1\n"
+         "front = hosts\n[listen]\ncaller = " +
+         aDaemon.mCaller.Text() + "\nready = " + aDaemon.mReady.Text() +
+         "\ndirectory = " + FreeEndpoint().Text() +
+         "\nrelay = " + FreeEndpoint().Text() +
+         "\npeer = " + FreeEndpoint().Text() +
+         "\noperator = " + FreeEndpoint().Text() +
+         "\n[platform]\naddress = " + mStoreAddress.Text() +
+         "\n[domains]\neast-a = east\n";
+}
+
+bool
+hosts_deployment::StartDaemon(const std::string& aName)
+{
+  hosts_daemon& started = mDaemons[aName];
+  started.mCaller = FreeEndpoint();
+  started.mReady = FreeEndpoint();
+  started.mLog = mFolder + "/" + aName + ".log";
+  std::string file = mFolder + "/" + aName + ".ini";
+  std::ofstream(file) << Settings(aName, started);
+  started.mProcess =
+    std::make_unique<process>(ProgramFolder() + "/laburnumdyked",
+                              std::vector<std::string>{ "--config", file },
+                              started.mLog);
+  call_request ready;
+  ready.mTo = started.mReady;
+  ready.mTarget = "/laburnumdyke/readyz";
+  return WaitUntil([&]() { return CallNow(ready).mStatus == 200; },
+                   kStartLimit);
+}
+
+std::string
+hosts_deployment::ReadLog(const std::string& aName) const
+{
+  std::ifstream file(mDaemons.at(aName).mLog, std::ios::binary);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+call_result
+hosts_deployment::Send(const std::string& aName, const std::string& aRequest)
+{
+  call_request request;
+  request.mTo = mDaemons.at(aName).mCaller;
+  request.mTarget = "/x/1";
+  request.mHeaders = { { "Host", "a.example" },
+                       { "X-Request-Id", aRequest },
+                       { "X-Deadline-Ms", "3000" } };
+  return CallNow(request);
+}
+
+bool
+hosts_deployment::StopDaemons()
+{
+  bool clean = true;
+  for (std::pair<const std::string, hosts_daemon>& one : mDaemons) {
+    one.second.mProcess->Signal(SIGTERM);
+  }
+  for (std::pair<const std::string, hosts_daemon>& one : mDaemons) {
+    clean = one.second.mProcess->Wait(kStopLimit) == 0 && clean;
+  }
+  return clean;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -0,0 +1,89 @@
+// Daemons that steer by host and path, as real processes, with the users'
+// store and upstreams in the test's own process.
+//
+// Usage:
+//   hosts_deployment deployed;
+//   deployed.AddUpstream("i-1");
+//   CHECK(deployed.StartDaemon("one"));     // returns once it is ready
+//   call_result answer = deployed.Send("one", "request-1");
+//
+// There are one failure domain, one route and one service; requests of the
+// route may be repeated.
+#pragma once
+
+#include "laburnumdyke/testing/harness/http_call.h"
+#include "laburnumdyke/testing/harness/process.h"
+#include "laburnumdyke/testing/standin/store_standin.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace laburnumdyke {
+
+// Answers every request, and notes when each began.
+class host_upstream;
+
+struct hosts_daemon
+{
+  endpoint mCaller;
+  endpoint mReady;
+  std::unique_ptr<process> mProcess;
+  std::string mLog; // its file
+};
+
+class hosts_deployment
+{
+public:
+  hosts_deployment();
+  ~hosts_deployment();
+  hosts_deployment(const hosts_deployment&) = delete;
+  hosts_deployment& operator=(const hosts_deployment&) = delete;
+
+  store_standin& Store() { return *mStore; }
+
+  // Starts an upstream and registers it.
+  void AddUpstream(const std::string& aId);
+
+  // Its row, as it writes it itself.
+  void Register(const std::string& aId, bool aDraining);
+
+  std::vector<std::chrono::steady_clock::time_point> Runs(
+    const std::string& aId) const;
+
+  // False where it is not ready in time.
+  bool StartDaemon(const std::string& aName);
+
+  const hosts_daemon& Daemon(const std::string& aName) const
+  {
+    return mDaemons.at(aName);
+  }
+  std::string ReadLog(const std::string& aName) const;
+
+  call_result Send(const std::string& aName, const std::string& aRequest);
+
+  // Whether every daemon ends with status 0 after SIGTERM.
+  bool StopDaemons();
+
+private:
+  std::string Settings(const std::string& aName,
+                       const hosts_daemon& aDaemon) const;
+
+  std::string mFolder;
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    mGuard;
+  endpoint mStoreAddress;
+  std::shared_ptr<store_standin> mStore;
+  std::map<std::string, std::shared_ptr<host_upstream>> mUpstreams;
+  std::map<std::string, std::uint64_t> mSequences;
+  std::map<std::string, hosts_daemon> mDaemons;
+  std::thread mThread;
+};
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/standin/store_standin.h
@@ -0,0 +1,77 @@
+// A stand-in for the users' store: rows over HTTP/1.1, with an outage that
+// tests switch.
+//
+// Usage:
+//   store_standin store(context, { "127.0.0.1", 0 });
+//   std::optional<std::string> failure = store.Start();
+//   store.With([](store_model& aRows) { aRows.Put("op", "config", bytes); });
+//   store.SetOutage(true);
+//
+// It serves what the product calls: rows-get (as one page), rows-feed with its
+// wait, and rows-tx without conditions. In an outage connections are closed
+// unanswered. The context must outlive it; With and SetOutage may be called
+// from any thread.
+#pragma once
+
+#include "laburnumdyke/kernel/endpoint.h"
+#include "laburnumdyke/testing/standin/store_model.h"
+#include "laburnumdyke/testing/standin/whole_session.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace laburnumdyke {
+
+class store_standin : public std::enable_shared_from_this<store_standin>
+{
+public:
+  // For ServeWhole.
+  static constexpr std::uint64_t kMaxBody = 1ULL << 20U;
+
+  store_standin(boost::asio::io_context& aContext, endpoint aListen)
+    : mListen(std::move(aListen))
+    , mAcceptor(aContext)
+  {
+  }
+
+  std::optional<std::string> Start();
+
+  template<class Function>
+  auto With(Function aFunction)
+  {
+    std::scoped_lock lock(mMutex);
+    return aFunction(mRows);
+  }
+
+  void SetOutage(bool aOutage) { mOutage = aOutage; }
+
+  // For ServeWhole.
+  boost::asio::awaitable<std::optional<short_answer>> Perform(
+    whole_request aRequest);
+  void Malformed() {}
+
+private:
+  static boost::asio::awaitable<void> Accepted(
+    std::shared_ptr<store_standin> aSelf,
+    boost::asio::ip::tcp::socket aSocket);
+
+  // Waits until the table has changed or the wait is over.
+  boost::asio::awaitable<void> AwaitChange(const request_target& aTarget);
+  std::string Rows(const request_target& aTarget);
+  std::string Feed(const request_target& aTarget);
+  bool Transact(const std::string& aBody);
+
+  endpoint mListen;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  connection_set mConnections;
+  std::mutex mMutex;
+  store_model mRows;
+  std::atomic<bool> mOutage{ false };
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -467,26 +467,26 @@
 
 TEST(WatchState, AStaleReadingAfterLostHistoryIsNotTaken)
 {
-  CHECK(mState.Take(Whole(50), kStart));
+  CHECK(mState.Take(Whole(50)));
   CHECK(mState.After() == std::optional<std::uint64_t>(50));
-  CHECK_FALSE(mState.Take({ reading_status::HistoryLost, false, 0 }, kStart));
+  CHECK_FALSE(mState.Take({ reading_status::HistoryLost, false, 0 }));
   CHECK(mState.After() == std::nullopt);
-  CHECK_FALSE(mState.Take(Whole(40), kStart));
+  CHECK_FALSE(mState.Take(Whole(40)));
   CHECK(mState.After() == std::nullopt);
-  CHECK(mState.Take(Whole(60), kStart));
+  CHECK(mState.Take(Whole(60)));
   CHECK(mState.After() == std::optional<std::uint64_t>(60));
 }
 
 TEST(WatchState, TwoFailuresInARowAreAnOutageAndAreSaidOnce)
 {
   reading_head none;
-  CHECK_FALSE(mState.Take(none, kStart));
+  CHECK_FALSE(mState.Take(none));
   CHECK_FALSE(mState.IsLost());
-  CHECK_FALSE(mState.Take(none, kStart));
+  CHECK_FALSE(mState.Take(none));
   CHECK(mState.IsLost());
   CHECK(mState.TakeTurn() == std::optional<bool>(true));
   CHECK(mState.TakeTurn() == std::nullopt);
-  CHECK(mState.Take(Whole(1), kStart));
+  CHECK(mState.Take(Whole(1)));
   CHECK(mState.TakeTurn() == std::optional<bool>(false));
 }
 
@@ -496,15 +496,15 @@
 TEST(WatchState, AfterAFailureAReadingDoesNotWait)
 {
   CHECK(mState.MayWait(3s) == 3s);
-  CHECK_FALSE(mState.Take({}, kStart));
+  CHECK_FALSE(mState.Take({}));
   CHECK(mState.MayWait(3s) == 0s);
-  CHECK(mState.Take(Whole(1), kStart));
+  CHECK(mState.Take(Whole(1)));
   CHECK(mState.MayWait(3s) == 3s);
 }
 
 TEST(WatchState, APeersCopyIsTakenOnlyWhereItIsLater)
 {
-  CHECK(mState.Take(Whole(50), kStart));
+  CHECK(mState.Take(Whole(50)));
   CHECK_FALSE(mState.TakeFromPeer(Whole(50)));
   CHECK_FALSE(mState.TakeFromPeer({}));
   CHECK(mState.TakeFromPeer(Whole(51)));
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -66,7 +66,7 @@
 {
   routing_document document;
   document.mVersion = 1;
-  document.mServices[{ "sheets" }] = { "/health", 3000ms, 3.6 };
+  document.mServices[{ "sheets" }] = { 3000ms, 3.6 };
   return std::make_shared<const route_table>(std::move(document));
 }
 
