Count the age of news from the reader's reading, and look for a lost platform while news go on

Change: a lost platform is looked for in any case; news say how old they are; when to follow and when to read is a decision of its own, follow_pace, with a replay of frozen and refusing readers in virtual time.

AFollowerThatHadLostThePlatformFindsItBack fails without the first change.

--- a/laburnumdyke/decision/upstream_news.h
+++ b/laburnumdyke/decision/upstream_news.h
@@ -11,6 +11,7 @@
 
 #include "laburnumdyke/decision/upstream_directory.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -26,6 +27,8 @@
   std::vector<upstream_entry> mEntries;
   std::vector<upstream_id> mGone;
   bool mWhole = false; // what is not named is gone
+  // Since the platform said so, when the news are told.
+  std::chrono::milliseconds mAge{ 0 };
 };
 
 class news_log
--- a/laburnumdyke/plugin/news_codec.cc
+++ b/laburnumdyke/plugin/news_codec.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kNewsPrefix = "/v1/news?after=";
+constexpr std::uint64_t kMostAge = 3600000; // ms; no reader is silent so long
 
 std::optional<upstream_entry>
 ToEntry(const proto::upstream_entry& aMessage)
@@ -63,6 +64,7 @@
   message.set_after(aNews.mAfter);
   message.set_version(aNews.mVersion);
   message.set_whole(aNews.mWhole);
+  message.set_age_ms(static_cast<std::uint64_t>(aNews.mAge.count()));
   for (const upstream_entry& entry : aNews.mEntries) {
     proto::upstream_entry* one = message.add_entries();
     one->set_upstream(entry.mId.mValue);
@@ -86,13 +88,14 @@
 {
   proto::upstream_news message;
   if (!message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size())) ||
-      message.version() < message.after()) {
+      message.version() < message.after() || message.age_ms() > kMostAge) {
     return std::nullopt;
   }
   upstream_news news;
   news.mAfter = message.after();
   news.mVersion = message.version();
   news.mWhole = message.whole();
+  news.mAge = std::chrono::milliseconds(message.age_ms());
   for (const proto::upstream_entry& one : message.entries()) {
     std::optional<upstream_entry> entry = ToEntry(one);
     if (!entry) {
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -3,8 +3,9 @@
 // domain.
 //
 // The source reads; watch_state, the directory and the news' log decide what a
-// reading means. An instance that gets no news in time reads the platform
-// itself, so that a lost reader delays nothing beyond the bound.
+// reading means, follow_pace when to read: upstreams write all the time, so
+// that a reading that waited for changes would return at once. An instance
+// that gets no news in time reads the platform itself.
 //
 // Usage, all on one strand:
 //   upstream_watch<my_source> upstreams(kernel, source, strand);
@@ -12,6 +13,7 @@
 //   std::optional<upstream_news> news = co_await upstreams.NewsSince(version);
 #pragma once
 
+#include "laburnumdyke/decision/follow_pace.h"
 #include "laburnumdyke/decision/platform_news.h"
 #include "laburnumdyke/decision/upstream_news.h"
 #include "laburnumdyke/decision/watch_state.h"
@@ -25,7 +27,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -56,6 +57,7 @@
     , mSource(aSource)
     , mWake(aStrand, instant::max())
     , mJitter(aKernel.Settings().mIncarnation)
+    , mPace(aKernel.Settings().mBounds.mDrainTimeout)
   {
   }
 
@@ -67,11 +69,11 @@
         continue;
       }
       // A reader that has no news yet is asked again as long as what is known
-      // is fresh.
-      bool isFresh = mReader && Now() < mKnownAt + Pace();
+      // is fresh. A platform that was lost is looked for in any case.
+      bool isFresh = mReader && !mState.IsLost() && mPace.MayAskAgain(Now());
       bool answered = isFresh || co_await ReadPlatform();
       bool reads = answered && !mReader;
-      co_await SleepFor(mJitter(reads ? Pace() : kRetryAfter));
+      co_await SleepFor(mJitter(reads ? mPace.ReadEvery() : kRetryAfter));
     }
   }
 
@@ -85,10 +87,13 @@
       co_await mWake.async_wait(
         asio::redirect_error(asio::use_awaitable, woken));
     }
-    if (mLog.Version() && !mLog.ReachesBackTo(aVersion)) {
-      co_return Whole();
+    bool isBehind = mLog.Version() && !mLog.ReachesBackTo(aVersion);
+    std::optional<upstream_news> news =
+      isBehind ? std::optional<upstream_news>(Whole()) : mLog.Since(aVersion);
+    if (news) {
+      news->mAge = mPace.Age(Now());
     }
-    co_return mLog.Since(aVersion);
+    co_return news;
   }
 
   // Whether a peer reads upstreams for this instance.
@@ -117,37 +122,10 @@
   }
 
 private:
-  // Upstreams write all the time, so they are read at a pace. As a part of the
-  // time in which a leaving one must get nothing more: with the jitter, the
-  // reading itself and requests on their way it is known well within.
-  static constexpr double kPacePart = 0.55;
-  // How old what is known may become while news are waited for, as a part of
-  // the same time: older than a reader lets it become, and a reading of our own
-  // still comes in time.
-  static constexpr double kFollowPart = 0.75;
-  static constexpr std::chrono::milliseconds kLeastFollow{ 50 };
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
-  std::chrono::milliseconds PartOfDrain(double aPart) const
-  {
-    std::chrono::duration<double, std::milli> part =
-      mKernel.Settings().mBounds.mDrainTimeout * aPart;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(part);
-  }
-
-  std::chrono::milliseconds Pace() const { return PartOfDrain(kPacePart); }
-
-  // How long news may be waited for.
-  std::chrono::milliseconds MayFollow() const
-  {
-    duration left = mKnownAt + PartOfDrain(kFollowPart) - Now();
-    return std::max(
-      kLeastFollow,
-      std::chrono::duration_cast<std::chrono::milliseconds>(left));
-  }
-
   upstream_news Whole()
   {
     upstream_news whole;
@@ -174,7 +152,7 @@
     client_request request;
     request.mTo = mReader->mRelay;
     request.mTarget = NewsTarget(mState.Version());
-    request.mTimeout = MayFollow();
+    request.mTimeout = mPace.MayFollow(Now());
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
     std::optional<upstream_news> news;
     if (answer && answer->mStatus == 200) {
@@ -195,15 +173,17 @@
     if (!(aNews.mWhole || continues) || aNews.mVersion < known) {
       return false;
     }
-    mKnownAt = Now();
+    instant now = Now();
+    mPace.Known(now - aNews.mAge);
     if (mState.TakeFromPeer(reading.mHead)) {
-      Take(reading, mKnownAt);
+      Take(reading, now);
     }
     return true;
   }
 
   asio::awaitable<bool> ReadPlatform()
   {
+    instant asked = Now();
     std::optional<std::uint64_t> after = mState.After();
     upstream_reading reading =
       co_await mSource.ReadUpstreams(after, std::chrono::milliseconds(0));
@@ -213,7 +193,7 @@
     NotePlatform(now);
     std::vector<upstream_change> changes;
     if (answered) {
-      mKnownAt = now;
+      mPace.Known(asked);
       changes = Take(reading, now);
     }
     if (answered && after && mSettled) {
@@ -313,9 +293,9 @@
   Source& mSource;
   asio::steady_timer mWake; // never expires; cancelled where there is news
   jitter mJitter;
+  follow_pace mPace;
   watch_state mState;
   news_log mLog;
-  instant mKnownAt{}; // when the platform or a reader last told what is new
   bool mSettled = false;
   std::optional<fleet_member> mReader; // nothing: the platform itself
 };
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -405,6 +405,33 @@
   CHECK(WaitTogether([&]() { return Known() == 3; }));
 }
 
+// News go on while an instance has lost the platform; it must look for it all
+// the same, since it counts missing upstreams as gone only once it is back.
+TEST(PlatformWatch, AFollowerThatHadLostThePlatformFindsItBack)
+{
+  auto isSettled = [](kernel& aKernel) {
+    return steering_tables(aKernel).Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.Beat().mSettled; });
+  };
+  auto turnAway = [&](std::set<std::string> aInstances) {
+    mPlatform.With([&](scripted_platform& aPlatform) {
+      aPlatform.mTurnedAway = std::move(aInstances);
+    });
+  };
+  Join("a");
+  StartPeer();
+  CHECK(WaitTogether([&]() { return IsFollowed(); }));
+  turnAway({ "one", "two" });
+  CHECK(
+    WaitTogether([&]() { return !isSettled(*mKernel) && !isSettled(*mPeer); }));
+  turnAway({ "two" });
+  CHECK(WaitTogether([&]() { return isSettled(*mKernel) && IsFollowed(); }));
+  Join("b"); // known by news alone
+  CHECK(WaitTogether([&]() { return KnownTo(*mPeer) == 2; }));
+  turnAway({});
+  CHECK(WaitTogether([&]() { return isSettled(*mPeer); }));
+}
+
 // The follower has learned of "b" by news alone, and is asked for the whole by
 // an instance that the platform turns away from its start on.
 TEST(PlatformWatch, WhatAFollowerPassesOnIsWhole)
@@ -439,11 +466,13 @@
                             11,
                             1234567ms });
   news.mGone = { { "b" }, { "c" } };
+  news.mAge = 1100ms;
   std::string bytes = EncodeNews(news);
   std::optional<upstream_news> read = DecodeNews(bytes);
   CHECK(read.has_value());
   CHECK(read->mEntries == news.mEntries);
   CHECK(read->mGone == news.mGone);
+  CHECK(read->mAge == news.mAge);
   LONGS_EQUAL(7, read->mAfter);
   LONGS_EQUAL(9, read->mVersion);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
--- a/laburnumdyke/testing/upstream_news_test.cc
+++ b/laburnumdyke/testing/upstream_news_test.cc
@@ -1,8 +1,10 @@
 // Who reads the upstreams for a failure domain, and what it tells the others.
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/follow_pace.h"
 #include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/decision/upstream_news.h"
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <string>
@@ -200,6 +202,74 @@
   }
 }
 
+TEST_GROUP(FollowPace)
+{
+  static constexpr std::chrono::milliseconds kBound{ 2000 };
+  static constexpr std::chrono::milliseconds kRetry{ 300 };
+  std::mt19937_64 mRandom{ 1 };
+
+  std::chrono::milliseconds Jittered(std::chrono::milliseconds aTime)
+  {
+    std::uniform_int_distribution<std::int64_t> part(aTime.count() * 3 / 4,
+                                                     aTime.count() * 5 / 4);
+    return std::chrono::milliseconds(part(mRandom));
+  }
+
+  // The times of a reader's readings, up to the moment at which it freezes.
+  std::vector<instant> Readings(instant aFrozen)
+  {
+    std::vector<instant> readings;
+    instant at = kStart - 5s;
+    while (at < aFrozen) {
+      readings.push_back(at);
+      at += Jittered(follow_pace(kBound).ReadEvery());
+    }
+    return readings;
+  }
+};
+
+// A follower in virtual time: it begins with a reading of its own at a random
+// moment, its reader tells what it read last, or refuses, and freezes at
+// another moment. At no time is what the follower knows older than leaves a
+// tenth of the bound for requests on their way.
+TEST(FollowPace, WhatAFollowerKnowsIsNeverTooOld)
+{
+  for (int run = 0; run < 2000; ++run) {
+    instant frozen = kStart + std::chrono::milliseconds(mRandom() % 6000);
+    std::vector<instant> readings = Readings(frozen);
+    bool refuses = mRandom() % 4 == 0; // the reader has no news at all
+    follow_pace pace(kBound);
+    instant now = kStart + std::chrono::milliseconds(mRandom() % 2000);
+    pace.Known(now);
+    instant told = now; // as of when the follower knows everything
+    while (now < frozen + 5s) {
+      // The first reading that the follower does not know of, if any comes.
+      auto next = std::upper_bound(readings.begin(), readings.end(), told);
+      bool waits = next != readings.end() && *next > now;
+      instant until = now + pace.MayFollow(now);
+      bool isTold = !refuses && next != readings.end() &&
+                    (waits ? *next < until : now < frozen);
+      instant asked = now;
+      if (isTold) {
+        now = std::max(now, *next);
+        auto last = std::upper_bound(readings.begin(), readings.end(), now);
+        told = *(last - 1);
+        pace.Known(told);
+      } else {
+        now = refuses ? now + 1ms : until;
+        bool again = pace.MayAskAgain(now);
+        if (!again) {
+          pace.Known(now);
+          told = now;
+        }
+        now += Jittered(kRetry);
+      }
+      CHECK(now > asked || isTold);
+      CHECK(now - told <= kBound * 9 / 10);
+    }
+  }
+}
+
 TEST_GROUP(FleetReader)
 {
   fleet_view mFleet{ { Member("self", 5) } };
