--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -71,9 +71,12 @@
       // A reader that has no news yet is asked again as long as what is known
       // is fresh. A platform that was lost is looked for in any case.
       bool isFresh = mReader && !mState.IsLost() && mPace.MayAskAgain(Now());
-      bool answered = isFresh || co_await ReadPlatform();
-      bool reads = answered && !mReader;
-      co_await SleepFor(mJitter(reads ? mPace.ReadEvery() : kRetryAfter));
+      std::chrono::milliseconds pause = kRetryAfter;
+      if (!isFresh) {
+        bool answered = co_await ReadPlatform();
+        pause = answered && !mReader ? mPace.ReadEvery() : kRetryAfter;
+      }
+      co_await SleepFor(mJitter(pause));
     }
   }
 
