--- a/laburnumdyke/testing/process_hosts_test.cc
+++ b/laburnumdyke/testing/process_hosts_test.cc
@@ -1,8 +1,8 @@
 // Real daemons that steer by host and path, with a stand-in for the users'
 // store: what followers of a reader do when it freezes, what an outage of the
 // store leaves, and what the logs say afterwards.
-#include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/hosts_deployment.h"
+#include "laburnumdyke/testing/harness/scenario.h"
 
 #include <csignal>
 #include <fstream>
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kEventLimit{ 20 };
 // After an upstream's word that it leaves it must get nothing more.
 constexpr std::chrono::milliseconds kDrainTimeout{ 2000 };
 
