--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -24,6 +24,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -265,12 +266,12 @@
         aFleet.SetServing(true);
       }
     });
-    LogControl(taken, evacuationChanged, evacuated.size());
+    LogControl(taken, evacuationChanged, evacuated);
   }
 
   void LogControl(const std::shared_ptr<const route_table>& aTaken,
                   bool aEvacuationChanged,
-                  std::size_t aEvacuated)
+                  const std::set<domain_id>& aEvacuated)
   {
     if (aTaken) {
       mKernel.Log().Info("configuration_in_force",
@@ -278,8 +279,11 @@
                            { "routes", std::to_string(aTaken->Size()) } });
     }
     if (aEvacuationChanged) {
-      mKernel.Log().Info("evacuation_changed",
-                         { { "domains", std::to_string(aEvacuated) } });
+      std::string names;
+      for (const domain_id& domain : aEvacuated) {
+        names += (names.empty() ? "" : ",") + domain.mValue;
+      }
+      mKernel.Log().Info("evacuation_changed", { { "domains", names } });
     }
   }
 
