Copy an empty line without memcpy: its pointer may be null

Found by the undefined sanitizer as soon as its findings end the test (document_test, document_version_test; 3 of 113 failed on a fresh clone): an empty string_view's pointer given to memcpy. Printed and passed over until now. string_view::copy does nothing for an empty one; the same in prefix.cc. Under address+undefined 113 of 113 pass after.

--- a/laburnumdyke/decision/prefix.cc
+++ b/laburnumdyke/decision/prefix.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 
 namespace laburnumdyke {
 
@@ -57,7 +56,7 @@
       aText.find('\0') != std::string_view::npos) {
     return std::nullopt;
   }
-  std::memcpy(text, aText.data(), aText.size());
+  aText.copy(text, aText.size());
   text[aText.size()] = '\0';
   address_bytes address = kMapped;
   bool isV6 = aText.find(':') != std::string_view::npos;
--- a/laburnumdyke/kernel/ini.cc
+++ b/laburnumdyke/kernel/ini.cc
@@ -4,9 +4,6 @@
 
 #include <ini.h>
 
-#include <algorithm>
-#include <cstring>
-
 namespace laburnumdyke {
 
 namespace {
@@ -74,9 +71,7 @@
     AddFault(reading, "a section of at most 49 bytes");
     line = {};
   }
-  std::size_t length =
-    std::min(line.size(), static_cast<std::size_t>(aSize) - 2);
-  std::memcpy(aBuffer, line.data(), length);
+  std::size_t length = line.copy(aBuffer, static_cast<std::size_t>(aSize) - 2);
   aBuffer[length] = '\n';
   aBuffer[length + 1] = '\0';
   return aBuffer;
