Read numbers and write members in one place

The news' and the log's readers each parsed whole numbers again, as did identities, form fields, prefixes and endpoints: all call ReadNumber now. Both heartbeat codecs wrote the same seven fields of a member: both call WriteMember. Nothing is read or written otherwise than before.

--- a/ctl/log_line.cc
+++ b/ctl/log_line.cc
@@ -3,8 +3,8 @@
 #include "ctl/log_line.h"
 
 #include "laburnumdyke/kernel/event_log.h"
+#include "laburnumdyke/kernel/number.h"
 
-#include <charconv>
 #include <cstdio>
 
 namespace laburnumdyke {
@@ -14,27 +14,13 @@
 constexpr std::string_view kTimeKey = "time=";
 constexpr std::size_t kTimeLength = 23; // 2026-03-27T17:53:12.611
 
-// A number of as many digits as the text is long.
-std::optional<int>
-Digits(std::string_view aText)
-{
-  int value = 0;
-  const char* end = aText.data() + aText.size();
-  std::from_chars_result read = std::from_chars(aText.data(), end, value);
-  bool whole = read.ec == std::errc() && read.ptr == end && value >= 0;
-  return whole ? std::optional<int>(value) : std::nullopt;
-}
-
 // The value of \xNN; nothing where aText does not begin with two hex digits.
 std::optional<char>
 HexByte(std::string_view aText)
 {
-  unsigned value = 0;
-  std::string_view digits = aText.substr(0, 2);
-  const char* end = digits.data() + digits.size();
-  std::from_chars_result read = std::from_chars(digits.data(), end, value, 16);
-  bool whole = digits.size() == 2 && read.ec == std::errc() && read.ptr == end;
-  return whole ? std::optional<char>(static_cast<char>(value)) : std::nullopt;
+  std::optional<unsigned> value = ReadNumber<unsigned>(aText.substr(0, 2), 16);
+  bool whole = aText.size() >= 2 && value;
+  return whole ? std::optional<char>(static_cast<char>(*value)) : std::nullopt;
 }
 
 // Takes a quoted value off the front of aText, which begins behind its first
@@ -131,21 +117,19 @@
   if (aText.size() != kTimeLength) {
     return std::nullopt;
   }
-  std::optional<int> year = Digits(aText.substr(0, 4));
-  std::optional<int> month = Digits(aText.substr(5, 2));
-  std::optional<int> day = Digits(aText.substr(8, 2));
-  std::optional<int> hour = Digits(aText.substr(11, 2));
-  std::optional<int> minute = Digits(aText.substr(14, 2));
-  std::optional<int> second = Digits(aText.substr(17, 2));
-  std::optional<int> milli = Digits(aText.substr(20, 3));
+  std::optional<unsigned> year = ReadNumber<unsigned>(aText.substr(0, 4));
+  std::optional<unsigned> month = ReadNumber<unsigned>(aText.substr(5, 2));
+  std::optional<unsigned> day = ReadNumber<unsigned>(aText.substr(8, 2));
+  std::optional<unsigned> hour = ReadNumber<unsigned>(aText.substr(11, 2));
+  std::optional<unsigned> minute = ReadNumber<unsigned>(aText.substr(14, 2));
+  std::optional<unsigned> second = ReadNumber<unsigned>(aText.substr(17, 2));
+  std::optional<unsigned> milli = ReadNumber<unsigned>(aText.substr(20, 3));
   if (!year || !month || !day || !hour || !minute || !second || !milli) {
     return std::nullopt;
   }
-  std::chrono::year_month_day date{
-    std::chrono::year(*year),
-    std::chrono::month(static_cast<unsigned>(*month)),
-    std::chrono::day(static_cast<unsigned>(*day))
-  };
+  std::chrono::year_month_day date{ std::chrono::year(static_cast<int>(*year)),
+                                    std::chrono::month(*month),
+                                    std::chrono::day(*day) };
   if (!date.ok()) {
     return std::nullopt;
   }
--- a/laburnumdyke/decision/identity_ledger.cc
+++ b/laburnumdyke/decision/identity_ledger.cc
@@ -5,6 +5,7 @@
 #include "laburnumdyke/decision/identity_ledger.h"
 
 #include "laburnumdyke/kernel/invariant.h"
+#include "laburnumdyke/kernel/number.h"
 #include "laburnumdyke/kernel/settings.h"
 
 #include <array>
@@ -17,16 +18,6 @@
 constexpr std::size_t kParts = 4;
 constexpr std::size_t kForgetAtOnce = 4; // entries looked at per attempt
 
-template<class Number>
-bool
-ParseNumber(std::string_view aText, int aBase, Number& aTarget)
-{
-  const char* end = aText.data() + aText.size();
-  std::from_chars_result parsed =
-    std::from_chars(aText.data(), end, aTarget, aBase);
-  return parsed.ec == std::errc() && parsed.ptr == end && !aText.empty();
-}
-
 } // namespace
 
 std::string
@@ -53,14 +44,17 @@
     aText.remove_prefix(last ? aText.size() : dot + 1);
   }
   request_identity identity;
-  std::int64_t issued = 0;
-  if (!IsName(parts[0]) || !ParseNumber(parts[1], 16, identity.mIncarnation) ||
-      !ParseNumber(parts[2], 10, identity.mNumber) ||
-      !ParseNumber(parts[3], 10, issued) || issued < 0) {
+  std::optional<std::uint64_t> incarnation =
+    ReadNumber<std::uint64_t>(parts[1], 16);
+  std::optional<std::uint64_t> number = ReadNumber<std::uint64_t>(parts[2]);
+  std::optional<std::int64_t> issued = ReadNumber<std::int64_t>(parts[3]);
+  if (!IsName(parts[0]) || !incarnation || !number || !issued || *issued < 0) {
     return std::nullopt;
   }
   identity.mIssuer.mValue = parts[0];
-  identity.mIssued = std::chrono::milliseconds(issued);
+  identity.mIncarnation = *incarnation;
+  identity.mNumber = *number;
+  identity.mIssued = std::chrono::milliseconds(*issued);
   return identity;
 }
 
--- a/laburnumdyke/decision/prefix.cc
+++ b/laburnumdyke/decision/prefix.cc
@@ -2,10 +2,11 @@
 // textual form of an address is accepted and exactly one is produced.
 #include "laburnumdyke/decision/prefix.h"
 
+#include "laburnumdyke/kernel/number.h"
+
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace laburnumdyke {
 
@@ -78,13 +79,11 @@
   std::string_view host = aText.substr(0, slash);
   std::string_view bits = aText.substr(slash + 1);
   std::optional<address_bytes> address = ParseAddress(host);
-  std::uint8_t length = 0;
-  std::from_chars_result parsed =
-    std::from_chars(bits.data(), bits.data() + bits.size(), length);
-  if (!address || parsed.ec != std::errc() ||
-      parsed.ptr != bits.data() + bits.size() || length > kAddressBits) {
+  std::optional<std::uint8_t> read = ReadNumber<std::uint8_t>(bits);
+  if (!address || !read || *read > kAddressBits) {
     return std::nullopt;
   }
+  std::uint8_t length = *read;
   if (host.find(':') == std::string_view::npos) {
     if (length > kAddressBits - kMappedBits) {
       return std::nullopt;
--- a/laburnumdyke/kernel/endpoint.cc
+++ b/laburnumdyke/kernel/endpoint.cc
@@ -2,9 +2,9 @@
 // resolver is ever asked.
 #include "laburnumdyke/kernel/endpoint.h"
 
-#include <arpa/inet.h>
+#include "laburnumdyke/kernel/number.h"
 
-#include <charconv>
+#include <arpa/inet.h>
 
 namespace laburnumdyke {
 
@@ -40,13 +40,12 @@
   }
   std::string_view host = aText.substr(0, colon);
   std::string_view port = aText.substr(colon + 1);
-  endpoint result;
-  std::from_chars_result parsed =
-    std::from_chars(port.data(), port.data() + port.size(), result.mPort);
-  if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() ||
-      result.mPort == 0) {
+  std::optional<std::uint16_t> number = ReadNumber<std::uint16_t>(port);
+  if (!number || *number == 0) {
     return std::nullopt;
   }
+  endpoint result;
+  result.mPort = *number;
   bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
   if (bracketed) {
     host = host.substr(1, host.size() - 2);
--- a/laburnumdyke/plugin/console_form.cc
+++ b/laburnumdyke/plugin/console_form.cc
@@ -3,9 +3,9 @@
 #include "laburnumdyke/plugin/console_form.h"
 
 #include "laburnumdyke/kernel/endpoint.h"
+#include "laburnumdyke/kernel/number.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace laburnumdyke {
 
@@ -20,33 +20,17 @@
       out.push_back(aText[i] == '+' ? ' ' : aText[i]);
       continue;
     }
-    unsigned byte = 0;
     std::string_view digits = aText.substr(i + 1, 2);
-    const char* end = digits.data() + digits.size();
-    std::from_chars_result parsed =
-      std::from_chars(digits.data(), end, byte, 16);
-    if (digits.size() != 2 || parsed.ec != std::errc() || parsed.ptr != end) {
+    std::optional<unsigned> byte = ReadNumber<unsigned>(digits, 16);
+    if (digits.size() != 2 || !byte) {
       return std::nullopt;
     }
-    out.push_back(static_cast<char>(byte));
+    out.push_back(static_cast<char>(*byte));
     i += 2;
   }
   return out;
 }
 
-template<class Number>
-std::optional<Number>
-ReadNumber(std::string_view aText)
-{
-  Number number = 0;
-  const char* end = aText.data() + aText.size();
-  std::from_chars_result parsed = std::from_chars(aText.data(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 // Cuts aText at the first aSeparator and returns what is before it.
 std::string_view
 CutAt(std::string_view& aText, char aSeparator)
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -1,25 +1,13 @@
-// Addresses travel as text, so that both families have one form.
+// A beat that names no sender, by name or by key, is none.
 #include "laburnumdyke/plugin/fleet_codec.h"
 
 #include "laburnumdyke/decision/rendezvous.h"
-#include "laburnumdyke/proto/peer.pb.h"
+#include "laburnumdyke/plugin/member_codec.h"
 
 namespace laburnumdyke {
 
 namespace {
 
-void
-SetSender(const fleet_member& aMember, proto::member& aSender)
-{
-  aSender.set_instance(aMember.mInstance.mValue);
-  aSender.set_incarnation(aMember.mIncarnation);
-  aSender.set_region(aMember.mRegion.mValue);
-  aSender.set_failure_domain(aMember.mDomain.mValue);
-  aSender.set_caller(aMember.mCaller.Text());
-  aSender.set_relay(aMember.mRelay.Text());
-  aSender.set_peer(aMember.mPeer.Text());
-}
-
 // Nothing where a name or an address is missing.
 std::optional<fleet_member>
 ToMember(const proto::member& aSender)
@@ -48,7 +36,7 @@
 {
   proto::fleet_heartbeat message;
   if (aForm == beat_form::Full) {
-    SetSender(aBeat.mSender, *message.mutable_sender());
+    WriteMember(aBeat.mSender, *message.mutable_sender());
   } else {
     message.set_sender_key(
       KeyOf(aBeat.mSender.mInstance, aBeat.mSender.mIncarnation));
--- a/laburnumdyke/plugin/heartbeat_codec.cc
+++ b/laburnumdyke/plugin/heartbeat_codec.cc
@@ -2,7 +2,7 @@
 #include "laburnumdyke/plugin/heartbeat_codec.h"
 
 #include "laburnumdyke/kernel/settings.h"
-#include "laburnumdyke/proto/peer.pb.h"
+#include "laburnumdyke/plugin/member_codec.h"
 
 #include <algorithm>
 
@@ -176,18 +176,6 @@
          TakeReports(aMessage, aLease) && TakeSilent(aMessage, aLease);
 }
 
-void
-AddMember(const member& aMember, proto::member& aMessage)
-{
-  aMessage.set_instance(aMember.mInstance.mValue);
-  aMessage.set_incarnation(aMember.mIncarnation);
-  aMessage.set_region(aMember.mRegion.mValue);
-  aMessage.set_failure_domain(aMember.mDomain.mValue);
-  aMessage.set_caller(aMember.mCaller.Text());
-  aMessage.set_relay(aMember.mRelay.Text());
-  aMessage.set_peer(aMember.mPeer.Text());
-}
-
 void
 AddCredits(const std::vector<service_credit>& aCredits,
            proto::credit_report& aMessage)
@@ -227,7 +215,7 @@
   if (aHeartbeat.mBriefSender) {
     message.set_sender_key(*aHeartbeat.mBriefSender);
   } else {
-    AddMember(aHeartbeat.mSender, *message.mutable_sender());
+    WriteMember(aHeartbeat.mSender, *message.mutable_sender());
   }
   message.set_leaving(aHeartbeat.mSender.mLeaving);
   message.set_sequence(aHeartbeat.mSequence);
--- a/laburnumdyke/plugin/news_codec.cc
+++ b/laburnumdyke/plugin/news_codec.cc
@@ -3,10 +3,9 @@
 // follower with a version that it does not have.
 #include "laburnumdyke/plugin/news_codec.h"
 
+#include "laburnumdyke/kernel/number.h"
 #include "laburnumdyke/proto/peer.pb.h"
 
-#include <charconv>
-
 namespace laburnumdyke {
 
 namespace {
@@ -48,13 +47,7 @@
   if (aTarget.substr(0, kNewsPrefix.size()) != kNewsPrefix) {
     return std::nullopt;
   }
-  std::string_view digits = aTarget.substr(kNewsPrefix.size());
-  std::uint64_t after = 0;
-  std::from_chars_result read =
-    std::from_chars(digits.data(), digits.data() + digits.size(), after);
-  bool whole = read.ec == std::errc() && !digits.empty() &&
-               read.ptr == digits.data() + digits.size();
-  return whole ? std::optional<std::uint64_t>(after) : std::nullopt;
+  return ReadNumber<std::uint64_t>(aTarget.substr(kNewsPrefix.size()));
 }
 
 std::string
