Log which send an attempt is, whether its caller was there, and whether the upstream was cold

The hypotheses of both incidents differ in what the line of an attempt did not say: a first send or a repeat, a caller that had left, an upstream that counted as cold, a fleet that was not known. The line says so now, and late_sends_total counts attempts begun after the caller had left, by first or repeat. No decision changes.

Ruled out: an event of its own for each late send. It would be one line more at the moment at which lines are left out.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -397,7 +397,9 @@
                                     aRequest.mRoute.mName,
                                     std::string(aRequest.mObject),
                                     entry.mBorn,
-                                    picked->mWait };
+                                    picked->mWait,
+                                    IsCold(*picked->mUpstream, aNow),
+                                    mSenders };
   return choice;
 }
 
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -79,6 +79,8 @@
   std::string mObject;
   std::chrono::milliseconds mBorn{ 0 };
   duration mExpectedWait{}; // before work begins there
+  bool mCold = false;
+  std::size_t mInstances = 1; // known, of all regions, when it was chosen
 };
 
 struct steering_choice
--- a/laburnumdyke/plugin/http_parts.cc
+++ b/laburnumdyke/plugin/http_parts.cc
@@ -77,6 +77,18 @@
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+bool
+IsCallerGone(http_exchange& aExchange)
+{
+  char byte = 0;
+  ssize_t got = ::recv(aExchange.mStream.socket().native_handle(),
+                       &byte,
+                       1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  bool failed = got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+  return got == 0 || failed;
+}
+
 asio::awaitable<void>
 WaitCallerGone(http_exchange& aExchange)
 {
@@ -84,16 +96,8 @@
   error_code failure;
   co_await socket.async_wait(
     tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
-  if (!failure) {
-    char byte = 0;
-    ssize_t got =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got == 0) {
-      co_return;
-    }
-    if (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-      co_return;
-    }
+  if (!failure && IsCallerGone(aExchange)) {
+    co_return;
   }
   asio::steady_timer never(co_await asio::this_coro::executor,
                            asio::steady_timer::time_point::max());
--- a/laburnumdyke/plugin/http_parts.h
+++ b/laburnumdyke/plugin/http_parts.h
@@ -19,6 +19,11 @@
 void
 DetectLoss(tcp::socket& aSocket);
 
+// Whether the caller has closed its connection, as far as the system knows by
+// now. A close behind bytes of a next request does not show.
+bool
+IsCallerGone(http_exchange& aExchange);
+
 // Ends when the caller has closed its connection; otherwise waits until it is
 // cancelled.
 asio::awaitable<void>
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -246,6 +246,11 @@
                                            const steering_target& aTarget)
   {
     instant begun = Now();
+    bool isLate = IsCallerGone(aExchange);
+    if (isLate) {
+      mKernel.Counters().Add("late_sends_total",
+                             aRequest.mTried.empty() ? "first" : "repeat");
+    }
     upstream_attempt attempt;
     attempt.mTo = aTarget.mAddress;
     attempt.mBody = aRequest.mBody;
@@ -277,7 +282,7 @@
                                    std::to_string(aRequest.mRoute->mPriority),
                                  now - aRequest.mReceived);
     }
-    LogAttempt(aRequest, aTarget, outcome, now - begun);
+    LogAttempt(aRequest, aTarget, outcome, isLate, now - begun);
     co_return outcome;
   }
 
@@ -355,6 +360,7 @@
   void LogAttempt(const steered_request& aRequest,
                   const steering_target& aTarget,
                   const attempt_outcome& aOutcome,
+                  bool aIsLate,
                   duration aTook)
   {
     const std::initializer_list<log_pair> pairs = {
@@ -363,6 +369,10 @@
       { "upstream", aTarget.mId.mValue },
       { "failure_domain", aTarget.mDomain.mValue },
       { "object", aRequest.mCaller.mObject },
+      { "send", std::to_string(aRequest.mTried.size()) },
+      { "caller", aIsLate ? "gone" : "here" },
+      { "cold", aTarget.mCold ? "yes" : "no" },
+      { "instances", std::to_string(aTarget.mInstances) },
       { "load", LoadText(aOutcome.mLoad) },
       { "end", std::string(ToString(aOutcome.mEnd)) },
       { "status", std::to_string(aOutcome.mStatus) },
