--- /dev/null
+++ b/laburnumdyke/testing/caller_gone_test.cc
@@ -0,0 +1,71 @@
+// Requests whose callers have left before an upstream got them: callers and
+// upstreams by raw bytes.
+#include "laburnumdyke/testing/harness/deployment.h"
+#include "laburnumdyke/testing/harness/one_front.h"
+
+#include <boost/asio/write.hpp>
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+TEST_GROUP(CallerGone)
+{
+  one_front mFront;
+
+  void setup() override
+  {
+    mFront.Configure(true);
+    for (scripted_upstream* upstream : Upstreams()) {
+      upstream->Hold();
+    }
+  }
+
+  std::vector<scripted_upstream*> Upstreams()
+  {
+    return { &mFront.mFirst, &mFront.mSecond };
+  }
+
+  // Sends, leaves once a request has reached an upstream, and has the
+  // upstreams answer then. Returns how many requests reach them in all.
+  std::size_t LeaveEarly(const std::string& aBytes, const std::string& aAnswer)
+  {
+    for (scripted_upstream* upstream : Upstreams()) {
+      upstream->Script({ aAnswer, aAnswer });
+    }
+    asio::io_context context;
+    tcp::socket caller(context);
+    caller.connect(ToAsio(mFront.mSettings.mCaller));
+    asio::write(caller, asio::buffer(aBytes));
+    CHECK(WaitUntil([&]() { return mFront.Arrivals() == 1; }, 10s));
+    caller.close();
+    for (scripted_upstream* upstream : Upstreams()) {
+      upstream->Release();
+    }
+    counters& counted = mFront.mKernel->Counters();
+    CHECK(WaitUntil(
+      [&]() {
+        return mFront.Arrivals() > 1 || counted.Value("callers_gone_total") > 0;
+      },
+      10s));
+    return mFront.Arrivals();
+  }
+};
+
+// GONE: an upstream had refused a request that may run at most once, and it
+// was sent to the next one although its caller had left.
+TEST(CallerGone, ARefusedRequestIsNotSentOn)
+{
+  LONGS_EQUAL(1, LeaveEarly(FrontRequest("POST", "/write/1"), kShedAnswer));
+}
+
+TEST(CallerGone, ARequestThatIsReadAfterItsCallerHasLeftIsNotSent)
+{
+  std::string one = "POST /write/1 HTTP/1.1\r\nHost: a.example\r\n"
+                    "X-Request-Id: 1\r\nX-Deadline-Ms: 2000\r\n"
+                    "Content-Length: 4\r\n\r\nbody";
+  LONGS_EQUAL(1, LeaveEarly(one + one, kWholeAnswer));
+}
--- /dev/null
+++ b/laburnumdyke/testing/fleet_start_test.cc
@@ -0,0 +1,77 @@
+// Instances that start together and don't know each other yet: bounds that
+// hold for the whole fleet.
+#include "laburnumdyke/decision/cold_gate.h"
+#include "laburnumdyke/decision/fleet_budget.h"
+#include "laburnumdyke/decision/fleet_view.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace laburnumdyke;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kStartingInstances = 117;
+const instant kFleetStart = instant() + 1h;
+
+std::vector<fleet_view>
+StartingFleet()
+{
+  std::vector<fleet_view> fleet;
+  for (std::size_t i = 0; i < kStartingInstances; ++i) {
+    fleet_options options;
+    options.mSelf.mInstance = { "i" + std::to_string(i) };
+    options.mSelf.mIncarnation = 1;
+    options.mSelf.mRegion = { i % 3 == 0 ? "near" : "far" };
+    fleet.emplace_back(options);
+  }
+  return fleet;
+}
+
+} // namespace
+
+TEST_GROUP(FleetStart){};
+
+// FAILBACK: every instance took itself for one of the few that may send to a
+// cold upstream, since it was the only one that it knew.
+TEST(FleetStart, InstancesThatStartTogetherDontFloodAColdUpstream)
+{
+  constexpr double kRate = 3.6; // requests a second
+  cold_gate_options options;
+  options.mSlack = 8;
+  double sent = 0;
+  for (const fleet_view& view : StartingFleet()) {
+    options.mSelf = view.Self().mInstance;
+    cold_gate gate(options);
+    gate.SetFleet(view.Places());
+    for (instant now = kFleetStart; now < kFleetStart + 1s; now += 50ms) {
+      if (gate.IsOpen({ "u" }, { "near" }, kRate, now)) {
+        gate.Count({ "u" }, now);
+        ++sent;
+      }
+    }
+  }
+  CHECK(sent <= kRate * options.mOvershoot + options.mSlack);
+}
+
+// The same cause as of FAILBACK: each took the fleet's extra for its own.
+TEST(FleetStart, InstancesThatStartTogetherDontEachSpendTheFleetsRepeats)
+{
+  fleet_budget_options options;
+  options.mExtra = 298;
+  double requests = 0;
+  double repeats = 0;
+  for (const fleet_view& view : StartingFleet()) {
+    fleet_budget budget(options);
+    budget.SetFleetSize(view.Places().size());
+    for (int i = 0; i < 20; ++i) {
+      budget.CountRequest({ "s" }, kFleetStart);
+      ++requests;
+      repeats += budget.Take({ "s" }, kFleetStart) ? 1 : 0;
+    }
+  }
+  CHECK(repeats <= requests * options.mRatio + options.mExtra);
+}
