Take part in bounds of the whole fleet only once the fleet is known

Cause: until the first reading of who had registered, an instance's fleet was itself alone, so that it was first in rank at every cold upstream, and took the fleet's extra repeats for its own. It registered before it read, and 117 registrations queue for half a second while requests are already served. The class of fault: what is not known is taken for leave.

Change: Places is empty until the fleet is known: at once where an earlier life of the instance is found registered, since the others' rows are then there too; otherwise with the second reading after its own registration. Without it a cold upstream gets nothing from this instance and the fleet's extra is not spent. The fleet is read before the instance registers, so that a restart knows it some milliseconds after the start; as many readings as before.

Tried and not kept alone: knowing the fleet only after two readings.

Other places of the cause, looked for: the part that leaves a region begins with zero while the fleet is unknown, and the load of an upstream that has not been heard of is guessed for one instance; both only cost service.

steering_parts' set-ups that stand for a lone instance say so now; checks are unchanged.

--- a/laburnumdyke/decision/cold_gate.cc
+++ b/laburnumdyke/decision/cold_gate.cc
@@ -1,6 +1,7 @@
 // Senders are the first of the fleet in rendezvous order, those in the
 // upstream's own region before all others. Views of the fleet may differ for
-// a moment, so only a part of the bound is dealt out.
+// a moment, so only a part of the bound is dealt out; who knows nobody yet is
+// no sender, since all who start together know nobody.
 #include "laburnumdyke/decision/cold_gate.h"
 
 #include "laburnumdyke/decision/rendezvous.h"
@@ -32,7 +33,7 @@
       return aPlace.mInstance == mOptions.mSelf;
     });
   if (self == mFleet.end()) {
-    return mFleet.size() < aSenders;
+    return false;
   }
   bool selfNear = self->mRegion == aRegion;
   std::size_t before = 0;
--- a/laburnumdyke/decision/cold_gate.h
+++ b/laburnumdyke/decision/cold_gate.h
@@ -39,6 +39,8 @@
   {
   }
 
+  // Everyone, self included. Empty: the fleet is not known, and an upstream
+  // that is cold gets nothing from this instance.
   void SetFleet(std::vector<fleet_place> aFleet);
 
   // Whether this instance may send to a cold upstream of aRegion now. aRate is
--- a/laburnumdyke/decision/fleet_budget.cc
+++ b/laburnumdyke/decision/fleet_budget.cc
@@ -1,8 +1,6 @@
 // Exact sliding windows: an instance has a few hundred requests in one.
 #include "laburnumdyke/decision/fleet_budget.h"
 
-#include <algorithm>
-
 namespace laburnumdyke {
 
 namespace {
@@ -15,7 +13,7 @@
 void
 fleet_budget::SetFleetSize(std::size_t aInstances)
 {
-  mInstances = std::max<std::size_t>(1, aInstances);
+  mInstances = aInstances;
 }
 
 void
@@ -43,8 +41,10 @@
 {
   recent& recent = mRecent[aService];
   Forget(recent, aNow);
-  double part = mOptions.mRatio * static_cast<double>(recent.mRequests.size()) +
-                mOptions.mExtra / static_cast<double>(mInstances);
+  double extra =
+    mInstances == 0 ? 0 : mOptions.mExtra / static_cast<double>(mInstances);
+  double part =
+    mOptions.mRatio * static_cast<double>(recent.mRequests.size()) + extra;
   if (static_cast<double>(recent.mRepeats.size()) + 1 > part * kSpentPart) {
     return false;
   }
--- a/laburnumdyke/decision/fleet_budget.h
+++ b/laburnumdyke/decision/fleet_budget.h
@@ -33,6 +33,8 @@
   {
   }
 
+  // Zero, as at first: the size is not known, and nothing of the fixed number
+  // may be spent.
   void SetFleetSize(std::size_t aInstances);
 
   void CountRequest(const service_id& aService, instant aNow);
@@ -50,7 +52,7 @@
   void Forget(recent& aRecent, instant aNow) const;
 
   fleet_budget_options mOptions;
-  std::size_t mInstances = 1;
+  std::size_t mInstances = 0; // zero: not known
   std::map<service_id, recent> mRecent;
 };
 
--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Instances that start together may register after each other's first reading.
+constexpr int kEnoughReadings = 2;
+
 bool
 IsOlder(const fleet_member& aOne, const fleet_member& aOther)
 {
@@ -23,6 +26,8 @@
 fleet_view::Put(const fleet_member& aMember)
 {
   if (aMember.mInstance == mOptions.mSelf.mInstance) {
+    bool isEarlier = aMember.mIncarnation < mOptions.mSelf.mIncarnation;
+    mHasLived = mHasLived || isEarlier;
     return;
   }
   member_state& state = mMembers[aMember.mInstance];
@@ -38,6 +43,12 @@
   mMembers.erase(aInstance);
 }
 
+void
+fleet_view::CountReading(bool aRegistered)
+{
+  mReadings += aRegistered ? 1 : 0;
+}
+
 void
 fleet_view::Replace(const std::vector<fleet_member>& aMembers)
 {
@@ -206,6 +217,9 @@
 fleet_view::Places() const
 {
   std::vector<fleet_place> places;
+  if (!mHasLived && mReadings < kEnoughReadings) {
+    return places;
+  }
   places.push_back({ mOptions.mSelf.mInstance, mOptions.mSelf.mRegion });
   for (const std::pair<const instance_id, member_state>& one : mMembers) {
     places.push_back({ one.first, one.second.mMember.mRegion });
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -3,6 +3,7 @@
 // Usage:
 //   fleet_view fleet(options);
 //   fleet.Replace(rows);                   // who has registered
+//   fleet.CountReading(registered);        // whether this one had, too
 //   fleet.Hear(beat, now);                 // who is alive
 //   std::vector<endpoint> names = fleet.Answer(domain, region, now);
 //
@@ -69,11 +70,16 @@
 
   const fleet_member& Self() const { return mOptions.mSelf; }
 
-  // Who has registered, self included or not.
+  // Who has registered, self included or not. A row of an earlier life of this
+  // instance says that the fleet had registered before.
   void Replace(const std::vector<fleet_member>& aMembers);
   void Put(const fleet_member& aMember);
   void Remove(const instance_id& aInstance);
 
+  // A reading of who has registered was taken; aRegistered: this instance had
+  // registered before.
+  void CountReading(bool aRegistered);
+
   // False where the beat is of an older incarnation, or brief and of one that
   // is not known.
   bool Hear(const fleet_beat& aBeat, instant aNow);
@@ -106,7 +112,9 @@
                                const region_id& aRegion,
                                instant aNow) const;
 
-  // Everyone registered, self included.
+  // Everyone registered, self included; empty until that is known, so that
+  // no instance takes itself for the whole fleet: at once after a restart,
+  // and otherwise when those that started with it have registered too.
   std::vector<fleet_place> Places() const;
 
 private:
@@ -129,6 +137,8 @@
   bool mLeaving = false;
   bool mSettled = false;
   std::uint64_t mControlVersion = 0;
+  int mReadings = 0;      // since this instance registered
+  bool mHasLived = false; // an earlier life of it had registered
   std::map<instance_id, member_state> mMembers;
 };
 
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -118,6 +118,7 @@
   // is taken back counts as cold until it says otherwise.
   void SetEvacuated(const std::set<domain_id>& aDomains, instant aNow);
   void SetRules(std::shared_ptr<const route_table> aRoutes);
+  // Who else sends, self included; empty: not known.
   void SetFleet(std::vector<fleet_place> aFleet);
 
   steering_choice Choose(const steering_request& aRequest, instant aNow);
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -131,7 +131,7 @@
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
   static constexpr std::chrono::milliseconds kFleetPace{ 20000 };
-  static constexpr int kFirstFleetReadings = 3;
+  static constexpr int kFirstFleetReadings = 2;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
@@ -161,21 +161,23 @@
     fleet_member self =
       mTables.Fleet().With([](fleet_state& aFleet) { return aFleet.Self(); });
     bool registered = false;
-    int readings = 0;
+    int readings = 0; // since it registered
     while (true) {
-      if (!registered && !mLeaving) {
-        registered = co_await mSource.Register(self);
-      }
       std::optional<std::uint64_t> after = mFleet.After();
       fleet_reading reading =
         co_await mSource.ReadFleet(after, std::chrono::milliseconds(0));
       if (mFleet.Take(reading.mHead)) {
-        ++readings;
-        TakeFleet(reading);
+        readings += registered ? 1 : 0;
+        TakeFleet(reading, registered);
+      }
+      // Not before the first reading, which shows whether it had registered in
+      // an earlier life.
+      if (!registered && !mLeaving) {
+        registered = co_await mSource.Register(self);
       }
       // Instances often start together: soon after the first reading the rows
       // of the others are there too.
-      bool isSettled = registered && readings >= kFirstFleetReadings;
+      bool isSettled = readings >= kFirstFleetReadings;
       co_await SleepFor(mJitter(isSettled ? kFleetPace : kFirstFleetPace));
     }
   }
@@ -287,9 +289,10 @@
     }
   }
 
-  void TakeFleet(const fleet_reading& aReading)
+  void TakeFleet(const fleet_reading& aReading, bool aRegistered)
   {
     mTables.Fleet().With([&](fleet_state& aFleet) {
+      aFleet.CountReading(aRegistered);
       if (aReading.mHead.mWhole) {
         aFleet.Replace(aReading.mMembers);
         return;
--- a/laburnumdyke/testing/fleet_start_test.cc
+++ b/laburnumdyke/testing/fleet_start_test.cc
@@ -57,6 +57,24 @@
   CHECK(sent <= kRate * options.mOvershoot + options.mSlack);
 }
 
+TEST(FleetStart, AnInstanceThatStartsAgainKnowsTheFleetAtOnce)
+{
+  fleet_options options;
+  options.mSelf.mInstance = { "one" };
+  options.mSelf.mIncarnation = 2;
+  fleet_view view(options);
+  fleet_member earlier = options.mSelf;
+  earlier.mIncarnation = 1;
+  fleet_member other = earlier;
+  other.mInstance = { "two" };
+  view.Replace({ other });
+  view.CountReading(false);
+  LONGS_EQUAL(0, view.Places().size());
+  view.Replace({ earlier, other });
+  view.CountReading(false);
+  LONGS_EQUAL(2, view.Places().size());
+}
+
 // The same cause as of FAILBACK: each took the fleet's extra for its own.
 TEST(FleetStart, InstancesThatStartTogetherDontEachSpendTheFleetsRepeats)
 {
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -172,7 +172,13 @@
     aSteering.SetRules(routes);
     aSteering.Apply(aSteering.Directory().Replace(entries, now), now);
   });
-  tables.Fleet().With([](fleet_state& aFleet) { aFleet.SetServing(true); });
+  tables.Fleet().With([](fleet_state& aFleet) {
+    aFleet.SetServing(true);
+    // As after two readings that found nobody else.
+    aFleet.CountReading(true);
+    aFleet.CountReading(true);
+  });
+  tables.SpreadFleet();
 }
 
 std::string
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -347,6 +347,23 @@
 
 // The store turns this instance away; a peer's heartbeat says that the peer
 // is ahead, and its view is taken.
+TEST(PlatformWatch, WhoElseThereIsIsNotKnownBeforeItHasRegistered)
+{
+  auto places = [&]() {
+    return steering_tables(*mKernel).Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.Places().size(); });
+  };
+  auto registrations = [&]() {
+    return mPlatform.With(
+      [](scripted_platform& aPlatform) { return aPlatform.mRegistered; });
+  };
+  // The first registration gets no answer.
+  CHECK(WaitUntil([&]() { return registrations() == 1; }, 10s));
+  LONGS_EQUAL(0, places());
+  CHECK(WaitUntil([&]() { return places() == 1; }, 10s));
+  LONGS_EQUAL(2, registrations());
+}
+
 TEST(PlatformWatch, WhatAPeerKnowsIsTakenWhileThePlatformIsLost)
 {
   Set(Control(5, 3));
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -81,6 +81,7 @@
   void setup() override
   {
     mSteering.SetRules(Rules());
+    mSteering.SetFleet({ { { "one" }, { "east" } } });
     Register({ Upstream("e1", "east-a"),
                Upstream("e2", "east-a"),
                Upstream("e3", "east-b"),
