Bound what an upstream may send without end, in bytes and in time

Cause: each read of a body that was being passed on had a new time limit, so that an endless body went on for as long as the caller took it; one of another request's answer, or of a refusal, was read at full speed until the deadline, and a refused request waited for that; the bytes of a chunk's header were gathered without a limit.

Change: what is read and not parsed is bounded by 128 KB, on every HTTP connection; an answer that is passed over by 64 KB, the rest of a refusal also by 100 ms; a body that has begun ends 1.5 s after the deadline at the latest, and never looks whole. The other front stops at the deadline even where bytes are always there.

Ruled out: telling an endless body from a long one by its size. A body without a length may be any size, and what is ready is delivered.

--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -34,7 +34,7 @@
   if (failure) {
     co_return std::nullopt;
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kUnparsedLimit);
   http::response_parser<http::string_body> parser;
   parser.body_limit(aRequest.mLimit);
   co_await http::async_read(
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -32,7 +32,7 @@
 struct far_side
 {
   std::unique_ptr<tcp_stream> mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kUnparsedLimit };
   std::unique_ptr<answer_parser> mParser;
 };
 
@@ -282,6 +282,10 @@
   }
   while (!serializer.is_done()) {
     if (!aFar.mParser->is_done()) {
+      // Bytes that are always there outrun the timer.
+      if (std::chrono::steady_clock::now() >= aRequest.mDeadline) {
+        co_return refusal_reason::UpstreamTimeout;
+      }
       aFar.mParser->get().body().data = chunk.data();
       aFar.mParser->get().body().size = chunk.size();
       aFar.mStream->expires_at(aRequest.mDeadline);
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -191,6 +191,7 @@
     while (open) {
       request_parser parser;
       server_limits limits = Limits();
+      buffer.max_size(limits.mHeaderBytes + kUnparsedLimit);
       parser.header_limit(limits.mHeaderBytes);
       parser.body_limit(boost::none);
       open = co_await ReadHead(mKernel, *aStream, buffer, parser, limits);
--- a/laburnumdyke/plugin/http_types.h
+++ b/laburnumdyke/plugin/http_types.h
@@ -38,8 +38,10 @@
 inline constexpr std::string_view kRelayHeader = "Laburnumdyke-Relay";
 inline constexpr std::string_view kStampHeader = "Laburnumdyke-Advert-Ms";
 
-inline constexpr std::uint32_t kHeaderLimit = 16 * 1024;    // bytes
-inline constexpr std::size_t kStreamBuffer = 32UL * 1024;   // bytes a direction
+inline constexpr std::uint32_t kHeaderLimit = 16 * 1024;  // bytes
+inline constexpr std::size_t kStreamBuffer = 32UL * 1024; // bytes a direction
+// Bytes of a peer that are read and not yet parsed: a header, or a chunk's.
+inline constexpr std::size_t kUnparsedLimit = 128UL * 1024;
 inline constexpr std::size_t kReplayableBody = 64UL * 1024; // bytes
 inline constexpr std::chrono::seconds kIdleTimeout{ 60 };
 inline constexpr std::chrono::seconds kHeaderTimeout{ 10 };
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -24,11 +24,18 @@
 constexpr std::size_t kHeldAnswer = 256UL * 1024; // bytes
 // Answers of others that are passed over on one connection.
 constexpr int kMostForeignAnswers = 4;
+// Of an answer that is passed over; a longer one costs its connection.
+constexpr std::size_t kMostPassedOver = 64UL * 1024; // bytes
+// For the rest of a refusal: the request is to go on.
+constexpr std::chrono::milliseconds kRefusalTimeout{ 100 };
 // A connection takes a round trip and the upstream's accept; a lost packet is
 // sent again after a second, and another upstream is asked sooner than that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
 // A caller that takes nothing of its answer for so long is given up.
 constexpr std::chrono::milliseconds kCallerTimeout{ 1500 };
+// After the deadline, for an answer that has begun: a body without end looks
+// like a long one.
+constexpr std::chrono::milliseconds kLateAnswer{ 1500 };
 // Shorter than what upstreams that state no time keep idle connections for.
 constexpr std::chrono::milliseconds kUnsaidIdleLife{ 3000 };
 // For a close that is on its way while the next request is written.
@@ -37,7 +44,7 @@
 struct upstream_link
 {
   std::unique_ptr<tcp_stream> mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kUnparsedLimit };
   std::unique_ptr<answer_parser> mParser;
   bool mClean = true; // nothing foreign was read from it
   answer_facts mAnswer;
@@ -109,13 +116,18 @@
   co_return failure;
 }
 
-// Reads the rest of an answer and forgets it.
+// Reads the rest of an answer, up to kMostPassedOver, and forgets it.
 asio::awaitable<error_code>
-PassOver(upstream_link& aLink)
+PassOver(upstream_link& aLink, instant aUntil)
 {
   std::vector<char> chunk(kStreamBuffer);
+  std::size_t passed = 0;
   error_code failure;
+  aLink.mStream->expires_at(aUntil);
   while (!aLink.mParser->is_done()) {
+    if (passed > kMostPassedOver || clock::now() >= aUntil) {
+      co_return http::error::body_limit;
+    }
     aLink.mParser->get().body().data = chunk.data();
     aLink.mParser->get().body().size = chunk.size();
     co_await http::async_read(
@@ -126,6 +138,7 @@
     if (failure && failure != http::error::need_buffer) {
       co_return failure;
     }
+    passed += chunk.size() - aLink.mParser->get().body().size;
   }
   co_return error_code();
 }
@@ -159,7 +172,7 @@
       co_return error_code();
     }
     aLink.mClean = false;
-    failure = co_await PassOver(aLink);
+    failure = co_await PassOver(aLink, aAttempt.mDeadline);
     if (failure) {
       co_return failure;
     }
@@ -169,11 +182,16 @@
 
 // Reads body bytes to aHeld until there are kHeldAnswer or the body ends.
 asio::awaitable<error_code>
-HoldBody(upstream_link& aLink, std::string& aHeld)
+HoldBody(upstream_link& aLink, std::string& aHeld, instant aUntil)
 {
   std::vector<char> chunk(kStreamBuffer);
   error_code failure;
+  aLink.mStream->expires_at(aUntil);
   while (!aLink.mParser->is_done() && aHeld.size() < kHeldAnswer) {
+    // Bytes that are always there outrun the timer.
+    if (clock::now() >= aUntil) {
+      co_return beast::error::timeout;
+    }
     aLink.mParser->get().body().data = chunk.data();
     aLink.mParser->get().body().size = chunk.size();
     co_await http::async_read(
@@ -247,9 +265,8 @@
     }
     aHeld.clear();
     if (!aLink.mParser->is_done()) {
-      aLink.mStream->expires_at(
-        std::max(aAttempt.mDeadline, clock::now() + kCallerTimeout));
-      failure = co_await HoldBody(aLink, aHeld);
+      failure =
+        co_await HoldBody(aLink, aHeld, aAttempt.mDeadline + kLateAnswer);
       if (failure) {
         co_return failure;
       }
@@ -386,7 +403,8 @@
   if (judged) {
     outcome.mEnd = *judged;
     if (*judged != attempt_ending::Lost) {
-      failure = co_await PassOver(link);
+      failure = co_await PassOver(
+        link, std::min(aAttempt.mDeadline, clock::now() + kRefusalTimeout));
       if (!failure) {
         KeepLink(aPool, aAttempt, link);
       }
@@ -394,7 +412,7 @@
     co_return outcome;
   }
   std::string held;
-  failure = co_await HoldBody(link, held);
+  failure = co_await HoldBody(link, held, aAttempt.mDeadline);
   if (failure) {
     outcome.mEnd = EndOf(failure);
     co_return outcome;
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -19,6 +19,9 @@
 
 using namespace std::chrono_literals;
 
+// Between endless bytes, so that tests don't drown in them.
+constexpr std::chrono::milliseconds kEndlessPause{ 1 };
+
 routing_document
 FrontDocument()
 {
@@ -79,6 +82,13 @@
   mAnswers.assign(aAnswers.begin(), aAnswers.end());
 }
 
+void
+scripted_upstream::FollowWith(std::string aEndless)
+{
+  std::scoped_lock lock(mMutex);
+  mEndless = std::move(aEndless);
+}
+
 void
 scripted_upstream::Hold()
 {
@@ -123,10 +133,12 @@
                    asio::buffers_begin(buffer.data()) +
                      static_cast<std::ptrdiff_t>(size));
   std::string answer;
+  std::string endless;
   {
     std::unique_lock lock(mMutex);
     mRequests.push_back(head);
     mReleased.wait(lock, [this] { return !mIsHeld; });
+    endless = mEndless;
     if (!mAnswers.empty()) {
       answer = mAnswers.front();
       mAnswers.pop_front();
@@ -138,6 +150,10 @@
     answer.replace(at, 2, head.substr(id, head.find('\r', id) - id));
   }
   asio::write(aSocket, asio::buffer(answer), failure);
+  while (!endless.empty() && !failure && !mStopped) {
+    std::this_thread::sleep_for(kEndlessPause);
+    asio::write(aSocket, asio::buffer(endless), failure);
+  }
   aSocket.shutdown(tcp::socket::shutdown_send, failure);
 }
 
--- a/laburnumdyke/testing/harness/one_front.h
+++ b/laburnumdyke/testing/harness/one_front.h
@@ -36,6 +36,10 @@
 
   void Script(std::vector<std::string> aAnswers);
 
+  // Bytes that follow each answer, over and over, until the connection is
+  // closed. Empty: none.
+  void FollowWith(std::string aEndless);
+
   // Requests that have arrived are not answered until Release.
   void Hold();
   void Release();
@@ -53,6 +57,7 @@
   std::mutex mMutex;
   std::condition_variable mReleased;
   bool mIsHeld = false;
+  std::string mEndless;
   std::deque<std::string> mAnswers;
   std::vector<std::string> mRequests;
   std::atomic<bool> mStopped{ false };
