--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -92,6 +92,8 @@
   front_kind mFront = front_kind::Own;
   endpoint mReady;     // readiness; with front = hosts
   endpoint mDirectory; // look-ups; with front = hosts
+  // Counters, at a port that monitoring knows; port 0: there is none.
+  endpoint mMetrics;
   // Regions by failure domain; with front = hosts.
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
--- a/laburnumdyke/plugin/metrics_http.cc
+++ b/laburnumdyke/plugin/metrics_http.cc
@@ -1,4 +1,6 @@
-// The operators' address of an instance that steers by host and path.
+// The operators' address of an instance that steers by host and path, and the
+// address for monitoring where the settings give one. Something else may hold
+// the port of the second: the instance serves all the same, and logs it.
 //
 // Paths:
 //   GET /metrics   counters and latency histograms
@@ -22,17 +24,29 @@
   explicit metrics_http(kernel& aKernel)
     : mKernel(aKernel)
     , mServer(aKernel, *this)
+    , mMonitored(aKernel, *this)
   {
   }
 
   std::optional<std::string> Start(instant)
   {
+    const endpoint& monitored = mKernel.Settings().mMetrics;
+    std::optional<std::string> failure =
+      monitored.mPort == 0 ? std::nullopt : mMonitored.Listen(monitored);
+    if (failure) {
+      mKernel.Log().Warn("metrics_unavailable", { { "address", *failure } });
+    }
     return mServer.Listen(mKernel.Settings().mOperator);
   }
 
   void Leave(instant) {}
   std::string Waiting(instant) { return {}; }
-  void Stop() { mServer.Close(); }
+
+  void Stop()
+  {
+    mServer.Close();
+    mMonitored.Close();
+  }
 
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
@@ -46,6 +60,7 @@
 private:
   kernel& mKernel;
   http_server<metrics_http> mServer;
+  http_server<metrics_http> mMonitored;
 };
 
 const registered<metrics_http> kRegistered;
