--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Instances that start together may register after each other's first reading.
-constexpr int kEnoughReadings = 2;
-
 bool
 IsOlder(const fleet_member& aOne, const fleet_member& aOther)
 {
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -62,6 +62,9 @@
 {
 public:
   static constexpr lock_rank kLockRank = lock_rank::Membership;
+  // Readings, after its own registration, with which an instance knows those
+  // that started with it: they may register after the first.
+  static constexpr int kEnoughReadings = 2;
 
   explicit fleet_view(fleet_options aOptions)
     : mOptions(std::move(aOptions))
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -131,7 +131,6 @@
   // instance, and newcomers are heard by their heartbeats before.
   static constexpr std::chrono::milliseconds kFirstFleetPace{ 1000 };
   static constexpr std::chrono::milliseconds kFleetPace{ 20000 };
-  static constexpr int kFirstFleetReadings = 2;
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerPace{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
@@ -177,7 +176,7 @@
       }
       // Instances often start together: soon after the first reading the rows
       // of the others are there too.
-      bool isSettled = readings >= kFirstFleetReadings;
+      bool isSettled = readings >= fleet_view::kEnoughReadings;
       co_await SleepFor(mJitter(isSettled ? kFleetPace : kFirstFleetPace));
     }
   }
