--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -2,6 +2,7 @@
 // need the order of arrivals, not their number.
 #include "laburnumdyke/testing/harness/one_front.h"
 
+#include "laburnumdyke/kernel/invariant.h"
 #include "laburnumdyke/plugin/steered_front.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
@@ -11,8 +12,6 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 namespace laburnumdyke {
 
 namespace {
@@ -167,7 +166,9 @@
   mKernel = std::make_unique<kernel>(
     mSettings,
     std::vector<plugin_record>{ MakeRecord<steered_front<header_dialect>>() });
-  CHECK(!mKernel->Start(std::chrono::steady_clock::now()));
+  std::optional<std::string> failure =
+    mKernel->Start(std::chrono::steady_clock::now());
+  CheckInvariant(!failure, "test_front", failure.value_or(""));
 }
 
 void
