Ask again, before a request is sent, whether its upstream still takes requests

Change: upstream_steering::MaySend, asked once the connection is up; if not, the attempt ends as withdrawn, counts as no send, and another upstream is chosen. The scripted upstream ignores a connection that is closed without a request.

Measured: upstream_leaves_test fails without the check (1 request at the leaving upstream, 0 expected, GET and POST) and passes with it.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -152,6 +152,15 @@
   return 1 + (aUpstream.mSlowness - 1) * std::exp(-age / span);
 }
 
+// Whether the upstream may get requests at all, whatever its health or load.
+bool
+upstream_steering::TakesRequests(const upstream& aUpstream) const
+{
+  const upstream_entry& entry = aUpstream.mEntry;
+  return !entry.mDraining && !aUpstream.mMisdirected &&
+         mEvacuated.count(entry.mDomain) == 0;
+}
+
 bool
 upstream_steering::IsEligible(const upstream& aUpstream,
                               const steering_request& aRequest,
@@ -159,8 +168,7 @@
                               instant aNow) const
 {
   const upstream_entry& entry = aUpstream.mEntry;
-  if (entry.mService != aRequest.mService || entry.mDraining ||
-      aUpstream.mMisdirected || mEvacuated.count(entry.mDomain) > 0) {
+  if (entry.mService != aRequest.mService || !TakesRequests(aUpstream)) {
     return false;
   }
   region_id region = RegionOf(entry.mDomain);
@@ -420,6 +428,15 @@
   return isSameIncarnation ? &found->second : nullptr;
 }
 
+bool
+upstream_steering::MaySend(const steering_target& aTarget) const
+{
+  auto found = mUpstreams.find(aTarget.mId);
+  return found != mUpstreams.end() &&
+         found->second.mEntry.mBorn == aTarget.mBorn &&
+         TakesRequests(found->second);
+}
+
 void
 upstream_steering::Begin(const steering_target& aTarget, instant aNow)
 {
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -17,7 +17,8 @@
 //   steering_choice choice = steering.Choose(request, now);
 //   if (choice.mTarget) {
 //     steering.Begin(*choice.mTarget, now);
-//     ...
+//     ... connect ...
+//     if (steering.MaySend(*choice.mTarget)) ...
 //     steering.End(*choice.mTarget, report, now);
 //   }
 #pragma once
@@ -126,6 +127,9 @@
   void SetFleet(std::vector<instance_location> aFleet);
 
   steering_choice Choose(const steering_request& aRequest, instant aNow);
+  // Whether a request may still be sent to the chosen upstream. Ask right
+  // before the send: the upstream may have begun to leave since the choice.
+  bool MaySend(const steering_target& aTarget) const;
   void Begin(const steering_target& aTarget, instant aNow);
   void End(const steering_target& aTarget,
            const attempt_report& aReport,
@@ -208,6 +212,7 @@
                  instant aNow);
   void MarkCold(upstream& aUpstream, instant aNow);
   upstream* Find(const steering_target& aTarget);
+  bool TakesRequests(const upstream& aUpstream) const;
 
   steering_options mOptions;
   upstream_directory mDirectory;
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -284,6 +284,10 @@
     attempt.mRead = [&aRequest](const upstream_head& aHead) {
       return Dialect::ReadAnswer(aHead, aRequest.mCaller.mId);
     };
+    attempt.mMaySend = [&]() {
+      return mTables.Steering().With(
+        [&](steering_state& aSteering) { return aSteering.MaySend(aTarget); });
+    };
     attempt.mDeadline = aRequest.mDeadline;
     attempt.mIdempotent = aRequest.mRoute->mIdempotent;
     attempt.mWithholdErrors =
@@ -315,7 +319,8 @@
   // Records an attempt's outcome. Returns whether the request has ended.
   bool RecordOutcome(steered_request& aRequest, const attempt_outcome& aOutcome)
   {
-    bool sent = aOutcome.mEnd != attempt_ending::NotSent;
+    bool sent = aOutcome.mEnd != attempt_ending::NotSent &&
+                aOutcome.mEnd != attempt_ending::Withdrawn;
     bool refused = aOutcome.mEnd == attempt_ending::NotRun ||
                    aOutcome.mEnd == attempt_ending::WrongInstance;
     aRequest.mSends += sent ? 1 : 0;
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -355,6 +355,8 @@
       return "answered";
     case attempt_ending::NotSent:
       return "not_sent";
+    case attempt_ending::Withdrawn:
+      return "withdrawn";
     case attempt_ending::NotRun:
       return "not_run";
     case attempt_ending::WrongInstance:
@@ -389,6 +391,11 @@
     outcome.mEnd = attempt_ending::CallerGone;
     co_return outcome;
   }
+  // The upstream may have begun to leave meanwhile.
+  if (!aAttempt.mMaySend()) {
+    outcome.mEnd = attempt_ending::Withdrawn;
+    co_return outcome;
+  }
   failure = co_await SendRequest(aExchange, aAttempt, connection);
   if (failure) {
     outcome.mEnd = EndOf(failure);
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -50,6 +50,8 @@
   std::string mBody;    // the whole body of the request
   header_list mHeaders; // set on the forwarded request
   std::function<answer_attributes(const upstream_head&)> mRead;
+  // Whether the request may still be sent; asked once the connection is up.
+  std::function<bool()> mMaySend;
   instant mDeadline{}; // for the whole answer
   // May use an idle connection; abandoned if the caller disconnects.
   bool mIdempotent = false;
@@ -60,6 +62,7 @@
 {
   Answered,      // the whole answer was forwarded
   NotSent,       // no byte of the request was written
+  Withdrawn,     // not sent, because mMaySend forbade it
   NotRun,        // refused by the upstream before any work
   WrongInstance, // another upstream now has the address
   Errored,       // a server error that was not forwarded
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -128,6 +128,9 @@
   asio::streambuf buffer;
   error_code failure;
   std::size_t size = asio::read_until(aSocket, buffer, "\r\n\r\n", failure);
+  if (failure) {
+    return; // closed without a request
+  }
   std::string head(asio::buffers_begin(buffer.data()),
                    asio::buffers_begin(buffer.data()) +
                      static_cast<std::ptrdiff_t>(size));
