Divide the demand among regions in advance, and count the share that leaves over served requests

Cause: the share of a region's requests that leaves it was of all requests. And the share began at 0.6 of what evens out load, fell at low load and was earned back only as queues filled, while the upstreams of other regions were idle.

Change: region_balance divides each service's demand (by instances) among regions so that all have the same utilisation; the part that leaves is a part of the objects, by hash, so that they stay cached, and is the least share at any load. region_spillover counts served requests: a refused request adds no credit, unless the region serves nothing itself. A remote share is no longer charged where no remote upstream admits.

One test of steering expected the old first share (30 to 70 of 100): it now expects that of equal utilisation (70 to 90), as strict.

--- a/laburnumdyke/decision/region_spillover.cc
+++ b/laburnumdyke/decision/region_spillover.cc
@@ -1,7 +1,9 @@
 // The remote share follows the desired share at a bounded rate. Requests are
-// assigned by error diffusion: each request adds the share to a credit, and a
-// remote one costs 1. While the credit is within half a request of 1, the
-// request's own preference decides.
+// assigned by error diffusion: each served request adds the share to a credit,
+// and a remote one costs 1. While the credit is within half a request of 1, the
+// request's own preference decides. Refused requests add nothing, since full
+// upstreams would otherwise make the share of what is served jump; but once the
+// region serves nothing, all that is served is served elsewhere anyway.
 #include "laburnumdyke/decision/region_spillover.h"
 
 #include <algorithm>
@@ -23,8 +25,8 @@
 
 } // namespace
 
-spillover_decision
-region_spillover::Decide(bool aPrefersRemote, bool aLocalAdmits, instant aNow)
+void
+region_spillover::Advance(bool aPrefersRemote, instant aNow)
 {
   std::chrono::duration<double> window = mOptions.mWindow;
   double windows = 0;
@@ -37,15 +39,33 @@
   double decay = std::exp(-windows / kSmoothingWindows);
   mDesiredShare = mDesiredShare * decay + (aPrefersRemote ? 1 - decay : 0);
   double step = mOptions.mMostShift * kShiftFraction * windows;
-  mShare += std::clamp(mDesiredShare - mShare, -step, step);
+  double desired = std::max(mDesiredShare, mMinShare);
+  mShare += std::clamp(desired - mShare, -step, step);
+}
+
+spillover_decision
+region_spillover::Decide(bool aPrefersRemote,
+                         bool aLocalAdmits,
+                         instant aNow,
+                         bool aRemoteAdmits)
+{
+  Advance(aPrefersRemote, aNow);
   double credit = std::min(mCredit + mShare, kMaxCredit);
-  bool isRemote =
-    credit >= (aPrefersRemote ? kPreferredThreshold : kForcedThreshold);
-  mCredit = credit - (isRemote ? 1 : 0);
-  if (!isRemote && !aLocalAdmits) {
-    return spillover_decision::Refuse;
+  bool wantsRemote = aPrefersRemote || !aLocalAdmits;
+  double threshold = wantsRemote ? kPreferredThreshold : kForcedThreshold;
+  if (aRemoteAdmits && credit >= threshold) {
+    mCredit = credit - 1;
+    return spillover_decision::Remote;
+  }
+  if (aLocalAdmits) {
+    mCredit = credit;
+    mServesLocallyUntil = aNow + mOptions.mWindow;
+    return spillover_decision::Local;
+  }
+  if (aNow >= mServesLocallyUntil) {
+    mCredit = credit;
   }
-  return isRemote ? spillover_decision::Remote : spillover_decision::Local;
+  return spillover_decision::Refuse;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/region_spillover.h
+++ b/laburnumdyke/decision/region_spillover.h
@@ -7,12 +7,14 @@
 // limits its own share, which bounds the change of the sum without
 // coordination.
 //
-// The share is of all requests, refused ones included: a region that stays full
-// for a while then has its whole remote share served by other regions.
+// The share is of the requests that are served: while the region's upstreams
+// fill up and serve fewer of the requests, fewer leave it too. Only if the
+// region serves nothing is the share one of all requests.
 //
 // Usage:
+//   spillover.SetMinShare(balance.RemoteShare());
 //   spillover_decision decision =
-//     spillover.Decide(prefersRemote, localAdmits, now);
+//     spillover.Decide(prefersRemote, localAdmits, now, remoteAdmits);
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -34,7 +36,7 @@
 {
   Local,
   Remote,
-  Refuse, // the region is full and its remote share is used up
+  Refuse, // no upstream that the share allows admits the request
 };
 
 class region_spillover
@@ -47,19 +49,30 @@
   {
   }
 
+  // Sets the share, 0 to 1, that leaves the region also at low load. The share
+  // follows at its bounded rate.
+  void SetMinShare(double aShare) { mMinShare = aShare; }
+
   // Decides where the next request is sent. aPrefersRemote: a remote upstream
-  // would serve it better; aLocalAdmits: an upstream of the region admits it.
+  // would serve it better; aLocalAdmits, aRemoteAdmits: an upstream of the
+  // region or of another one admits it.
   spillover_decision Decide(bool aPrefersRemote,
                             bool aLocalAdmits,
-                            instant aNow);
+                            instant aNow,
+                            bool aRemoteAdmits = true);
 
   double Share() const { return mShare; }
 
 private:
+  // Moves the share towards the desired one.
+  void Advance(bool aPrefersRemote, instant aNow);
+
   region_spillover_options mOptions;
+  double mMinShare = 0;
   double mDesiredShare; // smoothed share of requests that prefer remote
   double mShare;        // share sent to other regions
   double mCredit = 0;   // requests that may be sent to other regions
+  instant mServesLocallyUntil{};
   instant mLast{};
   bool mStarted = false;
 };
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -33,7 +33,6 @@
 constexpr seconds_d kCrossDomainCostPerByte{ 4e-6 };
 // An upstream refuses requests beyond this many queued ones per slot.
 constexpr double kMaxQueuedPerSlot = 2;
-constexpr double kInitialShareFactor = 0.6;
 constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
 constexpr double kRoundTripWeight = 0.2;
@@ -73,6 +72,9 @@
 {
   for (const upstream_change& change : aChanges) {
     const upstream_entry& entry = change.mEntry;
+    if (change.mKind != upstream_change_kind::Renewed) {
+      mBalances.clear();
+    }
     if (change.mKind == upstream_change_kind::Left) {
       mUpstreams.erase(entry.mId);
       continue;
@@ -106,6 +108,7 @@
     }
   }
   mEvacuated = aDomains;
+  mBalances.clear();
 }
 
 void
@@ -117,17 +120,18 @@
 void
 upstream_steering::SetFleet(std::vector<instance_location> aFleet)
 {
-  mRegionInstances = 1;
   bool knewPeers = mFleetSize > 1;
   mFleetSize = std::max<std::size_t>(1, aFleet.size());
   if (!knewPeers && mFleetSize > 1) {
     mSpillovers.clear(); // initial shares were set without knowing demand
   }
+  mFleet.clear();
   for (const instance_location& place : aFleet) {
-    bool isRegionPeer =
-      place.mRegion == mOptions.mRegion && place.mInstance != mOptions.mSelf;
-    mRegionInstances += isRegionPeer ? 1 : 0;
+    ++mFleet[place.mRegion];
   }
+  auto own = mFleet.find(mOptions.mRegion);
+  mRegionInstances = own == mFleet.end() ? 1 : own->second;
+  mBalances.clear();
   mColdStartLimiter.SetFleet(std::move(aFleet));
 }
 
@@ -213,14 +217,18 @@
 {
   std::vector<ranked_upstream> choices;
   bool hasOrder = !aRequest.mObject.empty() && aRequest.mRoute.mAffinity;
+  const region_balance& balance = BalanceOf(aRequest.mService);
   for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
     if (!IsEligible(known.second, aRequest, aTrustHealth, aNow)) {
       continue;
     }
     const upstream_entry& entry = known.second.mEntry;
-    double score = hasOrder ? OrderScore(entry, aRequest.mObject) : 0;
-    choices.push_back(
-      { &known.second, LocalityOf(entry, aStaysInDomain), score, 0 });
+    locality place = LocalityOf(entry, aStaysInDomain);
+    double weight = place == locality::OtherRegion
+                      ? balance.Weight(RegionOf(entry.mDomain))
+                      : 1;
+    double score = hasOrder ? weight * OrderScore(entry, aRequest.mObject) : 0;
+    choices.push_back({ &known.second, place, score, 0 });
   }
   if (!hasOrder) {
     return choices;
@@ -242,12 +250,40 @@
   return choices;
 }
 
+// Whether the upstream is the first of those that the object is assigned to.
+bool
+upstream_steering::IsPrimary(const ranked_upstream& aRanked,
+                             const request_view& aView)
+{
+  locality assigned =
+    aView.mIsAssignedRemotely ? locality::OtherRegion : locality::Local;
+  return aRanked.mLocality == assigned && aRanked.mRank == 0;
+}
+
+// Whether the upstream is expected to have the request's object cached. In a
+// region that the object isn't assigned to, other objects soon displace it.
+bool
+upstream_steering::IsCached(const ranked_upstream& aRanked,
+                            const request_view& aView) const
+{
+  std::string_view object = aView.mRequest.mObject;
+  if (object.empty()) {
+    return true;
+  }
+  bool isRemote = aRanked.mLocality == locality::OtherRegion;
+  if (aView.mIsAssignedRemotely && !isRemote) {
+    return false;
+  }
+  return IsPrimary(aRanked, aView) ||
+         aRanked.mUpstream->mRecent.Contains(object);
+}
+
 upstream_steering::candidate
 upstream_steering::Evaluate(const ranked_upstream& aRanked,
-                            const steering_request& aRequest,
-                            const work_estimate& aWork,
+                            const request_view& aView,
                             instant aNow) const
 {
+  const steering_request& request = aView.mRequest;
   candidate evaluated;
   const upstream& target = *aRanked.mUpstream;
   const upstream_entry& entry = target.mEntry;
@@ -258,12 +294,10 @@
   double slowness = Slowness(target, aNow);
   double waiting = std::max(0.0, load + 1 - slots);
   evaluated.mWait =
-    ToDuration(seconds_d(aWork.Known()) * slowness * (waiting / slots));
-  bool isPrimary = aRanked.mLocality == locality::Local && aRanked.mRank == 0;
-  bool isCached = isPrimary || aRequest.mObject.empty() ||
-                  target.mRecent.Contains(aRequest.mObject);
-  seconds_d work = isCached ? aWork.Known() : aWork.Unknown();
-  work *= slowness * (isPrimary ? 1 : kNonPrimaryFactor) *
+    ToDuration(seconds_d(aView.mWork.Known()) * slowness * (waiting / slots));
+  seconds_d work =
+    IsCached(aRanked, aView) ? aView.mWork.Known() : aView.mWork.Unknown();
+  work *= slowness * (IsPrimary(aRanked, aView) ? 1 : kNonPrimaryFactor) *
           (IsCold(target, aNow) ? kColdFactor : 1);
   auto roundTrip = mRoundTrips.find(entry.mDomain);
   seconds_d distance = roundTrip != mRoundTrips.end() ? roundTrip->second
@@ -273,10 +307,11 @@
   evaluated.mTotal = ToDuration(total);
   bool crossesDomains = entry.mDomain != mOptions.mDomain;
   evaluated.mCost =
-    total.count() +
-    (crossesDomains ? kCrossDomainCostPerByte.count() * aWork.Bytes() : 0);
+    total.count() + (crossesDomains
+                       ? kCrossDomainCostPerByte.count() * aView.mWork.Bytes()
+                       : 0);
   bool meetsObjective =
-    aNow + evaluated.mTotal <= aRequest.mReceived + aRequest.mRoute.mObjective;
+    aNow + evaluated.mTotal <= request.mReceived + request.mRoute.mObjective;
   bool hasQueueSpace = load + 1 <= slots * (1 + kMaxQueuedPerSlot);
   bool isFree = load + 1 <= slots;
   evaluated.mAdmits = (meetsObjective && hasQueueSpace) || isFree;
@@ -290,51 +325,50 @@
 {
   std::vector<candidate> candidates;
   const work_estimate& work = WorkOf(aRequest.mRoute);
+  bool isAssignedRemotely =
+    BalanceOf(aRequest.mService).IsAssignedRemotely(aRequest.mObject);
+  request_view view{ aRequest, work, isAssignedRemotely };
   bool staysInDomain = kCrossDomainCostPerByte * work.Bytes() >
                        seconds_d(aRequest.mRoute.mObjective) / 4;
   for (const ranked_upstream& ranked :
        PreferredUpstreams(aRequest, staysInDomain, aTrustHealth, aNow)) {
-    candidates.push_back(Evaluate(ranked, aRequest, work, aNow));
+    candidates.push_back(Evaluate(ranked, view, aNow));
   }
   return candidates;
 }
 
-// Initial share of requests sent to other regions: the share that would balance
-// load across regions, assuming that a region's demand is proportional to its
-// instances, times kInitialShareFactor, because less needs to leave at low
-// load.
-double
-upstream_steering::InitialShare(const service_id& aService) const
+const region_balance&
+upstream_steering::BalanceOf(const service_id& aService)
 {
-  double localSlots = 0;
-  double allSlots = 0;
+  auto found = mBalances.find(aService);
+  if (found != mBalances.end()) {
+    return found->second;
+  }
+  std::map<region_id, region_capacity> capacities;
+  for (const std::pair<const region_id, std::size_t>& region : mFleet) {
+    capacities[region.first].mDemand = static_cast<double>(region.second);
+  }
   for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
     const upstream_entry& entry = known.second.mEntry;
-    if (entry.mService == aService && !entry.mDraining) {
-      allSlots += entry.mSlots;
-      localSlots +=
-        RegionOf(entry.mDomain) == mOptions.mRegion ? entry.mSlots : 0;
+    if (entry.mService == aService && TakesRequests(known.second)) {
+      capacities[RegionOf(entry.mDomain)].mSlots += entry.mSlots;
     }
   }
-  double demand =
-    static_cast<double>(mRegionInstances) / static_cast<double>(mFleetSize);
-  if (allSlots == 0 || localSlots / allSlots >= demand) {
-    return 0;
-  }
-  return (1 - localSlots / allSlots / demand) * kInitialShareFactor;
+  region_balance balance(capacities, mOptions.mRegion);
+  return mBalances.emplace(aService, std::move(balance)).first->second;
 }
 
 region_spillover&
 upstream_steering::SpilloverOf(const service_id& aService)
 {
+  double share = BalanceOf(aService).RemoteShare();
   auto found = mSpillovers.find(aService);
   if (found == mSpillovers.end()) {
     region_spillover_options options = mOptions.mSpillover;
-    // Without instances in other regions their demand is unknown.
-    bool knowsPeers = mFleetSize > mRegionInstances;
-    options.mInitialShare = knowsPeers ? InitialShare(aService) : 0;
+    options.mInitialShare = share;
     found = mSpillovers.emplace(aService, region_spillover(options)).first;
   }
+  found->second.SetMinShare(share);
   return found->second;
 }
 
@@ -363,11 +397,16 @@
   }
   spillover_decision decision =
     SpilloverOf(aRequest.mService)
-      .Decide(prefersRemote, local != nullptr, aNow);
-  if (decision == spillover_decision::Remote && remote != nullptr) {
-    return remote;
-  }
-  return local;
+      .Decide(prefersRemote, local != nullptr, aNow, remote != nullptr);
+  switch (decision) {
+    case spillover_decision::Local:
+      return local;
+    case spillover_decision::Remote:
+      return remote;
+    case spillover_decision::Refuse:
+      break;
+  }
+  return nullptr;
 }
 
 steering_choice
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -26,6 +26,7 @@
 #include "laburnumdyke/decision/cold_start_limiter.h"
 #include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/decision/recent_objects.h"
+#include "laburnumdyke/decision/region_balance.h"
 #include "laburnumdyke/decision/region_spillover.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/upstream_directory.h"
@@ -177,9 +178,17 @@
     std::size_t mRank = 0;
   };
 
+  // What a request's candidates are evaluated with.
+  struct request_view
+  {
+    const steering_request& mRequest;
+    const work_estimate& mWork;
+    bool mIsAssignedRemotely = false; // by the service's region_balance
+  };
+
   region_id RegionOf(const domain_id& aDomain) const;
   region_spillover& SpilloverOf(const service_id& aService);
-  double InitialShare(const service_id& aService) const;
+  const region_balance& BalanceOf(const service_id& aService);
   bool IsCold(const upstream& aUpstream, instant aNow) const;
   bool IsEligible(const upstream& aUpstream,
                   const steering_request& aRequest,
@@ -192,9 +201,12 @@
     bool aStaysInDomain,
     bool aTrustHealth,
     instant aNow);
+  static bool IsPrimary(const ranked_upstream& aRanked,
+                        const request_view& aView);
+  bool IsCached(const ranked_upstream& aRanked,
+                const request_view& aView) const;
   candidate Evaluate(const ranked_upstream& aRanked,
-                     const steering_request& aRequest,
-                     const work_estimate& aWork,
+                     const request_view& aView,
                      instant aNow) const;
   std::vector<candidate> Candidates(const steering_request& aRequest,
                                     bool aTrustHealth,
@@ -217,12 +229,14 @@
   steering_options mOptions;
   upstream_directory mDirectory;
   cold_start_limiter mColdStartLimiter;
-  std::size_t mRegionInstances = 1; // in this region, including this one
-  std::size_t mFleetSize = 1;       // in all regions
+  std::map<region_id, std::size_t> mFleet; // instances by region
+  std::size_t mRegionInstances = 1;        // in this region, including this one
+  std::size_t mFleetSize = 1;              // in all regions
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
   std::set<domain_id> mEvacuated;
-  std::map<std::string, work_estimate> mWork; // by route name
+  std::map<std::string, work_estimate> mWork;     // by route name
+  std::map<service_id, region_balance> mBalances; // computed when needed
   std::map<service_id, region_spillover> mSpillovers;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
--- /dev/null
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -0,0 +1,297 @@
+// The next arrival of each region and the next finish are taken in the order of
+// time. A rate that changes is sampled at each arrival, which is exact enough
+// for hundreds of arrivals a second.
+#include "laburnumdyke/testing/harness/load_replay.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumdyke {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kSlots = 3;
+constexpr std::size_t kQueue = 9;
+constexpr std::size_t kCacheSize = 18;
+constexpr std::chrono::milliseconds kUncachedWork{ 640 };
+constexpr std::chrono::milliseconds kCachedWork{ 192 };
+constexpr int kObjectsPerRegion = 24;
+// Windows with fewer runs are not compared.
+constexpr int kMinRuns = 50;
+constexpr std::chrono::milliseconds kWindowStep{ 100 };
+
+std::string
+DomainOf(const std::string& aRegion, std::size_t aNumber)
+{
+  return aRegion + (aNumber % 2 == 0 ? "-a" : "-b");
+}
+
+int
+Sum(const std::map<std::string, int>& aCounts)
+{
+  int sum = 0;
+  for (const std::pair<const std::string, int>& count : aCounts) {
+    sum += count.second;
+  }
+  return sum;
+}
+
+// The part that moves between two distributions, 0 to 1.
+double
+Difference(std::map<std::string, int> aFirst,
+           std::map<std::string, int> aSecond)
+{
+  double moved = 0;
+  double first = Sum(aFirst);
+  double second = Sum(aSecond);
+  for (const std::pair<const std::string, int>& count : aSecond) {
+    moved += std::max(0.0, count.second / second - aFirst[count.first] / first);
+  }
+  return moved;
+}
+
+} // namespace
+
+steering_options
+ReplayOptions(const std::string& aSelf, const std::string& aDomain)
+{
+  steering_options options;
+  options.mSelf = { aSelf };
+  options.mDomain = { aDomain };
+  options.mRegion = { aDomain.substr(0, aDomain.find('-')) };
+  for (const char* region : { "east", "west", "north" }) {
+    for (const char* letter : { "-a", "-b" }) {
+      options.mRegions[{ std::string(region) + letter }] = { region };
+    }
+  }
+  return options;
+}
+
+upstream_entry
+ReplayUpstream(const std::string& aId, const std::string& aDomain)
+{
+  upstream_entry entry;
+  entry.mId = { aId };
+  entry.mService = { "sheets" };
+  entry.mDomain = { aDomain };
+  entry.mAddress = { "10.0.0.1", 80 };
+  entry.mSlots = kSlots;
+  entry.mSequence = 1;
+  return entry;
+}
+
+route_spec
+ReplayRoute()
+{
+  route_spec route;
+  route.mName = "sheets";
+  route.mIdempotent = true;
+  route.mObjective = 400ms;
+  route.mAffinity = true;
+  route.mServices = { { { "sheets" }, 1 } };
+  route.mTimeout = 3000ms;
+  route.mMaxAttempts = 2;
+  return route;
+}
+
+std::shared_ptr<const route_table>
+ReplayRules()
+{
+  routing_document document;
+  document.mVersion = 1;
+  document.mServices[{ "sheets" }] = { 3000ms, 3.6 };
+  return std::make_shared<const route_table>(std::move(document));
+}
+
+load_replay::load_replay(std::vector<replay_region> aRegions, unsigned aSeed)
+  : mRandom(aSeed)
+  , mRegions(std::move(aRegions))
+{
+  std::vector<upstream_entry> entries;
+  for (const replay_region& region : mRegions) {
+    for (std::size_t i = 0; i < region.mUpstreams; ++i) {
+      std::string name = region.mName + "-u" + std::to_string(i);
+      entries.push_back(ReplayUpstream(name, DomainOf(region.mName, i)));
+      mUpstreams[entries.back().mId] = {};
+    }
+    AddInstances(region);
+  }
+  for (upstream_steering& instance : mInstances) {
+    instance.SetRules(ReplayRules());
+    instance.SetFleet(mFleet);
+    instance.Apply(instance.Directory().Replace(entries, kReplayStart),
+                   kReplayStart);
+  }
+}
+
+void
+load_replay::AddInstances(const replay_region& aRegion)
+{
+  for (std::size_t i = 0; i < aRegion.mInstances; ++i) {
+    std::string name = aRegion.mName + "-i" + std::to_string(i);
+    steering_options options = ReplayOptions(name, DomainOf(aRegion.mName, i));
+    options.mSeed = mInstances.size() + 1;
+    mInstancesOf[aRegion.mName].push_back(mInstances.size());
+    mInstances.emplace_back(options);
+    mFleet.push_back({ { name }, { aRegion.mName } });
+  }
+}
+
+void
+load_replay::SetBurst(instant aBegin, duration aFor, double aFactor)
+{
+  mBurstBegin = aBegin;
+  mBurstEnd = aBegin + aFor;
+  mBurstFactor = aFactor;
+}
+
+double
+load_replay::Rate(const replay_region& aRegion, instant aNow) const
+{
+  bool isBurst = aNow >= mBurstBegin && aNow < mBurstEnd;
+  return aRegion.mPerSecond * (isBurst ? mBurstFactor : 1);
+}
+
+void
+load_replay::Run(std::chrono::seconds aFor)
+{
+  std::vector<instant> next(mRegions.size(), kReplayStart);
+  instant end = kReplayStart + aFor;
+  while (true) {
+    auto first = std::min_element(next.begin(), next.end());
+    if (*first >= end) {
+      break;
+    }
+    const replay_region& region = mRegions[first - next.begin()];
+    FinishUntil(*first);
+    Arrive(region, *first);
+    std::exponential_distribution<double> interarrival(Rate(region, *first));
+    *first += std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(interarrival(mRandom)));
+  }
+  FinishUntil(end + 1h);
+}
+
+void
+load_replay::Arrive(const replay_region& aRegion, instant aNow)
+{
+  static const std::vector<upstream_id> kNoneTried;
+  const std::vector<std::size_t>& local = mInstancesOf[aRegion.mName];
+  std::size_t instance = local[mRandom() % local.size()];
+  std::uniform_int_distribution<int> number(0, kObjectsPerRegion - 1);
+  std::string object = aRegion.mName + std::to_string(number(mRandom));
+  replay_result& result = mResults[aRegion.mName];
+  steering_choice choice = mInstances[instance].Choose(
+    { mRoute, { "sheets" }, object, aNow, aNow + 3s, kNoneTried }, aNow);
+  if (!choice.mTarget) {
+    ++result.mRefused;
+    return;
+  }
+  mInstances[instance].Begin(*choice.mTarget, aNow);
+  model_upstream& upstream = mUpstreams[choice.mTarget->mId];
+  mRequests.push_back(
+    { instance, aRegion.mName, object, aNow, *choice.mTarget });
+  std::size_t request = mRequests.size() - 1;
+  if (upstream.mRunning < kSlots) {
+    Begin(request, aNow);
+  } else if (upstream.mWaiting.size() < kQueue) {
+    upstream.mWaiting.push_back(request);
+  } else {
+    ++result.mShed;
+    attempt_report report;
+    report.mQueueFull = true;
+    report.mLoad = Load(upstream);
+    mInstances[instance].End(*choice.mTarget, report, aNow);
+  }
+}
+
+reported_load
+load_replay::Load(const model_upstream& aUpstream)
+{
+  return { aUpstream.mRunning,
+           static_cast<std::uint32_t>(aUpstream.mWaiting.size()),
+           kSlots };
+}
+
+void
+load_replay::Begin(std::size_t aNumber, instant aNow)
+{
+  const model_request& request = mRequests[aNumber];
+  model_upstream& upstream = mUpstreams[request.mTarget.mId];
+  ++upstream.mRunning;
+  bool isCached = std::erase(upstream.mCached, request.mObject) > 0;
+  upstream.mCached.push_back(request.mObject);
+  if (upstream.mCached.size() > kCacheSize) {
+    upstream.mCached.pop_front();
+  }
+  const std::string& domain = request.mTarget.mDomain.mValue;
+  mRuns[request.mRegion].push_back(
+    { aNow, domain.substr(0, domain.find('-')) });
+  mFinishes.push({ aNow + (isCached ? kCachedWork : kUncachedWork), aNumber });
+}
+
+void
+load_replay::FinishUntil(instant aUntil)
+{
+  while (!mFinishes.empty() && mFinishes.top().mAt <= aUntil) {
+    finish done = mFinishes.top();
+    mFinishes.pop();
+    const model_request request = mRequests[done.mRequest];
+    model_upstream& upstream = mUpstreams[request.mTarget.mId];
+    --upstream.mRunning;
+    if (!upstream.mWaiting.empty()) {
+      std::size_t number = upstream.mWaiting.front();
+      upstream.mWaiting.pop_front();
+      Begin(number, done.mAt);
+    }
+    duration elapsed = done.mAt - request.mArrived;
+    replay_result& result = mResults[request.mRegion];
+    (elapsed <= mRoute.mObjective ? result.mOnTime : result.mLate) += 1;
+    attempt_report report;
+    report.mResult = attempt_result::Answered;
+    report.mTook = elapsed;
+    report.mBytes = 1500;
+    report.mLoad = Load(upstream);
+    mInstances[request.mInstance].End(request.mTarget, report, done.mAt);
+  }
+}
+
+load_replay::region_counts
+load_replay::CountRuns(const std::vector<run>& aRuns,
+                       instant aBegin,
+                       instant aEnd)
+{
+  region_counts counts;
+  for (const run& each : aRuns) {
+    if (each.mBegun >= aBegin && each.mBegun < aEnd) {
+      ++counts[each.mRegion];
+    }
+  }
+  return counts;
+}
+
+double
+load_replay::GreatestShift(const std::string& aRegion, duration aWindow) const
+{
+  auto found = mRuns.find(aRegion);
+  if (found == mRuns.end()) {
+    return 0;
+  }
+  const std::vector<run>& runs = found->second;
+  double greatest = 0;
+  instant last = runs.back().mBegun;
+  for (instant begin = kReplayStart; begin + 2 * aWindow <= last;
+       begin += kWindowStep) {
+    region_counts first = CountRuns(runs, begin, begin + aWindow);
+    region_counts second =
+      CountRuns(runs, begin + aWindow, begin + 2 * aWindow);
+    if (Sum(first) >= kMinRuns && Sum(second) >= kMinRuns) {
+      greatest = std::max(greatest, Difference(first, second));
+    }
+  }
+  return greatest;
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -0,0 +1,138 @@
+// Replays load in virtual time on several instances, in one or more regions,
+// that share nothing but their upstreams.
+//
+// Usage:
+//   load_replay replay({ { "east", 8, 6, 25 } }, seed);
+//   replay.SetBurst(kReplayStart, 6s, 2.5);
+//   replay.Run(30s);
+//   replay.Result("east").mOnTime; replay.GreatestShift("east", 2s);
+#pragma once
+
+#include "laburnumdyke/decision/upstream_steering.h"
+
+#include <deque>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace laburnumdyke {
+
+inline const instant kReplayStart = instant() + std::chrono::hours(1);
+
+// A steered instance in aDomain; the regions are "east", "west" and "north",
+// each with the failure domains "-a" and "-b".
+steering_options
+ReplayOptions(const std::string& aSelf, const std::string& aDomain);
+
+upstream_entry
+ReplayUpstream(const std::string& aId, const std::string& aDomain);
+
+// The service "sheets", whose upstreams are faster on cached objects.
+route_spec
+ReplayRoute();
+
+std::shared_ptr<const route_table>
+ReplayRules();
+
+struct replay_region
+{
+  std::string mName;
+  std::size_t mInstances = 0;
+  std::size_t mUpstreams = 0;
+  double mPerSecond = 0; // mean rate of requests of the region's callers
+};
+
+// Numbers of requests of a region's callers.
+struct replay_result
+{
+  int mOnTime = 0;
+  int mLate = 0;
+  int mRefused = 0;
+  int mShed = 0; // refused by an upstream whose queue was full
+
+  int All() const { return mOnTime + mLate + mRefused + mShed; }
+};
+
+class load_replay
+{
+public:
+  load_replay(std::vector<replay_region> aRegions, unsigned aSeed);
+
+  // All rates are aFactor times as high from aBegin for aFor.
+  void SetBurst(instant aBegin, duration aFor, double aFactor);
+
+  // Poisson arrivals for aFor; then waits until all requests have ended.
+  void Run(std::chrono::seconds aFor);
+
+  const replay_result& Result(const std::string& aRegion)
+  {
+    return mResults[aRegion];
+  }
+
+  // The greatest part, 0 to 1, of the region's requests that changes the region
+  // in which they run from a window to the next one, over sliding windows.
+  double GreatestShift(const std::string& aRegion, duration aWindow) const;
+
+private:
+  // Slots, a short queue, and a cache of recent objects.
+  struct model_upstream
+  {
+    std::uint32_t mRunning = 0;
+    std::deque<std::size_t> mWaiting{}; // indices of requests
+    std::deque<std::string> mCached{};
+  };
+
+  struct model_request
+  {
+    std::size_t mInstance = 0;
+    std::string mRegion; // of the caller
+    std::string mObject;
+    instant mArrived{};
+    steering_target mTarget;
+  };
+
+  struct finish
+  {
+    instant mAt;
+    std::size_t mRequest;
+    bool operator>(const finish& aOther) const { return mAt > aOther.mAt; }
+  };
+
+  struct run
+  {
+    instant mBegun;
+    std::string mRegion; // of the upstream
+  };
+
+  using region_counts = std::map<std::string, int>;
+
+  void AddInstances(const replay_region& aRegion);
+  // Requests run in each region from aBegin to aEnd.
+  static region_counts CountRuns(const std::vector<run>& aRuns,
+                                 instant aBegin,
+                                 instant aEnd);
+  void Arrive(const replay_region& aRegion, instant aNow);
+  static reported_load Load(const model_upstream& aUpstream);
+  void Begin(std::size_t aNumber, instant aNow);
+  void FinishUntil(instant aUntil);
+  double Rate(const replay_region& aRegion, instant aNow) const;
+
+  std::mt19937 mRandom;
+  route_spec mRoute = ReplayRoute();
+  std::vector<replay_region> mRegions;
+  std::map<std::string, std::vector<std::size_t>> mInstancesOf; // by region
+  std::deque<upstream_steering> mInstances;
+  std::vector<instance_location> mFleet;
+  std::map<upstream_id, model_upstream> mUpstreams;
+  std::deque<model_request> mRequests;
+  std::priority_queue<finish, std::vector<finish>, std::greater<>> mFinishes;
+  std::map<std::string, replay_result> mResults;
+  std::map<std::string, std::vector<run>> mRuns; // by the callers' region
+  instant mBurstBegin{};
+  instant mBurstEnd{};
+  double mBurstFactor = 1;
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -2,11 +2,10 @@
 // several instances that send to the same upstreams.
 #include "laburnumdyke/decision/upstream_steering.h"
 
-#include <algorithm>
-#include <deque>
+#include "laburnumdyke/testing/harness/load_replay.h"
+
 #include <map>
-#include <queue>
-#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,94 +14,39 @@
 using namespace laburnumdyke;
 using namespace std::chrono_literals;
 
-namespace {
-
-const instant kStart = instant() + 1h;
-
-steering_options
-Options(const std::string& aSelf, const std::string& aDomain)
-{
-  steering_options options;
-  options.mSelf = { aSelf };
-  options.mDomain = { aDomain };
-  options.mRegion = { aDomain.substr(0, aDomain.find('-')) };
-  for (const char* region : { "east", "west" }) {
-    for (const char* letter : { "-a", "-b" }) {
-      options.mRegions[{ std::string(region) + letter }] = { region };
-    }
-  }
-  return options;
-}
-
-upstream_entry
-Upstream(const std::string& aId, const std::string& aDomain)
-{
-  upstream_entry entry;
-  entry.mId = { aId };
-  entry.mService = { "sheets" };
-  entry.mDomain = { aDomain };
-  entry.mAddress = { "10.0.0.1", 80 };
-  entry.mSlots = 3;
-  entry.mSequence = 1;
-  return entry;
-}
-
-route_spec
-Sheets()
-{
-  route_spec route;
-  route.mName = "sheets";
-  route.mIdempotent = true;
-  route.mObjective = 400ms;
-  route.mAffinity = true;
-  route.mServices = { { { "sheets" }, 1 } };
-  route.mTimeout = 3000ms;
-  route.mMaxAttempts = 2;
-  return route;
-}
-
-std::shared_ptr<const route_table>
-Rules()
-{
-  routing_document document;
-  document.mVersion = 1;
-  document.mServices[{ "sheets" }] = { 3000ms, 3.6 };
-  return std::make_shared<const route_table>(std::move(document));
-}
-
-} // namespace
-
 TEST_GROUP(UpstreamSteering)
 {
-  route_spec mRoute = Sheets();
-  upstream_steering mSteering{ Options("one", "east-a") };
+  route_spec mRoute = ReplayRoute();
+  upstream_steering mSteering{ ReplayOptions("one", "east-a") };
   std::vector<upstream_id> mTried;
 
   void setup() override
   {
-    mSteering.SetRules(Rules());
+    mSteering.SetRules(ReplayRules());
     mSteering.SetFleet({ { { "one" }, { "east" } } });
-    Register({ Upstream("e1", "east-a"),
-               Upstream("e2", "east-a"),
-               Upstream("e3", "east-b"),
-               Upstream("w1", "west-a"),
-               Upstream("w2", "west-b") });
+    Register({ ReplayUpstream("e1", "east-a"),
+               ReplayUpstream("e2", "east-a"),
+               ReplayUpstream("e3", "east-b"),
+               ReplayUpstream("w1", "west-a"),
+               ReplayUpstream("w2", "west-b") });
   }
 
   void Register(std::vector<upstream_entry> aEntries)
   {
-    mSteering.Apply(mSteering.Directory().Replace(std::move(aEntries), kStart),
-                    kStart);
+    mSteering.Apply(
+      mSteering.Directory().Replace(std::move(aEntries), kReplayStart),
+      kReplayStart);
   }
 
-  steering_choice Choose(const std::string& aObject, instant aNow = kStart)
+  steering_choice Choose(const std::string& aObject,
+                         instant aNow = kReplayStart)
   {
     return mSteering.Choose(
       { mRoute, { "sheets" }, aObject, aNow, aNow + mRoute.mTimeout, mTried },
       aNow);
   }
 
-  std::string Chosen(const std::string& aObject, instant aNow = kStart)
+  std::string Chosen(const std::string& aObject, instant aNow = kReplayStart)
   {
     steering_choice choice = Choose(aObject, aNow);
     return choice.mTarget ? choice.mTarget->mId.mValue : "";
@@ -111,18 +55,19 @@
 
 TEST(UpstreamSteering, AllInstancesOfARegionChooseTheSameUpstreamForAnObject)
 {
-  upstream_steering other{ Options("two", "east-b") };
-  other.SetRules(Rules());
-  other.Apply(other.Directory().Replace({ Upstream("e1", "east-a"),
-                                          Upstream("e2", "east-a"),
-                                          Upstream("e3", "east-b"),
-                                          Upstream("w1", "west-a") },
-                                        kStart),
-              kStart);
+  upstream_steering other{ ReplayOptions("two", "east-b") };
+  other.SetRules(ReplayRules());
+  other.Apply(other.Directory().Replace({ ReplayUpstream("e1", "east-a"),
+                                          ReplayUpstream("e2", "east-a"),
+                                          ReplayUpstream("e3", "east-b"),
+                                          ReplayUpstream("w1", "west-a") },
+                                        kReplayStart),
+              kReplayStart);
   for (int i = 0; i < 50; ++i) {
     std::string object = std::to_string(i);
     steering_choice choice = other.Choose(
-      { mRoute, { "sheets" }, object, kStart, kStart + 3s, mTried }, kStart);
+      { mRoute, { "sheets" }, object, kReplayStart, kReplayStart + 3s, mTried },
+      kReplayStart);
     CHECK(choice.mTarget.has_value());
     STRCMP_EQUAL(Chosen(object).c_str(), choice.mTarget->mId.mValue.c_str());
   }
@@ -134,7 +79,7 @@
   for (int i = 0; i < 50; ++i) {
     before[std::to_string(i)] = Chosen(std::to_string(i));
   }
-  Register({ Upstream("e1", "east-a"), Upstream("e3", "east-b") });
+  Register({ ReplayUpstream("e1", "east-a"), ReplayUpstream("e3", "east-b") });
   for (const std::pair<const std::string, std::string>& one : before) {
     std::string now = Chosen(one.first);
     if (one.second != "e2") {
@@ -147,12 +92,12 @@
 
 TEST(UpstreamSteering, DrainingEvacuatedAndTriedUpstreamsAreNotChosen)
 {
-  std::vector<upstream_entry> entries = { Upstream("e1", "east-a"),
-                                          Upstream("e2", "east-a"),
-                                          Upstream("e3", "east-b") };
+  std::vector<upstream_entry> entries = { ReplayUpstream("e1", "east-a"),
+                                          ReplayUpstream("e2", "east-a"),
+                                          ReplayUpstream("e3", "east-b") };
   entries[0].mDraining = true;
   Register(entries);
-  mSteering.SetEvacuated({ { "east-b" } }, kStart);
+  mSteering.SetEvacuated({ { "east-b" } }, kReplayStart);
   for (int i = 0; i < 50; ++i) {
     STRCMP_EQUAL("e2", Chosen(std::to_string(i)).c_str());
   }
@@ -175,14 +120,14 @@
 TEST(UpstreamSteering,
      AnUpstreamWithAnothersAddressIsNotChosenUntilItRegistersAgain)
 {
-  Register({ Upstream("e1", "east-a") });
+  Register({ ReplayUpstream("e1", "east-a") });
   steering_choice choice = Choose("1");
   attempt_report report;
   report.mWrongInstance = true;
-  mSteering.Begin(*choice.mTarget, kStart);
-  mSteering.End(*choice.mTarget, report, kStart);
+  mSteering.Begin(*choice.mTarget, kReplayStart);
+  mSteering.End(*choice.mTarget, report, kReplayStart);
   STRCMP_EQUAL("", Chosen("1").c_str());
-  upstream_entry again = Upstream("e1", "east-a");
+  upstream_entry again = ReplayUpstream("e1", "east-a");
   again.mSequence = 2;
   Register({ again });
   STRCMP_EQUAL("e1", Chosen("1").c_str());
@@ -190,13 +135,13 @@
 
 TEST(UpstreamSteering, AFullUpstreamIsNotUnhealthy)
 {
-  Register({ Upstream("e1", "east-a"), Upstream("w1", "west-a") });
+  Register({ ReplayUpstream("e1", "east-a"), ReplayUpstream("w1", "west-a") });
   steering_choice choice = Choose("1");
   attempt_report report;
   report.mResult = attempt_result::Abandoned;
   report.mQueueFull = true;
-  mSteering.Begin(*choice.mTarget, kStart);
-  mSteering.End(*choice.mTarget, report, kStart);
+  mSteering.Begin(*choice.mTarget, kReplayStart);
+  mSteering.End(*choice.mTarget, report, kReplayStart);
   // The region has upstreams, if full ones, so spillover stays limited.
   int refused = 0;
   for (int i = 0; i < 20; ++i) {
@@ -205,30 +150,31 @@
   CHECK(refused >= 18);
 }
 
+// Half of the demand and a tenth of the slots: equal utilisation takes 8 of 10
+// requests elsewhere.
 TEST(UpstreamSteering, ARegionWithFewUpstreamsSpillsOverFromTheFirstRequestOn)
 {
-  // The region has half of the instances and a tenth of the slots.
-  std::vector<upstream_entry> entries = { Upstream("e1", "east-a") };
+  std::vector<upstream_entry> entries = { ReplayUpstream("e1", "east-a") };
   for (int i = 0; i < 9; ++i) {
-    entries.push_back(Upstream("w" + std::to_string(i), "west-a"));
+    entries.push_back(ReplayUpstream("w" + std::to_string(i), "west-a"));
   }
   Register(entries);
   mSteering.SetFleet({ { { "one" }, { "east" } }, { { "two" }, { "west" } } });
   int remote = 0;
   for (int i = 0; i < 100; ++i) {
-    std::string chosen = Chosen(std::to_string(i), kStart + i * 1ms);
+    std::string chosen = Chosen(std::to_string(i), kReplayStart + i * 1ms);
     remote += chosen[0] == 'w' ? 1 : 0;
   }
-  CHECK(remote > 30 && remote < 70);
+  CHECK(remote > 70 && remote < 90);
 }
 
 TEST(UpstreamSteering, RefusedRequestsGetSpreadRetryDelays)
 {
-  Register({ Upstream("e1", "east-a") });
+  Register({ ReplayUpstream("e1", "east-a") });
   for (int i = 0; i < 40; ++i) {
     steering_choice choice = Choose(std::to_string(i));
     if (choice.mTarget) {
-      mSteering.Begin(*choice.mTarget, kStart);
+      mSteering.Begin(*choice.mTarget, kReplayStart);
     }
   }
   std::set<std::int64_t> times;
@@ -244,195 +190,20 @@
 
 TEST(UpstreamSteering, ADomainThatReturnsToServiceCountsAsCold)
 {
-  Register({ Upstream("e3", "east-b") });
-  mSteering.SetEvacuated({ { "east-b" } }, kStart);
-  mSteering.SetEvacuated({}, kStart + 10s);
-  steering_choice choice = Choose("1", kStart + 10s);
+  Register({ ReplayUpstream("e3", "east-b") });
+  mSteering.SetEvacuated({ { "east-b" } }, kReplayStart);
+  mSteering.SetEvacuated({}, kReplayStart + 10s);
+  steering_choice choice = Choose("1", kReplayStart + 10s);
   CHECK(choice.mTarget.has_value());
-  mSteering.Begin(*choice.mTarget, kStart + 10s);
-  STRCMP_EQUAL("", Chosen("2", kStart + 10100ms).c_str());
+  mSteering.Begin(*choice.mTarget, kReplayStart + 10s);
+  STRCMP_EQUAL("", Chosen("2", kReplayStart + 10100ms).c_str());
   // Until it registers as warm.
-  upstream_entry again = Upstream("e3", "east-b");
+  upstream_entry again = ReplayUpstream("e3", "east-b");
   again.mSequence = 2;
   Register({ again });
-  STRCMP_EQUAL("e3", Chosen("2", kStart + 10200ms).c_str());
+  STRCMP_EQUAL("e3", Chosen("2", kReplayStart + 10200ms).c_str());
 }
 
-namespace {
-
-// Model of an upstream: slots, a short queue, and a cache of recent objects
-// that makes requests for them faster.
-struct model_upstream
-{
-  std::uint32_t mRunning = 0;
-  std::deque<std::size_t> mWaiting{}; // indices of requests
-  std::deque<std::string> mCached{};
-};
-
-struct model_request
-{
-  std::size_t mInstance = 0;
-  std::string mObject;
-  instant mArrived{};
-  instant mSent{};
-  steering_target mTarget;
-};
-
-struct model_result
-{
-  int mOnTime = 0;
-  int mLate = 0;
-  int mRefused = 0;
-  int mShed = 0;
-};
-
-constexpr std::uint32_t kModelSlots = 3;
-constexpr std::size_t kModelQueue = 9;
-constexpr std::size_t kModelCacheSize = 18;
-constexpr std::chrono::milliseconds kModelUncachedWork{ 640 };
-constexpr std::chrono::milliseconds kModelCachedWork{ 192 };
-
-// Several instances in front of the upstreams of one region, with Poisson
-// arrivals. The instances share nothing but the upstreams.
-class load_replay
-{
-public:
-  load_replay(std::size_t aInstances, std::size_t aUpstreams, unsigned aSeed)
-    : mRandom(aSeed)
-  {
-    std::vector<upstream_entry> entries;
-    for (std::size_t i = 0; i < aUpstreams; ++i) {
-      entries.push_back(
-        Upstream("u" + std::to_string(i), i % 2 == 0 ? "east-a" : "east-b"));
-      mUpstreams[entries.back().mId] = {};
-    }
-    std::vector<instance_location> fleet;
-    for (std::size_t i = 0; i < aInstances; ++i) {
-      fleet.push_back({ { "i" + std::to_string(i) }, { "east" } });
-    }
-    for (std::size_t i = 0; i < aInstances; ++i) {
-      steering_options options =
-        Options(fleet[i].mInstance.mValue, i % 2 == 0 ? "east-a" : "east-b");
-      options.mSeed = i + 1;
-      mInstances.emplace_back(options);
-      mInstances.back().SetRules(Rules());
-      mInstances.back().SetFleet(fleet);
-      mInstances.back().Apply(
-        mInstances.back().Directory().Replace(entries, kStart), kStart);
-    }
-  }
-
-  model_result Run(double aPerSecond, std::chrono::seconds aFor)
-  {
-    std::exponential_distribution<double> interarrival(aPerSecond);
-    std::uniform_int_distribution<int> object(0, 23);
-    instant next = kStart;
-    while (next < kStart + aFor) {
-      FinishUntil(next);
-      Arrive(next, std::to_string(object(mRandom)));
-      next += std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(interarrival(mRandom)));
-    }
-    FinishUntil(kStart + aFor + 1h);
-    return mResult;
-  }
-
-private:
-  struct finish
-  {
-    instant mAt;
-    std::size_t mRequest;
-    bool operator>(const finish& aOther) const { return mAt > aOther.mAt; }
-  };
-
-  void Arrive(instant aNow, const std::string& aObject)
-  {
-    std::size_t instance = mRandom() % mInstances.size();
-    static const std::vector<upstream_id> kNoneTried;
-    steering_choice choice = mInstances[instance].Choose(
-      { mRoute, { "sheets" }, aObject, aNow, aNow + 3s, kNoneTried }, aNow);
-    if (!choice.mTarget) {
-      ++mResult.mRefused;
-      return;
-    }
-    mInstances[instance].Begin(*choice.mTarget, aNow);
-    model_upstream& upstream = mUpstreams[choice.mTarget->mId];
-    mRequests.push_back({ instance, aObject, aNow, aNow, *choice.mTarget });
-    std::size_t number = mRequests.size() - 1;
-    if (upstream.mRunning < kModelSlots) {
-      Begin(number, aNow);
-    } else if (upstream.mWaiting.size() < kModelQueue) {
-      upstream.mWaiting.push_back(number);
-    } else {
-      ++mResult.mShed;
-      attempt_report report;
-      report.mQueueFull = true;
-      report.mLoad = Load(upstream);
-      mInstances[instance].End(*choice.mTarget, report, aNow);
-    }
-  }
-
-  static reported_load Load(const model_upstream& aUpstream)
-  {
-    return { aUpstream.mRunning,
-             static_cast<std::uint32_t>(aUpstream.mWaiting.size()),
-             kModelSlots };
-  }
-
-  void Begin(std::size_t aNumber, instant aNow)
-  {
-    const model_request& request = mRequests[aNumber];
-    model_upstream& upstream = mUpstreams[request.mTarget.mId];
-    ++upstream.mRunning;
-    auto cached = std::find(
-      upstream.mCached.begin(), upstream.mCached.end(), request.mObject);
-    bool isCached = cached != upstream.mCached.end();
-    if (isCached) {
-      upstream.mCached.erase(cached);
-    }
-    upstream.mCached.push_back(request.mObject);
-    if (upstream.mCached.size() > kModelCacheSize) {
-      upstream.mCached.pop_front();
-    }
-    mFinishes.push(
-      { aNow + (isCached ? kModelCachedWork : kModelUncachedWork), aNumber });
-  }
-
-  void FinishUntil(instant aUntil)
-  {
-    while (!mFinishes.empty() && mFinishes.top().mAt <= aUntil) {
-      finish done = mFinishes.top();
-      mFinishes.pop();
-      const model_request request = mRequests[done.mRequest];
-      model_upstream& upstream = mUpstreams[request.mTarget.mId];
-      --upstream.mRunning;
-      if (!upstream.mWaiting.empty()) {
-        std::size_t number = upstream.mWaiting.front();
-        upstream.mWaiting.pop_front();
-        Begin(number, done.mAt);
-      }
-      duration elapsed = done.mAt - request.mArrived;
-      (elapsed <= mRoute.mObjective ? mResult.mOnTime : mResult.mLate) += 1;
-      attempt_report report;
-      report.mResult = attempt_result::Answered;
-      report.mTook = done.mAt - request.mSent;
-      report.mBytes = 1500;
-      report.mLoad = Load(upstream);
-      mInstances[request.mInstance].End(request.mTarget, report, done.mAt);
-    }
-  }
-
-  std::mt19937 mRandom;
-  route_spec mRoute = Sheets();
-  std::deque<upstream_steering> mInstances;
-  std::map<upstream_id, model_upstream> mUpstreams;
-  std::deque<model_request> mRequests;
-  std::priority_queue<finish, std::vector<finish>, std::greater<>> mFinishes;
-  model_result mResult;
-};
-
-} // namespace
-
 TEST_GROUP(LoadReplay){};
 
 // A quarter of the capacity for cached objects: objects stay on their first
@@ -440,8 +211,9 @@
 TEST(LoadReplay, AtLowLoadObjectsStayCached)
 {
   for (unsigned seed = 1; seed <= 5; ++seed) {
-    load_replay replay(8, 6, seed);
-    model_result result = replay.Run(25, 30s);
+    load_replay replay({ { "east", 8, 6, 25 } }, seed);
+    replay.Run(30s);
+    const replay_result& result = replay.Result("east");
     int all = result.mOnTime + result.mLate + result.mRefused;
     CHECK(result.mOnTime > all * 80 / 100);
     CHECK(result.mRefused < all * 2 / 100);
@@ -454,8 +226,9 @@
 TEST(LoadReplay, AnOverloadOfColdUpstreamsEndsWithCachedObjects)
 {
   for (unsigned seed = 1; seed <= 5; ++seed) {
-    load_replay replay(8, 6, seed);
-    model_result result = replay.Run(70, 30s);
+    load_replay replay({ { "east", 8, 6, 70 } }, seed);
+    replay.Run(30s);
+    const replay_result& result = replay.Result("east");
     int all = result.mOnTime + result.mLate + result.mRefused;
     CHECK(result.mOnTime > all / 2);
     CHECK_TEXT(result.mShed < all * 5 / 100, "upstreams rarely refuse");
@@ -468,8 +241,9 @@
 TEST(LoadReplay, InTheFirstMomentTheQueuesAreNotOverfilled)
 {
   for (unsigned seed = 1; seed <= 5; ++seed) {
-    load_replay replay(8, 2, seed);
-    LONGS_EQUAL(0, replay.Run(120, 1s).mShed);
+    load_replay replay({ { "east", 8, 2, 120 } }, seed);
+    replay.Run(1s);
+    LONGS_EQUAL(0, replay.Result("east").mShed);
   }
 }
 
@@ -478,8 +252,9 @@
 TEST(LoadReplay, PastCapacityServedRequestsAreStillOnTime)
 {
   for (unsigned seed = 1; seed <= 5; ++seed) {
-    load_replay replay(8, 6, seed);
-    model_result result = replay.Run(140, 30s);
+    load_replay replay({ { "east", 8, 6, 140 } }, seed);
+    replay.Run(30s);
+    const replay_result& result = replay.Result("east");
     CHECK(result.mOnTime > result.mLate);
     CHECK(result.mRefused > 0);
   }
