Start the next reading of the upstreams by the age of what is known

Change: the pause after a reading is what is left of the interval since its start, at least 0.1 s.

Measured: FollowerTiming.ReadingsStartInTimeHoweverLongTheyTake; with the pause of before the readings start up to 0.9 s late there.

--- a/laburnumdyke/decision/follower_timing.cc
+++ b/laburnumdyke/decision/follower_timing.cc
@@ -13,6 +13,8 @@
 constexpr double kReadFraction = 0.55;
 constexpr double kFollowFraction = 0.75;
 constexpr std::chrono::milliseconds kMinUpdateTimeout{ 50 };
+// So that a reader whose readings are all slow does other work too.
+constexpr std::chrono::milliseconds kMinReadPause{ 100 };
 
 std::chrono::milliseconds
 FractionOf(std::chrono::milliseconds aTime, double aFraction)
@@ -36,6 +38,12 @@
   return FractionOf(mBound, kReadFraction);
 }
 
+std::chrono::milliseconds
+follower_timing::ReadPause(instant aNow) const
+{
+  return std::max(kMinReadPause, ReadInterval() - Age(aNow));
+}
+
 std::chrono::milliseconds
 follower_timing::UpdateTimeout(instant aNow) const
 {
--- a/laburnumdyke/decision/follower_timing.h
+++ b/laburnumdyke/decision/follower_timing.h
@@ -35,9 +35,13 @@
   // Age of the known state.
   std::chrono::milliseconds Age(instant aNow) const;
 
-  // Interval between two readings of a reader, before jitter.
+  // Interval between the starts of two readings of a reader, before jitter.
   std::chrono::milliseconds ReadInterval() const;
 
+  // How long a reader waits after a reading, before jitter: less after one that
+  // took long, since its data is as old as its start.
+  std::chrono::milliseconds ReadPause(instant aNow) const;
+
   // How long to wait for an update before reading the platform.
   std::chrono::milliseconds UpdateTimeout(instant aNow) const;
 
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -78,7 +78,7 @@
       std::chrono::milliseconds pause = kRetryAfter;
       if (!isFresh) {
         bool accepted = co_await ReadPlatform();
-        pause = accepted && !mReader ? mTiming.ReadInterval() : kRetryAfter;
+        pause = accepted && !mReader ? mTiming.ReadPause(Now()) : kRetryAfter;
       }
       co_await SleepFor(mJitter(pause));
     }
--- a/laburnumdyke/testing/upstream_update_test.cc
+++ b/laburnumdyke/testing/upstream_update_test.cc
@@ -230,6 +230,26 @@
   }
 };
 
+// DRAIN: on an overloaded machine a reading took over a second, and the pause
+// after it was as long as ever, so that what was known was older than the bound
+// before the next reading ended.
+TEST(FollowerTiming, ReadingsStartInTimeHoweverLongTheyTake)
+{
+  for (std::chrono::milliseconds took : { 5ms, 400ms, 900ms }) {
+    follower_timing timing(kBound);
+    instant now = kStart;
+    for (int reading = 0; reading < 10; ++reading) {
+      timing.KnownAsOf(now);
+      now += took;
+      now += timing.ReadPause(now);
+      CHECK(timing.Age(now) == timing.ReadInterval());
+    }
+  }
+  follower_timing timing(kBound);
+  timing.KnownAsOf(kStart);
+  CHECK(timing.ReadPause(kStart + 5s) > 0ms);
+}
+
 // A follower in virtual time. It starts with a reading of its own at a random
 // time; its reader sends its latest reading or refuses, and freezes at another
 // random time. The follower's data must never be older than nine tenths of the
