Rank only the upstreams of a request's service, and keep the first two

Change: upstreams by service, their region kept with them, and top_ranked in place of the sort; the order of upstreams for an object is a module of its own (object_order).

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -1,13 +1,14 @@
-// All candidates are evaluated for each request: a service has tens to hundreds
-// of upstreams and an instance handles a few requests per second, so an index
-// would not pay off. Learned values (service time of a route, slowness of an
-// upstream, round trips) are exponentially weighted moving averages, bounded so
-// that a single outlier has little effect.
+// All upstreams of a service are ranked for each request: it has tens to a
+// thousand of them and an instance handles some tens of requests per second, so
+// an index by object would not pay off. Learned values (service time of a
+// route, slowness of an upstream, round trips) are exponentially weighted
+// moving averages, bounded so that a single outlier has little effect.
 #include "laburnumdyke/decision/upstream_steering.h"
 
-#include "laburnumdyke/decision/rendezvous.h"
+#include "laburnumdyke/decision/object_order.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace laburnumdyke {
@@ -43,18 +44,6 @@
   return std::chrono::duration_cast<duration>(aTime);
 }
 
-// Rendezvous hashing weighted by slots; the highest score ranks first.
-double
-OrderScore(const upstream_entry& aEntry, std::string_view aObject)
-{
-  constexpr double kRange = 18446744073709551616.0; // 2^64
-  double part =
-    (static_cast<double>(RendezvousWeight(aEntry.mId.mValue, aObject)) + 1) /
-    kRange;
-  return -static_cast<double>(aEntry.mSlots) /
-         std::log(std::min(part, 1 - 1e-12));
-}
-
 } // namespace
 
 upstream_steering::upstream_steering(steering_options aOptions)
@@ -74,6 +63,7 @@
     const upstream_entry& entry = change.mEntry;
     if (change.mKind != upstream_change_kind::Renewed) {
       mBalances.clear();
+      mByService.clear();
     }
     if (change.mKind == upstream_change_kind::Left) {
       mUpstreams.erase(entry.mId);
@@ -84,6 +74,7 @@
     }
     upstream& known = mUpstreams[entry.mId];
     known.mEntry = entry;
+    known.mRegion = RegionOf(entry.mDomain);
     known.mColdUntil = aNow + entry.mColdLeft;
     known.mMisdirected = false;
   }
@@ -172,10 +163,10 @@
                               instant aNow) const
 {
   const upstream_entry& entry = aUpstream.mEntry;
-  if (entry.mService != aRequest.mService || !TakesRequests(aUpstream)) {
+  if (!TakesRequests(aUpstream)) {
     return false;
   }
-  region_id region = RegionOf(entry.mDomain);
+  const region_id& region = aUpstream.mRegion;
   const std::vector<region_id>& homes = aRequest.mRoute.mHomes;
   if (!homes.empty() &&
       std::find(homes.begin(), homes.end(), region) == homes.end()) {
@@ -197,16 +188,28 @@
 }
 
 upstream_steering::locality
-upstream_steering::LocalityOf(const upstream_entry& aEntry,
+upstream_steering::LocalityOf(const upstream& aUpstream,
                               bool aStaysInDomain) const
 {
-  if (RegionOf(aEntry.mDomain) != mOptions.mRegion) {
+  if (aUpstream.mRegion != mOptions.mRegion) {
     return locality::OtherRegion;
   }
-  bool isLocal = !aStaysInDomain || aEntry.mDomain == mOptions.mDomain;
+  bool isLocal =
+    !aStaysInDomain || aUpstream.mEntry.mDomain == mOptions.mDomain;
   return isLocal ? locality::Local : locality::Region;
 }
 
+const std::vector<upstream_steering::upstream*>&
+upstream_steering::UpstreamsOf(const service_id& aService)
+{
+  if (mByService.empty()) {
+    for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
+      mByService[known.second.mEntry.mService].push_back(&known.second);
+    }
+  }
+  return mByService[aService];
+}
+
 // The top-ranked upstreams for the request's object in each locality, or all
 // eligible upstreams if the request concerns no object.
 std::vector<upstream_steering::ranked_upstream>
@@ -216,37 +219,32 @@
                                       instant aNow)
 {
   std::vector<ranked_upstream> choices;
+  std::array<top_ranked<upstream*, kChoicesPerLocality>, kLocalities> tops;
   bool hasOrder = !aRequest.mObject.empty() && aRequest.mRoute.mAffinity;
   const region_balance& balance = BalanceOf(aRequest.mService);
-  for (std::pair<const upstream_id, upstream>& known : mUpstreams) {
-    if (!IsEligible(known.second, aRequest, aTrustHealth, aNow)) {
+  for (upstream* known : UpstreamsOf(aRequest.mService)) {
+    if (!IsEligible(*known, aRequest, aTrustHealth, aNow)) {
       continue;
     }
-    const upstream_entry& entry = known.second.mEntry;
-    locality place = LocalityOf(entry, aStaysInDomain);
-    double weight = place == locality::OtherRegion
-                      ? balance.Weight(RegionOf(entry.mDomain))
-                      : 1;
-    double score = hasOrder ? weight * OrderScore(entry, aRequest.mObject) : 0;
-    choices.push_back({ &known.second, place, score, 0 });
-  }
-  if (!hasOrder) {
-    return choices;
-  }
-  std::sort(choices.begin(),
-            choices.end(),
-            [](const ranked_upstream& aFirst, const ranked_upstream& aSecond) {
-              return aFirst.mLocality != aSecond.mLocality
-                       ? aFirst.mLocality < aSecond.mLocality
-                       : aFirst.mScore > aSecond.mScore;
-            });
-  for (std::size_t i = 1; i < choices.size(); ++i) {
-    bool sameLocality = choices[i].mLocality == choices[i - 1].mLocality;
-    choices[i].mRank = sameLocality ? choices[i - 1].mRank + 1 : 0;
-  }
-  std::erase_if(choices, [](const ranked_upstream& aOne) {
-    return aOne.mRank >= kChoicesPerLocality;
-  });
+    locality place = LocalityOf(*known, aStaysInDomain);
+    if (!hasOrder) {
+      choices.push_back({ known, place, 0 });
+      continue;
+    }
+    double weight = known->mEntry.mSlots;
+    weight *=
+      place == locality::OtherRegion ? balance.Weight(known->mRegion) : 1;
+    tops.at(static_cast<std::size_t>(place))
+      .Add(known, OrderScore(known->mEntry.mId, weight, aRequest.mObject));
+  }
+  for (std::size_t place = 0; place < kLocalities; ++place) {
+    std::size_t rank = 0;
+    for (const top_ranked<upstream*, kChoicesPerLocality>::ranked& ranked :
+         tops.at(place).Ranked()) {
+      choices.push_back(
+        { ranked.mCandidate, static_cast<locality>(place), rank++ });
+    }
+  }
   return choices;
 }
 
@@ -288,7 +286,7 @@
   const upstream& target = *aRanked.mUpstream;
   const upstream_entry& entry = target.mEntry;
   evaluated.mUpstream = aRanked.mUpstream;
-  evaluated.mRemote = RegionOf(entry.mDomain) != mOptions.mRegion;
+  evaluated.mRemote = aRanked.mLocality == locality::OtherRegion;
   double slots = std::max(1U, target.mHealth.Allowed(entry.mSlots, aNow));
   double load = target.mLoad.Estimate(mRegionInstances, aNow);
   double slowness = Slowness(target, aNow);
@@ -348,10 +346,9 @@
   for (const std::pair<const region_id, std::size_t>& region : mFleet) {
     capacities[region.first].mDemand = static_cast<double>(region.second);
   }
-  for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
-    const upstream_entry& entry = known.second.mEntry;
-    if (entry.mService == aService && TakesRequests(known.second)) {
-      capacities[RegionOf(entry.mDomain)].mSlots += entry.mSlots;
+  for (const upstream* known : UpstreamsOf(aService)) {
+    if (TakesRequests(*known)) {
+      capacities[known->mRegion].mSlots += known->mEntry.mSlots;
     }
   }
   region_balance balance(capacities, mOptions.mRegion);
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -112,6 +112,8 @@
   static constexpr lock_rank kLockRank = lock_rank::Admission;
 
   explicit upstream_steering(steering_options aOptions);
+  upstream_steering(const upstream_steering&) = delete;
+  upstream_steering& operator=(const upstream_steering&) = delete;
 
   upstream_directory& Directory() { return mDirectory; }
 
@@ -142,6 +144,7 @@
   struct upstream
   {
     upstream_entry mEntry;
+    region_id mRegion;
     upstream_health mHealth;
     load_estimate mLoad;
     instant mColdUntil{};
@@ -168,13 +171,13 @@
     Region, // rest of the own region
     OtherRegion,
   };
+  static constexpr std::size_t kLocalities = 3;
 
   // An upstream and its rank for an object within its locality.
   struct ranked_upstream
   {
     upstream* mUpstream = nullptr;
     locality mLocality = locality::Local;
-    double mScore = 0;
     std::size_t mRank = 0;
   };
 
@@ -195,7 +198,8 @@
                   bool aTrustHealth,
                   instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
-  locality LocalityOf(const upstream_entry& aEntry, bool aStaysInDomain) const;
+  locality LocalityOf(const upstream& aUpstream, bool aStaysInDomain) const;
+  const std::vector<upstream*>& UpstreamsOf(const service_id& aService);
   std::vector<ranked_upstream> PreferredUpstreams(
     const steering_request& aRequest,
     bool aStaysInDomain,
@@ -234,6 +238,7 @@
   std::size_t mFleetSize = 1;              // in all regions
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
+  std::map<service_id, std::vector<upstream*>> mByService; // made when needed
   std::set<domain_id> mEvacuated;
   std::map<std::string, work_estimate> mWork;     // by route name
   std::map<service_id, region_balance> mBalances; // computed when needed
