--- /dev/null
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -0,0 +1,134 @@
+// What attempts at upstreams teach: the load there, health, the service time of
+// a route, slowness of an upstream, round trips. Learned values are
+// exponentially weighted moving averages, bounded so that a single outlier has
+// little effect.
+#include "laburnumdyke/decision/upstream_steering.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumdyke {
+
+namespace {
+
+using seconds_d = std::chrono::duration<double>;
+
+// Time constant with which slowness decays, so that a slow upstream is retried.
+constexpr std::chrono::seconds kSlownessDecayTime{ 5 };
+constexpr double kSlownessWeight = 0.3;
+constexpr double kMinSlowness = 0.5;
+constexpr double kMaxSlowness = 20;
+constexpr double kRoundTripWeight = 0.2;
+
+} // namespace
+
+double
+upstream_steering::Slowness(const upstream& aUpstream, instant aNow) const
+{
+  seconds_d age = aNow - aUpstream.mSlownessUpdated;
+  seconds_d span = kSlownessDecayTime;
+  return 1 + (aUpstream.mSlowness - 1) * std::exp(-age / span);
+}
+
+upstream_steering::upstream*
+upstream_steering::Find(const steering_target& aTarget)
+{
+  auto found = mUpstreams.find(aTarget.mId);
+  bool isSameIncarnation =
+    found != mUpstreams.end() && found->second.mEntry.mBorn == aTarget.mBorn;
+  return isSameIncarnation ? &found->second : nullptr;
+}
+
+bool
+upstream_steering::MaySend(const steering_target& aTarget) const
+{
+  auto found = mUpstreams.find(aTarget.mId);
+  return found != mUpstreams.end() &&
+         found->second.mEntry.mBorn == aTarget.mBorn &&
+         TakesRequests(found->second);
+}
+
+void
+upstream_steering::Begin(const steering_target& aTarget, instant aNow)
+{
+  upstream* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  target->mLoad.Begin();
+  if (IsCold(*target, aNow)) {
+    mColdStartLimiter.RecordSend(aTarget.mId, aNow);
+  }
+}
+
+work_estimate&
+upstream_steering::WorkOf(const route_spec& aRoute)
+{
+  return mWork.try_emplace(aRoute.mName, aRoute.mObjective).first->second;
+}
+
+void
+upstream_steering::AddSample(upstream& aUpstream,
+                             const steering_target& aTarget,
+                             const attempt_report& aReport,
+                             instant aNow)
+{
+  auto found = mWork.find(aTarget.mRoute);
+  if (found == mWork.end() || aTarget.mObject.empty()) {
+    return;
+  }
+  work_estimate& route = found->second;
+  duration work =
+    std::max(aReport.mTook / 10, aReport.mTook - aTarget.mExpectedWait);
+  bool wasCached = aUpstream.mRecent.Contains(aTarget.mObject);
+  aUpstream.mRecent.Add(aTarget.mObject);
+  double ratio =
+    std::clamp(route.Slowness(work, wasCached), kMinSlowness, kMaxSlowness);
+  double slowness = Slowness(aUpstream, aNow);
+  aUpstream.mSlowness = slowness + (ratio - slowness) * kSlownessWeight;
+  aUpstream.mSlownessUpdated = aNow;
+  if (!IsCold(aUpstream, aNow)) {
+    route.AddSample(work, aReport.mBytes, wasCached);
+  }
+}
+
+void
+upstream_steering::End(const steering_target& aTarget,
+                       const attempt_report& aReport,
+                       instant aNow)
+{
+  if (aReport.mConnect) {
+    duration& roundTrip =
+      mRoundTrips.try_emplace(aTarget.mDomain, *aReport.mConnect).first->second;
+    roundTrip +=
+      ToDuration(seconds_d(*aReport.mConnect - roundTrip) * kRoundTripWeight);
+  }
+  upstream* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  target->mLoad.End();
+  if (aReport.mLoad) {
+    target->mLoad.Report(*aReport.mLoad, aNow);
+  } else if (aReport.mQueueFull) {
+    std::uint32_t slots = target->mEntry.mSlots;
+    target->mLoad.Report(
+      { slots, static_cast<std::uint32_t>(slots * kMaxQueuedPerSlot), slots },
+      aNow);
+  }
+  if (aReport.mWrongInstance) {
+    target->mMisdirected = true;
+    return;
+  }
+  bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
+  target->mHealth.RecordAttempt(
+    aReport.mResult, std::chrono::milliseconds(0), aNow);
+  if (wasUnhealthy && aReport.mResult == attempt_result::Answered) {
+    MarkCold(*target, aNow);
+  }
+  if (aReport.mResult == attempt_result::Answered) {
+    AddSample(*target, aTarget, aReport, aNow);
+  }
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -1,8 +1,7 @@
 // All upstreams of a service are ranked for each request: it has tens to a
 // thousand of them and an instance handles some tens of requests per second, so
-// an index by object would not pay off. Learned values (service time of a
-// route, slowness of an upstream, round trips) are exponentially weighted
-// moving averages, bounded so that a single outlier has little effect.
+// an index by object would not pay off. upstream_feedback.cc has what is
+// learned from attempts.
 #include "laburnumdyke/decision/upstream_steering.h"
 
 #include "laburnumdyke/decision/object_order.h"
@@ -17,11 +16,6 @@
 
 using seconds_d = std::chrono::duration<double>;
 
-constexpr double kSlownessWeight = 0.3;
-constexpr double kMinSlowness = 0.5;
-constexpr double kMaxSlowness = 20;
-// Time constant with which slowness decays, so that a slow upstream is retried.
-constexpr std::chrono::seconds kSlownessDecayTime{ 5 };
 // Upstreams considered for an object in each locality. Two are enough to
 // balance load, and few enough that they have the object cached.
 constexpr std::size_t kChoicesPerLocality = 2;
@@ -32,17 +26,8 @@
 // Delay accepted per byte to keep a response within its failure
 // domain, where bandwidth is plentiful.
 constexpr seconds_d kCrossDomainCostPerByte{ 4e-6 };
-// An upstream refuses requests beyond this many queued ones per slot.
-constexpr double kMaxQueuedPerSlot = 2;
 constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
-constexpr double kRoundTripWeight = 0.2;
-
-duration
-ToDuration(seconds_d aTime)
-{
-  return std::chrono::duration_cast<duration>(aTime);
-}
 
 } // namespace
 
@@ -139,14 +124,6 @@
   return aNow < aUpstream.mColdUntil;
 }
 
-double
-upstream_steering::Slowness(const upstream& aUpstream, instant aNow) const
-{
-  seconds_d age = aNow - aUpstream.mSlownessUpdated;
-  seconds_d span = kSlownessDecayTime;
-  return 1 + (aUpstream.mSlowness - 1) * std::exp(-age / span);
-}
-
 // Whether the upstream may get requests at all, whatever its health or load.
 bool
 upstream_steering::TakesRequests(const upstream& aUpstream) const
@@ -455,105 +432,4 @@
   return choice;
 }
 
-upstream_steering::upstream*
-upstream_steering::Find(const steering_target& aTarget)
-{
-  auto found = mUpstreams.find(aTarget.mId);
-  bool isSameIncarnation =
-    found != mUpstreams.end() && found->second.mEntry.mBorn == aTarget.mBorn;
-  return isSameIncarnation ? &found->second : nullptr;
-}
-
-bool
-upstream_steering::MaySend(const steering_target& aTarget) const
-{
-  auto found = mUpstreams.find(aTarget.mId);
-  return found != mUpstreams.end() &&
-         found->second.mEntry.mBorn == aTarget.mBorn &&
-         TakesRequests(found->second);
-}
-
-void
-upstream_steering::Begin(const steering_target& aTarget, instant aNow)
-{
-  upstream* target = Find(aTarget);
-  if (target == nullptr) {
-    return;
-  }
-  target->mLoad.Begin();
-  if (IsCold(*target, aNow)) {
-    mColdStartLimiter.RecordSend(aTarget.mId, aNow);
-  }
-}
-
-work_estimate&
-upstream_steering::WorkOf(const route_spec& aRoute)
-{
-  return mWork.try_emplace(aRoute.mName, aRoute.mObjective).first->second;
-}
-
-void
-upstream_steering::AddSample(upstream& aUpstream,
-                             const steering_target& aTarget,
-                             const attempt_report& aReport,
-                             instant aNow)
-{
-  auto found = mWork.find(aTarget.mRoute);
-  if (found == mWork.end() || aTarget.mObject.empty()) {
-    return;
-  }
-  work_estimate& route = found->second;
-  duration work =
-    std::max(aReport.mTook / 10, aReport.mTook - aTarget.mExpectedWait);
-  bool wasCached = aUpstream.mRecent.Contains(aTarget.mObject);
-  aUpstream.mRecent.Add(aTarget.mObject);
-  double ratio =
-    std::clamp(route.Slowness(work, wasCached), kMinSlowness, kMaxSlowness);
-  double slowness = Slowness(aUpstream, aNow);
-  aUpstream.mSlowness = slowness + (ratio - slowness) * kSlownessWeight;
-  aUpstream.mSlownessUpdated = aNow;
-  if (!IsCold(aUpstream, aNow)) {
-    route.AddSample(work, aReport.mBytes, wasCached);
-  }
-}
-
-void
-upstream_steering::End(const steering_target& aTarget,
-                       const attempt_report& aReport,
-                       instant aNow)
-{
-  if (aReport.mConnect) {
-    duration& roundTrip =
-      mRoundTrips.try_emplace(aTarget.mDomain, *aReport.mConnect).first->second;
-    roundTrip +=
-      ToDuration(seconds_d(*aReport.mConnect - roundTrip) * kRoundTripWeight);
-  }
-  upstream* target = Find(aTarget);
-  if (target == nullptr) {
-    return;
-  }
-  target->mLoad.End();
-  if (aReport.mLoad) {
-    target->mLoad.Report(*aReport.mLoad, aNow);
-  } else if (aReport.mQueueFull) {
-    std::uint32_t slots = target->mEntry.mSlots;
-    target->mLoad.Report(
-      { slots, static_cast<std::uint32_t>(slots * kMaxQueuedPerSlot), slots },
-      aNow);
-  }
-  if (aReport.mWrongInstance) {
-    target->mMisdirected = true;
-    return;
-  }
-  bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
-  target->mHealth.RecordAttempt(
-    aReport.mResult, std::chrono::milliseconds(0), aNow);
-  if (wasUnhealthy && aReport.mResult == attempt_result::Answered) {
-    MarkCold(*target, aNow);
-  }
-  if (aReport.mResult == attempt_result::Answered) {
-    AddSample(*target, aTarget, aReport, aNow);
-  }
-}
-
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -141,6 +141,9 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  // An upstream refuses requests beyond this many queued ones per slot.
+  static constexpr double kMaxQueuedPerSlot = 2;
+
   struct upstream
   {
     upstream_entry mEntry;
@@ -189,6 +192,10 @@
     bool mIsAssignedRemotely = false; // by the service's region_balance
   };
 
+  static duration ToDuration(std::chrono::duration<double> aTime)
+  {
+    return std::chrono::duration_cast<duration>(aTime);
+  }
   region_id RegionOf(const domain_id& aDomain) const;
   region_spillover& SpilloverOf(const service_id& aService);
   const region_balance& BalanceOf(const service_id& aService);
