--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -29,7 +29,7 @@
     case attempt_ending::Lost:
     case attempt_ending::TimedOut:
       return attempt_result::Failed;
-    case attempt_ending::Withdrawn:
+    case attempt_ending::UpstreamLeaving:
     case attempt_ending::WrongInstance:
     case attempt_ending::CutShort:
     case attempt_ending::CallerGone:
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -320,7 +320,7 @@
   bool RecordOutcome(steered_request& aRequest, const attempt_outcome& aOutcome)
   {
     bool sent = aOutcome.mEnd != attempt_ending::NotSent &&
-                aOutcome.mEnd != attempt_ending::Withdrawn;
+                aOutcome.mEnd != attempt_ending::UpstreamLeaving;
     bool refused = aOutcome.mEnd == attempt_ending::NotRun ||
                    aOutcome.mEnd == attempt_ending::WrongInstance;
     aRequest.mSends += sent ? 1 : 0;
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -355,8 +355,8 @@
       return "answered";
     case attempt_ending::NotSent:
       return "not_sent";
-    case attempt_ending::Withdrawn:
-      return "withdrawn";
+    case attempt_ending::UpstreamLeaving:
+      return "upstream_leaving";
     case attempt_ending::NotRun:
       return "not_run";
     case attempt_ending::WrongInstance:
@@ -393,7 +393,7 @@
   }
   // The upstream may have begun to leave meanwhile.
   if (!aAttempt.mMaySend()) {
-    outcome.mEnd = attempt_ending::Withdrawn;
+    outcome.mEnd = attempt_ending::UpstreamLeaving;
     co_return outcome;
   }
   failure = co_await SendRequest(aExchange, aAttempt, connection);
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -60,13 +60,13 @@
 
 enum class attempt_ending
 {
-  Answered,      // the whole answer was forwarded
-  NotSent,       // no byte of the request was written
-  Withdrawn,     // not sent, because mMaySend forbade it
-  NotRun,        // refused by the upstream before any work
-  WrongInstance, // another upstream now has the address
-  Errored,       // a server error that was not forwarded
-  Lost,          // the connection or the answer broke
+  Answered,        // the whole answer was forwarded
+  NotSent,         // no byte of the request was written
+  UpstreamLeaving, // not sent: mMaySend forbade it
+  NotRun,          // refused by the upstream before any work
+  WrongInstance,   // another upstream now has the address
+  Errored,         // a server error that was not forwarded
+  Lost,            // the connection or the answer broke
   TimedOut,
   CutShort, // the answer to the caller was begun and broke off
   CallerGone,
