Keep requests that concern no object at home, and tidy the reading of a chosen upstream

Found while reading the diff: the empty object has a hash as well, so that all requests without an object, or none, counted as assigned to other regions. MaySend looked the upstream up by itself; it uses Find now.

--- a/laburnumdyke/decision/object_order.h
+++ b/laburnumdyke/decision/object_order.h
@@ -7,7 +7,7 @@
 // Usage:
 //   top_ranked<candidate, 2> top;
 //   for (...) top.Add(candidate, OrderScore(id, weight, object));
-//   for (const ranked<candidate>& each : top.Ranked()) ...
+//   for (const top_ranked<candidate, 2>::ranked& each : top.Ranked()) ...
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
--- a/laburnumdyke/decision/region_balance.cc
+++ b/laburnumdyke/decision/region_balance.cc
@@ -58,7 +58,7 @@
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   double position =
     static_cast<double>(RendezvousWeight(kRegionCandidate, aObject)) / kRange;
-  return mRemoteShare > 0 && position < mRemoteShare;
+  return !aObject.empty() && position < mRemoteShare;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/region_balance.h
+++ b/laburnumdyke/decision/region_balance.h
@@ -50,8 +50,9 @@
   // its own demand leaves spare, at least kMinWeight and at most 1.
   double Weight(const region_id& aRegion) const;
 
-  // Whether the object belongs to the remote share. The same on all instances
-  // with the same capacities; a growing share only adds objects.
+  // Whether the object belongs to the remote share; an empty one, which stands
+  // for none, doesn't. The same on all instances with the same capacities; a
+  // growing share only adds objects.
   bool IsAssignedRemotely(std::string_view aObject) const;
 
 private:
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -40,12 +40,10 @@
 }
 
 bool
-upstream_steering::MaySend(const steering_target& aTarget) const
+upstream_steering::MaySend(const steering_target& aTarget)
 {
-  auto found = mUpstreams.find(aTarget.mId);
-  return found != mUpstreams.end() &&
-         found->second.mEntry.mBorn == aTarget.mBorn &&
-         TakesRequests(found->second);
+  const upstream* target = Find(aTarget);
+  return target != nullptr && TakesRequests(*target);
 }
 
 void
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -132,7 +132,7 @@
   steering_choice Choose(const steering_request& aRequest, instant aNow);
   // Whether a request may still be sent to the chosen upstream. Ask right
   // before the send: the upstream may have begun to leave since the choice.
-  bool MaySend(const steering_target& aTarget) const;
+  bool MaySend(const steering_target& aTarget);
   void Begin(const steering_target& aTarget, instant aNow);
   void End(const steering_target& aTarget,
            const attempt_report& aReport,
--- a/laburnumdyke/testing/region_balance_test.cc
+++ b/laburnumdyke/testing/region_balance_test.cc
@@ -63,6 +63,10 @@
     assigned += more.IsAssignedRemotely(object) ? 1 : 0;
   }
   DOUBLES_EQUAL(1000 * more.RemoteShare(), assigned, 50);
+  region_balance most = balanceWith(0);
+  DOUBLES_EQUAL(1, most.RemoteShare(), 0);
+  CHECK(most.IsAssignedRemotely("1"));
+  CHECK_FALSE_TEXT(most.IsAssignedRemotely(""), "no object");
 }
 
 namespace {
