--- a/review/standins.py
+++ b/review/standins.py
@@ -50,10 +50,15 @@
                              random.randint(1, 250))
 
 
-def free_port(ip):
-    with socket.socket() as probe:
+def free_ports(ip, count):
+    """Different free ports of an address."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 async def read_head(reader):
@@ -424,16 +429,15 @@
     def __init__(self, store, record, folder, name, region, zone, zones):
         self.record, self.name = record, name
         self.ip = loopback_ip()
-        self.front = "%s:%d" % (self.ip, free_port(self.ip))
-        self.ready = "%s:%d" % (self.ip, free_port(self.ip))
-        self.directory = "%s:%d" % (self.ip, free_port(self.ip))
+        ports = free_ports(self.ip, 6)
+        self.front, self.ready, self.directory, control = [
+            "%s:%d" % (self.ip, port) for port in ports[:4]]
         self.fields = {"node-name": name, "region": region, "zone": zone,
                        "zones": zones, "ip": self.ip,
                        "listen": {"front": self.front, "ready": self.ready,
                                   "directory": self.directory,
-                                  "control": "%s:%d" % (self.ip,
-                                                        free_port(self.ip))},
-                       "internal-ports": [free_port(self.ip), free_port(self.ip)],
+                                  "control": control},
+                       "internal-ports": ports[4:],
                        "platform": {"address": store.address},
                        "bounds": dict(self.BOUNDS)}
         self.settings = os.path.join(folder, name + ".ini")
