A planned stop decides in one place until when requests begin

Cause: the exit time was known to the stop alone. Kept connections were served, one request each, as long as any request was in flight; each request kept the process up for the next, until the exit cut what was left. The record of the instance shows it: the last answer 0.1 s before "stopped", three attempts without a line.

Change: planned_stop decides all times. A request whose header arrives once the process may exit is refused as not run; one that begins has its deadline before the exit; idle connections are closed when the instance stops accepting. Whether a request may begin depends on the time alone, so a look at the requests in flight can't miss one. requests_aborted is logged where the exit cuts requests.

--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -62,6 +62,23 @@
 
 } // namespace
 
+asio::awaitable<bool>
+ReadFirstBytes(tcp_stream& aStream,
+               beast::flat_buffer& aBuffer,
+               server_limits aLimits)
+{
+  if (aBuffer.size() > 0) {
+    co_return true;
+  }
+  error_code failure;
+  aStream.expires_after(aLimits.mIdleTimeout);
+  std::size_t got = co_await aStream.async_read_some(
+    aBuffer.prepare(kFirstRead),
+    asio::redirect_error(asio::use_awaitable, failure));
+  aBuffer.commit(got);
+  co_return !failure;
+}
+
 asio::awaitable<bool>
 ReadHead(kernel& aKernel,
          tcp_stream& aStream,
@@ -70,21 +87,12 @@
          server_limits aLimits)
 {
   error_code failure;
-  if (aBuffer.size() == 0) {
-    aStream.expires_after(aLimits.mIdleTimeout);
-    std::size_t got = co_await aStream.async_read_some(
-      aBuffer.prepare(kFirstRead),
-      asio::redirect_error(asio::use_awaitable, failure));
-    aBuffer.commit(got);
-  }
-  if (!failure) {
-    aStream.expires_after(aLimits.mHeaderTimeout);
-    co_await http::async_read_header(
-      aStream,
-      aBuffer,
-      aParser,
-      asio::redirect_error(asio::use_awaitable, failure));
-  }
+  aStream.expires_after(aLimits.mHeaderTimeout);
+  co_await http::async_read_header(
+    aStream,
+    aBuffer,
+    aParser,
+    asio::redirect_error(asio::use_awaitable, failure));
   if (!failure && !HasUnambiguousLength(aParser)) {
     failure = kMalformed;
   }
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -3,8 +3,9 @@
 // Usage:
 //   http_server<my_handler> server(kernel, handler);
 //   std::optional<std::string> failure = server.Listen(endpoint);
-//   server.Leave();        // answers close their connections from here on
-//   server.Close();        // stops accepting and closes every connection
+//   server.Leave();         // answers close their connections from here on
+//   server.StopAccepting(); // open connections serve their current request
+//   server.Close();         // stops accepting and closes every connection
 //
 // The handler is given an http_exchange: the request's header has been read,
 // its body has not. Each connection runs on its own strand. A request that is
@@ -78,8 +79,15 @@
 asio::awaitable<void>
 WriteAnswer(http_exchange& aExchange, string_answer aAnswer);
 
-// Reads the header of the next request. Returns false if there is none; a
-// malformed request is answered with an error and counted.
+// Waits for the first bytes of the next request, unless aBuffer holds some.
+// Returns false if none arrive.
+asio::awaitable<bool>
+ReadFirstBytes(tcp_stream& aStream,
+               beast::flat_buffer& aBuffer,
+               server_limits aLimits);
+
+// Reads the header of a request whose first bytes are in aBuffer. Returns false
+// if there is none; a malformed request is answered with an error and counted.
 asio::awaitable<bool>
 ReadHead(kernel& aKernel,
          tcp_stream& aStream,
@@ -91,11 +99,25 @@
 asio::awaitable<void>
 SendContinue(http_exchange& aExchange);
 
+// An accepted connection. Used on the strand of its stream alone.
+struct server_connection
+{
+  explicit server_connection(tcp::socket aSocket)
+    : mStream(std::move(aSocket))
+  {
+  }
+
+  tcp_stream mStream;
+  // Has served a request and has received no byte of another one.
+  bool mIsIdle = false;
+  bool mServesOneMore = true; // another request may be read
+};
+
 // The open connections of one server, which Close() closes.
-struct open_streams
+struct open_connections
 {
   static constexpr lock_rank kLockRank = lock_rank::Connections;
-  std::set<std::shared_ptr<tcp_stream>> mStreams;
+  std::set<std::shared_ptr<server_connection>> mAll;
 };
 
 template<class Handler>
@@ -133,13 +155,20 @@
 
   void Leave() { mLeaving = true; }
 
-  // Accepts no more connections; open ones continue to be served.
+  // Accepts no more connections. Open ones are closed once they are idle; those
+  // on which no request has arrived yet may still serve one.
   void StopAccepting()
   {
     asio::post(mAcceptor.get_executor(), [this] {
       error_code ignored;
       mAcceptor.close(ignored);
     });
+    mConnections.With([](open_connections& aOpen) {
+      for (const std::shared_ptr<server_connection>& open : aOpen.mAll) {
+        asio::post(open->mStream.get_executor(),
+                   [open] { CloseIfIdle(*open); });
+      }
+    });
   }
 
   // Number of requests whose header was read and that are not yet answered.
@@ -150,7 +179,7 @@
   {
     error_code ignored;
     mAcceptor.close(ignored);
-    mConnections.With([](open_streams& aSet) { aSet.mStreams.clear(); });
+    mConnections.With([](open_connections& aOpen) { aOpen.mAll.clear(); });
   }
 
 private:
@@ -165,12 +194,21 @@
         co_await PauseAfter(failure);
         continue;
       }
-      std::shared_ptr<tcp_stream> stream =
-        std::make_shared<tcp_stream>(std::move(socket));
-      stream->socket().set_option(tcp::no_delay(true), failure);
+      std::shared_ptr<server_connection> connection =
+        std::make_shared<server_connection>(std::move(socket));
+      connection->mStream.socket().set_option(tcp::no_delay(true), failure);
       mConnections.With(
-        [&](open_streams& aSet) { aSet.mStreams.insert(stream); });
-      asio::co_spawn(stream->get_executor(), Serve(stream), asio::detached);
+        [&](open_connections& aOpen) { aOpen.mAll.insert(connection); });
+      asio::co_spawn(
+        connection->mStream.get_executor(), Serve(connection), asio::detached);
+    }
+  }
+
+  static void CloseIfIdle(server_connection& aConnection)
+  {
+    aConnection.mServesOneMore = false;
+    if (aConnection.mIsIdle) {
+      aConnection.mStream.cancel(); // ends the wait for a request
     }
   }
 
@@ -184,7 +222,7 @@
     co_await SleepFor(std::chrono::milliseconds(100));
   }
 
-  asio::awaitable<void> Serve(std::shared_ptr<tcp_stream> aStream)
+  asio::awaitable<void> Serve(std::shared_ptr<server_connection> aConnection)
   {
     beast::flat_buffer buffer;
     bool open = true;
@@ -194,23 +232,37 @@
       buffer.max_size(limits.mHeaderBytes + kUnparsedLimit);
       parser.header_limit(limits.mHeaderBytes);
       parser.body_limit(boost::none);
-      open = co_await ReadHead(mKernel, *aStream, buffer, parser, limits);
+      open = co_await AwaitRequest(*aConnection, buffer, limits) &&
+             co_await ReadHead(
+               mKernel, aConnection->mStream, buffer, parser, limits);
       if (open) {
         ++mInFlight;
-        http_exchange exchange{ *aStream,
+        http_exchange exchange{ aConnection->mStream,
                                 buffer,
                                 parser,
                                 std::chrono::steady_clock::now(),
                                 parser.get().keep_alive() && !mLeaving };
         co_await mHandler.Handle(exchange);
         --mInFlight;
-        open = exchange.mKeepAlive;
+        aConnection->mIsIdle = true;
+        open = exchange.mKeepAlive && aConnection->mServesOneMore;
       }
     }
     error_code ignored;
-    aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+    aConnection->mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     mConnections.With(
-      [&](open_streams& aSet) { aSet.mStreams.erase(aStream); });
+      [&](open_connections& aOpen) { aOpen.mAll.erase(aConnection); });
+  }
+
+  // Waits for the first bytes of a request.
+  static asio::awaitable<bool> AwaitRequest(server_connection& aConnection,
+                                            beast::flat_buffer& aBuffer,
+                                            const server_limits& aLimits)
+  {
+    bool arrived =
+      co_await ReadFirstBytes(aConnection.mStream, aBuffer, aLimits);
+    aConnection.mIsIdle = false;
+    co_return arrived;
   }
 
   server_limits Limits()
@@ -227,7 +279,7 @@
   tcp::acceptor mAcceptor;
   std::atomic<bool> mLeaving{ false };
   std::atomic<std::size_t> mInFlight{ 0 };
-  guarded<open_streams, open_streams::kLockRank> mConnections;
+  guarded<open_connections, open_connections::kLockRank> mConnections;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_front.h
+++ b/laburnumdyke/plugin/steered_front.h
@@ -7,8 +7,9 @@
 //
 // A planned stop removes the instance from look-up answers at once. The
 // instance accepts requests until callers no longer cache an answer that
-// names it, then stops accepting connections, and exits when no request is
-// in flight.
+// names it. Then it stops accepting connections, closes idle ones, refuses
+// requests that still arrive, and exits when no request is in flight.
+// planned_stop decides the times.
 #pragma once
 
 #include "laburnumdyke/plugin/steered_pipeline.h"
@@ -79,7 +80,7 @@
 
   void Leave(instant aNow)
   {
-    mLeftAt = aNow;
+    mTables.PlannedStop().With([&](stop_state& aStop) { aStop.Begin(aNow); });
     mTables.Fleet().With([](fleet_state& aFleet) { aFleet.BeginLeaving(); });
     mCallerServer.Leave();
     mLookupServer.Leave();
@@ -87,20 +88,25 @@
 
   std::string PendingWork(instant aNow)
   {
-    if (aNow < mLeftAt + kAcceptAfterLeave) {
+    stop_phase phase = mTables.PlannedStop().With(
+      [&](stop_state& aStop) { return aStop.Phase(aNow); });
+    if (phase < stop_phase::LastHeaders) {
       return "look-up answers cached by callers to expire";
     }
-    if (!mStoppedAcceptingAt) {
-      mStoppedAcceptingAt = aNow;
+    if (!mStoppedAccepting) {
+      mStoppedAccepting = true;
       mCallerServer.StopAccepting();
     }
-    if (aNow < *mStoppedAcceptingAt + kLastHeadersWait) {
+    if (phase == stop_phase::LastHeaders) {
       return "headers on the last accepted connections";
     }
-    std::chrono::milliseconds grace =
-      mKernel.Settings().mBounds.mGrace - kExitMargin;
     std::size_t requests = mCallerServer.InFlight();
-    if (requests == 0 || aNow >= mLeftAt + grace) {
+    if (requests == 0) {
+      return {};
+    }
+    if (phase == stop_phase::Over) {
+      mKernel.Log().Warn("requests_aborted",
+                         { { "count", std::to_string(requests) } });
       return {};
     }
     return std::to_string(requests) + " requests in flight";
@@ -148,15 +154,8 @@
     }
   };
 
-  // Exceeds the time for which callers usually cache a look-up answer plus the
-  // time until peers know that the instance is leaving.
-  static constexpr std::chrono::milliseconds kAcceptAfterLeave{ 2600 };
   // TTL of a look-up answer; short, so that callers learn of changes soon.
   static constexpr std::chrono::milliseconds kLookupTtl{ 2000 };
-  // Time to read the headers on connections that were accepted last.
-  static constexpr std::chrono::milliseconds kLastHeadersWait{ 250 };
-  // Reserved out of the grace period for the exit of the process.
-  static constexpr std::chrono::milliseconds kExitMargin{ 300 };
   // Connections stay open for this long after the idle timeout, because callers
   // may reuse one until just before it.
   static constexpr std::chrono::milliseconds kIdleMargin{ 1000 };
@@ -219,8 +218,7 @@
   http_server<caller_handler> mCallerServer;
   http_server<lookup_handler> mLookupServer;
   http_server<ready_handler> mReadyServer;
-  instant mLeftAt{};
-  std::optional<instant> mStoppedAcceptingAt;
+  bool mStoppedAccepting = false;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -13,7 +13,7 @@
 //   404  no route in the configuration in force
 //   502  failed, but may have run on an upstream
 //   503  has not run and will not, with Retry-After
-//   503  no configuration yet, with Retry-After
+//   503  no configuration yet, or the instance is leaving, with Retry-After
 //   504  deadline exceeded, but may have run on an upstream
 // A request whose caller has disconnected is sent to no further upstream and
 // gets no answer.
@@ -167,6 +167,10 @@
       request.mReceived + std::min(request.mCaller.mCallerTimeout.value_or(
                                      request.mRoute->mTimeout),
                                    request.mRoute->mTimeout);
+    if (!MayBegin(request, Now())) {
+      co_await RefuseLeaving(aExchange, request);
+      co_return;
+    }
     request.mService = mTables.Rotation().With([&](rotation_state& aRotation) {
       return aRotation.Next(*request.mRoute);
     });
@@ -190,6 +194,31 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
   }
 
+  // Whether a planned stop of the instance leaves time for the request. If so,
+  // its deadline is moved before the exit of the process.
+  bool MayBegin(steered_request& aRequest, instant aNow)
+  {
+    return mTables.PlannedStop().With([&](stop_state& aStop) {
+      bool mayBegin =
+        aStop.MayBegin(aRequest.mReceived, aRequest.mDeadline, aNow);
+      aRequest.mDeadline = std::min(aRequest.mDeadline, aStop.LastAnswer());
+      return mayBegin;
+    });
+  }
+
+  // Refuses a request for which a planned stop leaves no time. The caller may
+  // send it to another instance at once.
+  asio::awaitable<void> RefuseLeaving(http_exchange& aExchange,
+                                      const steered_request& aRequest)
+  {
+    aExchange.mKeepAlive = false;
+    return Refuse(aExchange,
+                  aRequest,
+                  http::status::service_unavailable,
+                  refusal_reason::Leaving,
+                  kMinRetryAfter);
+  }
+
   asio::awaitable<void> Run(http_exchange& aExchange, steered_request& aRequest)
   {
     while (true) {
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -68,6 +68,11 @@
 {
 }
 
+stop_state::stop_state(const settings& aSettings)
+  : planned_stop(aSettings.mBounds.mGrace)
+{
+}
+
 steering_tables::steering_tables(kernel& aKernel)
   : mInForce(aKernel.Table<routes_in_force>())
   , mSteering(aKernel.Table<steering_state>())
@@ -75,6 +80,7 @@
   , mFleet(aKernel.Table<fleet_state>())
   , mBudget(aKernel.Table<budget_state>())
   , mPool(aKernel.Table<connection_pool>())
+  , mPlannedStop(aKernel.Table<stop_state>())
 {
 }
 
--- a/laburnumdyke/plugin/steering_tables.h
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -7,6 +7,7 @@
 
 #include "laburnumdyke/decision/fleet_budget.h"
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/planned_stop.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/service_rotation.h"
 #include "laburnumdyke/decision/upstream_steering.h"
@@ -47,6 +48,12 @@
   explicit budget_state(const settings& aSettings);
 };
 
+struct stop_state : planned_stop
+{
+  static constexpr lock_rank kLockRank = lock_rank::Lifecycle;
+  explicit stop_state(const settings& aSettings);
+};
+
 class steering_tables
 {
 public:
@@ -60,6 +67,7 @@
   table<fleet_state>& Fleet() { return mFleet; }
   table<budget_state>& Budget() { return mBudget; }
   table<connection_pool>& Pool() { return mPool; }
+  table<stop_state>& PlannedStop() { return mPlannedStop; }
 
   // Passes the current members of the fleet on to steering and the retry
   // budget.
@@ -72,6 +80,7 @@
   table<fleet_state>& mFleet;
   table<budget_state>& mBudget;
   table<connection_pool>& mPool;
+  table<stop_state>& mPlannedStop;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/harness/hosts_deployment.cc
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -2,13 +2,16 @@
 // reach them over loopback as they would reach others.
 #include "laburnumdyke/testing/harness/hosts_deployment.h"
 
+#include "laburnumdyke/plugin/sleep.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <set>
 
 #include <csignal>
 
@@ -25,7 +28,11 @@
   R"("idle-timeout-ms":15000},"listeners":[{"host":"a.example","rules":[)"
   R"({"name":"r","kind":"idempotent","target-latency-ms":1000,"priority":0,)"
   R"("session-affinity":false,"match":{"prefix":"/x/"},"action":{)"
-  R"("service":"s","timeout-ms":3000,"max-attempts":2,"home-regions":[]}}]}],)"
+  R"("service":"s","timeout-ms":3000,"max-attempts":2,"home-regions":[]}},)"
+  R"({"name":"b","kind":"non_idempotent","target-latency-ms":1200,)"
+  R"("priority":0,"session-affinity":false,"match":{"prefix":"/book/"},)"
+  R"("action":{"service":"s","timeout-ms":4000,"max-attempts":2,)"
+  R"("home-regions":[]}}]}],)"
   R"("clusters":[{"name":"s","health-path":"/healthz",)"
   R"("max-connections":100,"protocol":"h1","tls":false,)"
   R"("cold-start-s":0,"cold-per-s":0}]})";
@@ -67,6 +74,11 @@
     {
       std::scoped_lock lock(mMutex);
       mRuns.push_back(std::chrono::steady_clock::now());
+      mRequests.insert(std::string(aRequest["X-Request-Id"]));
+    }
+    int workMs = std::atoi(std::string(aRequest["X-Work-Ms"]).c_str());
+    if (workMs > 0) {
+      co_await SleepFor(std::chrono::milliseconds(workMs));
     }
     short_answer answer =
       MakeAnswer(http::status::ok, "{}", aRequest.keep_alive());
@@ -83,6 +95,12 @@
     return mRuns;
   }
 
+  bool HasRun(const std::string& aRequest)
+  {
+    std::scoped_lock lock(mMutex);
+    return mRequests.count(aRequest) > 0;
+  }
+
   const endpoint mAddress;
 
 private:
@@ -98,6 +116,7 @@
   connection_set mConnections;
   std::mutex mMutex;
   std::vector<std::chrono::steady_clock::time_point> mRuns;
+  std::set<std::string> mRequests;
 };
 
 namespace {
@@ -173,6 +192,16 @@
   return mUpstreams.at(aId)->Runs();
 }
 
+bool
+hosts_deployment::HasRun(const std::string& aRequest) const
+{
+  return std::any_of(
+    mUpstreams.begin(),
+    mUpstreams.end(),
+    [&](const std::pair<const std::string, std::shared_ptr<host_upstream>>&
+          aOne) { return aOne.second->HasRun(aRequest); });
+}
+
 std::string
 hosts_deployment::Settings(const std::string& aName,
                            const hosts_daemon& aDaemon) const
--- a/laburnumdyke/testing/harness/hosts_deployment.h
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -7,8 +7,9 @@
 //   CHECK(deployed.StartDaemon("one"));     // returns once it is ready
 //   call_result answer = deployed.Send("one", "request-1");
 //
-// There are one failure domain, one route and one service; requests of the
-// route may be repeated.
+// There are one failure domain and one service. Requests under /x/ may be
+// repeated, those under /book/ run once at most. The header X-Work-Ms says how
+// long an upstream works on a request.
 #pragma once
 
 #include "laburnumdyke/testing/harness/http_call.h"
@@ -56,6 +57,9 @@
   std::vector<std::chrono::steady_clock::time_point> Runs(
     const std::string& aId) const;
 
+  // Whether an upstream has begun to run the request.
+  bool HasRun(const std::string& aRequest) const;
+
   // False where it is not ready in time.
   bool StartDaemon(const std::string& aName);
 
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -272,3 +272,21 @@
   CHECK_FALSE(
     mFront.mKernel->PendingWork(std::chrono::steady_clock::now()).empty());
 }
+
+// Guards against requests that are passed on although the process may exit
+// before their answer.
+TEST(SteeredFront, LateInAPlannedStopARequestIsRefusedAndReachesNoUpstream)
+{
+  mFront.Configure(false);
+  mFront.mKernel->Leave(std::chrono::steady_clock::now() - 3s);
+  mFront.mFirst.Script({ kWholeAnswer });
+  std::string answer = mFront.Send(
+    "POST /write/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  LONGS_EQUAL(0, mFront.Arrivals());
+  STRCMP_EQUAL(
+    "", mFront.mKernel->PendingWork(std::chrono::steady_clock::now()).c_str());
+}
