What is known of an upstream outlives a renewal or return of its entry

Each change of an entry but an update made steering forget the upstream: its load, its health and the requests that this instance has in flight there. A return after a lapse is a change of that kind now, so all upstreams would have looked idle after an outage of the store. Only upstreams that join or restart begin anew.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -54,7 +54,9 @@
       mUpstreams.erase(entry.mId);
       continue;
     }
-    if (change.mKind != upstream_change_kind::Updated) {
+    bool isNew = change.mKind == upstream_change_kind::Joined ||
+                 change.mKind == upstream_change_kind::Restarted;
+    if (isNew) {
       mUpstreams[entry.mId] = upstream();
     }
     upstream& known = mUpstreams[entry.mId];
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -46,6 +46,22 @@
       aNow);
   }
 
+  // Whether an upstream whose slots are taken is still avoided after a change
+  // of its entry.
+  bool StaysBusyAfter(upstream_change_kind aKind)
+  {
+    const std::string object = "7";
+    steering_target first = *Choose(object).mTarget;
+    for (int i = 0; i < 20 && Chosen(object) == first.mId.mValue; ++i) {
+      mSteering.Begin(first, kReplayStart);
+    }
+    CHECK(Chosen(object) != first.mId.mValue);
+    upstream_entry entry =
+      ReplayUpstream(first.mId.mValue, first.mDomain.mValue);
+    mSteering.Apply({ { aKind, entry } }, kReplayStart);
+    return Chosen(object) != first.mId.mValue;
+  }
+
   std::string Chosen(const std::string& aObject, instant aNow = kReplayStart)
   {
     steering_choice choice = Choose(aObject, aNow);
@@ -107,6 +123,18 @@
   CHECK(choice.mReason == refusal_reason::NoUpstream);
 }
 
+// Guards against an upstream that seems idle because its entry was renewed.
+TEST(UpstreamSteering, WhatIsKnownOfAnUpstreamOutlivesARenewal)
+{
+  CHECK(StaysBusyAfter(upstream_change_kind::Renewed));
+}
+
+// The same where its entry lapsed and came back.
+TEST(UpstreamSteering, WhatIsKnownOfAnUpstreamOutlivesAReturn)
+{
+  CHECK(StaysBusyAfter(upstream_change_kind::Returned));
+}
+
 TEST(UpstreamSteering, ARouteWithHomesStaysThere)
 {
   mRoute.mHomes = { { "west" } };
