--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -182,13 +182,13 @@
         aUpdate.mVersion < knownVersion) {
       return false;
     }
+    instant now = Now();
+    mTiming.KnownAsOf(now - aUpdate.mAge);
     upstream_reading reading;
     reading.mHead = { reading_status::Read,
                       aUpdate.mIsSnapshot,
                       aUpdate.mVersion };
     reading.mRows = ToRows(std::move(aUpdate));
-    instant now = Now();
-    mTiming.KnownAsOf(now - aUpdate.mAge);
     if (mState.TakeFromPeer(reading.mHead)) {
       ApplyReading(std::move(reading), now);
     }
--- a/laburnumdyke/testing/process_hosts_test.cc
+++ b/laburnumdyke/testing/process_hosts_test.cc
@@ -50,6 +50,17 @@
       kEventLimit);
   }
 
+  // Begins an outage of the store in which the entries of all upstreams lapse.
+  void LapseInAnOutage()
+  {
+    mDeployed.Store().SetOutage(true);
+    SendFor(3000ms, { "one", "two", "three" });
+    mDeployed.Store().With([](store_model& aRows) {
+      aRows.Remove("servers", "i-1");
+      aRows.Remove("servers", "i-2");
+    });
+  }
+
   long RunsAfter(const std::string& aUpstream,
                  std::chrono::steady_clock::time_point aTime)
   {
@@ -120,12 +131,7 @@
 {
   CHECK(StartThree());
   CHECK(Follows("three", "one"));
-  mDeployed.Store().SetOutage(true);
-  SendFor(3000ms, { "one", "two", "three" });
-  mDeployed.Store().With([](store_model& aRows) {
-    aRows.Remove("servers", "i-1");
-    aRows.Remove("servers", "i-2");
-  });
+  LapseInAnOutage();
   SendFor(1000ms, { "one", "two", "three" });
   mDeployed.Store().SetOutage(false);
   SendFor(1000ms, { "one", "two", "three" });
@@ -142,12 +148,7 @@
 {
   CHECK(StartThree());
   CHECK(Follows("three", "one"));
-  mDeployed.Store().SetOutage(true);
-  SendFor(3000ms, { "one", "two", "three" });
-  mDeployed.Store().With([](store_model& aRows) {
-    aRows.Remove("servers", "i-1");
-    aRows.Remove("servers", "i-2");
-  });
+  LapseInAnOutage();
   mDeployed.Register("i-1", false);
   mDeployed.Register("i-2", false);
   mDeployed.Store().SetOutage(false);
