Comments say what a planned stop promises, and no more

The header of planned_stop said that every request that begins is answered before the exit; one that began before the stop keeps its deadline and may be cut. That of steered_pipeline::MayBegin left out that it limits the deadline in any case.

--- a/laburnumdyke/decision/planned_stop.h
+++ b/laburnumdyke/decision/planned_stop.h
@@ -8,9 +8,11 @@
 //   deadline = std::min(deadline, stop.LastAnswer());
 //   if (stop.Phase(now) == stop_phase::Over) ... exit
 //
-// A request that begins is answered before the process exits. Whether one may
-// begin depends on times alone, so that a thread that sees no request in flight
-// in stop_phase::Finishing can end the process: none begins any more.
+// A request that begins during the stop, with its deadline limited as above, is
+// answered before the process exits. One that began earlier keeps its deadline,
+// and the exit cuts it if that is later. Whether a request may begin depends on
+// times alone, so a thread that sees none in flight in stop_phase::Finishing
+// can end the process: none begins any more.
 //
 // Options: the grace period, after which the process is killed.
 // Errors: none; before Begin every request may begin.
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -42,7 +42,7 @@
   bool operator==(const upstream_entry&) const = default;
 };
 
-// A change of the registry, in the order in which it was made.
+// One change of the registry: an entry was written or removed.
 struct upstream_row
 {
   upstream_id mId;
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -194,8 +194,8 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
   }
 
-  // Whether a planned stop of the instance leaves time for the request. If so,
-  // its deadline is moved before the exit of the process.
+  // Whether a planned stop of the instance leaves time for the request. Also
+  // limits its deadline, so that it is answered before the process exits.
   bool MayBegin(steered_request& aRequest, instant aNow)
   {
     return mTables.PlannedStop().With([&](stop_state& aStop) {
