--- /dev/null
+++ b/laburnumdyke/decision/customer_table.cc
@@ -0,0 +1,107 @@
+// An attacker cannot choose digests, so neither the hash map's buckets nor its
+// comparisons reveal anything about stored keys.
+#include "laburnumdyke/decision/customer_table.h"
+
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+#include <set>
+#include <utility>
+
+namespace laburnumdyke {
+
+namespace {
+
+std::uint64_t
+FingerprintOf(const std::vector<std::string>& aKeys)
+{
+  std::uint64_t fingerprint = aKeys.size();
+  for (const std::string& key : aKeys) {
+    fingerprint = XXH3_64bits_withSeed(key.data(), key.size(), fingerprint);
+  }
+  return fingerprint;
+}
+
+} // namespace
+
+std::string
+FindCustomerFault(const std::vector<customer_spec>& aCustomers)
+{
+  std::set<customer_id> names;
+  std::set<std::string_view> keys;
+  for (const customer_spec& customer : aCustomers) {
+    const std::string& name = customer.mName.mValue;
+    if (name.empty()) {
+      return "a customer has no name";
+    }
+    if (!names.insert(customer.mName).second) {
+      return "customer " + name + " is listed twice";
+    }
+    for (const std::string& key : customer.mKeys) {
+      if (key.empty() || key.size() > kMaxKeyBytes) {
+        return "a key of customer " + name + " is empty or too long";
+      }
+      if (!keys.insert(key).second) {
+        return "a key of customer " + name + " is given twice";
+      }
+    }
+  }
+  return {};
+}
+
+customer_table::customer_table(std::vector<customer_spec> aCustomers,
+                               const customer_table* aPrevious)
+  : mCustomers(std::move(aCustomers))
+{
+  std::size_t keyCount = 0;
+  for (const customer_spec& customer : mCustomers) {
+    keyCount += customer.mKeys.size();
+  }
+  mByDigest.reserve(keyCount);
+  for (std::size_t i = 0; i < mCustomers.size(); ++i) {
+    customer_spec& customer = mCustomers[i];
+    std::uint64_t fingerprint = FingerprintOf(customer.mKeys);
+    std::shared_ptr<const key_set>& keys = mKeySets[customer.mName.mValue];
+    if (aPrevious != nullptr) {
+      auto known = aPrevious->mKeySets.find(customer.mName.mValue);
+      bool isUnchanged = known != aPrevious->mKeySets.end() &&
+                         known->second->mFingerprint == fingerprint;
+      keys = isUnchanged ? known->second : nullptr;
+    }
+    if (!keys) {
+      std::shared_ptr<key_set> fresh = std::make_shared<key_set>();
+      fresh->mFingerprint = fingerprint;
+      for (const std::string& key : customer.mKeys) {
+        fresh->mDigests.push_back(DigestOf(key));
+      }
+      keys = std::move(fresh);
+    }
+    for (const digest& one : keys->mDigests) {
+      mByDigest[one] = i;
+    }
+    customer.mKeys.clear();
+    customer.mKeys.shrink_to_fit();
+  }
+}
+
+customer_table::digest
+customer_table::DigestOf(std::string_view aKey)
+{
+  digest result{};
+  SHA256(reinterpret_cast<const unsigned char*>(aKey.data()),
+         aKey.size(),
+         result.data());
+  return result;
+}
+
+const customer_spec*
+customer_table::Find(std::string_view aKey) const
+{
+  if (aKey.empty() || aKey.size() > kMaxKeyBytes) {
+    return nullptr;
+  }
+  auto found = mByDigest.find(DigestOf(aKey));
+  return found == mByDigest.end() ? nullptr : &mCustomers[found->second];
+}
+
+} // namespace laburnumdyke
--- /dev/null
+++ b/laburnumdyke/decision/customer_table.h
@@ -0,0 +1,100 @@
+// Customers and the keys by which their requests are recognised.
+//
+// Usage:
+//   customer_table customers(specs, previousTable);
+//   const customer_spec* customer = customers.Find(key);
+//
+// The table holds SHA-256 digests instead of keys: a look-up is one digest and
+// one hash-map access, however many keys there are, and its time tells nothing
+// about the keys held. A table is immutable. A new version takes over the
+// digests of customers whose keys have not changed.
+#pragma once
+
+#include "laburnumdyke/decision/types.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace laburnumdyke {
+
+// Keys with more bytes are refused without a look-up.
+inline constexpr std::size_t kMaxKeyBytes = 256;
+
+// Requests that a customer may send through all instances together.
+struct quota_spec
+{
+  double mRate = 0;  // requests per second; 0: unlimited
+  double mBurst = 0; // requests in addition
+
+  bool IsLimited() const { return mRate > 0; }
+  bool operator==(const quota_spec&) const = default;
+};
+
+struct customer_spec
+{
+  customer_id mName;
+  std::vector<std::string> mKeys; // empty in a table
+  // Takes precedence over the priority of the route.
+  std::optional<std::uint32_t> mPriority;
+  quota_spec mQuota;
+  std::vector<region_id> mHomes; // regions that may serve it; empty: all
+};
+
+// Returns what makes the customers invalid: a name or a key that is empty or
+// given twice, or a key that is too long. Empty if they are valid. The text
+// names customers and never a key.
+std::string
+FindCustomerFault(const std::vector<customer_spec>& aCustomers);
+
+class customer_table
+{
+public:
+  // aCustomers must be valid. aPrevious, which may be null, is the table that
+  // this one replaces.
+  explicit customer_table(std::vector<customer_spec> aCustomers,
+                          const customer_table* aPrevious = nullptr);
+
+  // Returns null if no customer holds the key, or if it is empty or too long.
+  // The result is valid as long as the table.
+  const customer_spec* Find(std::string_view aKey) const;
+
+  const std::vector<customer_spec>& All() const { return mCustomers; }
+  std::size_t KeyCount() const { return mByDigest.size(); }
+
+private:
+  using digest = std::array<std::uint8_t, 32>;
+
+  struct digest_hash
+  {
+    std::size_t operator()(const digest& aDigest) const
+    {
+      std::size_t value = 0;
+      std::memcpy(&value, aDigest.data(), sizeof value);
+      return value;
+    }
+  };
+
+  // The keys of one customer.
+  struct key_set
+  {
+    std::uint64_t mFingerprint = 0; // of the keys and their order
+    std::vector<digest> mDigests;
+  };
+
+  static digest DigestOf(std::string_view aKey);
+
+  std::vector<customer_spec> mCustomers;
+  // By customer; shared between versions.
+  std::unordered_map<std::string, std::shared_ptr<const key_set>> mKeySets;
+  std::unordered_map<digest, std::size_t, digest_hash> mByDigest;
+};
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/route_table.cc
+++ b/laburnumdyke/decision/route_table.cc
@@ -22,9 +22,16 @@
 
 } // namespace
 
-route_table::route_table(routing_document aDocument)
+route_table::route_table(routing_document aDocument,
+                         const route_table* aPrevious)
   : mDocument(std::move(aDocument))
 {
+  if (mDocument.mCustomers) {
+    mCustomers = std::make_unique<const customer_table>(
+      std::move(*mDocument.mCustomers),
+      aPrevious == nullptr ? nullptr : aPrevious->Customers());
+    mDocument.mCustomers.reset();
+  }
   for (std::size_t i = 0; i < mDocument.mRoutes.size(); ++i) {
     mByHost[NormalizeHost(mDocument.mRoutes[i].mHost)].push_back(i);
   }
--- a/laburnumdyke/decision/route_table.h
+++ b/laburnumdyke/decision/route_table.h
@@ -8,12 +8,15 @@
 // immutable; each new version of the configuration gets a new table.
 #pragma once
 
+#include "laburnumdyke/decision/customer_table.h"
 #include "laburnumdyke/decision/types.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +44,7 @@
   std::chrono::milliseconds mTimeout{ 10000 };
   std::uint32_t mMaxAttempts = 1; // attempts that may execute a request
   std::vector<region_id> mHomes;  // regions that may serve it; empty: all
+  bool mPublic = false; // requests need no key, even if there are customers
 };
 
 struct service_rules
@@ -64,12 +68,16 @@
   caller_limits mLimits;
   std::vector<route_spec> mRoutes;
   std::map<service_id, service_rules> mServices;
+  // Without a list of customers, requests need no key on any route.
+  std::optional<std::vector<customer_spec>> mCustomers;
 };
 
 class route_table
 {
 public:
-  explicit route_table(routing_document aDocument);
+  // aPrevious, which may be null, is the table that this one replaces.
+  explicit route_table(routing_document aDocument,
+                       const route_table* aPrevious = nullptr);
 
   std::uint64_t Version() const { return mDocument.mVersion; }
   const caller_limits& Limits() const { return mDocument.mLimits; }
@@ -79,11 +87,15 @@
   // query. Returns null if no route matches.
   const route_spec* Find(std::string_view aHost, std::string_view aPath) const;
 
+  // Null if requests need no key.
+  const customer_table* Customers() const { return mCustomers.get(); }
+
   // Returns the defaults for a service that is not declared.
   service_rules Rules(const service_id& aService) const;
 
 private:
-  routing_document mDocument;
+  routing_document mDocument; // without its customers
+  std::unique_ptr<const customer_table> mCustomers;
   // By host, the longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> mByHost;
 };
--- a/laburnumdyke/decision/types.cc
+++ b/laburnumdyke/decision/types.cc
@@ -46,6 +46,9 @@
     "relay_lost",
     "retry_budget_spent",
     "caller_gone",
+    "unknown_customer",
+    "stale_customers",
+    "quota_exceeded",
   };
 
 constexpr std::array<std::string_view,
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -33,6 +33,7 @@
 using region_id = name_of<struct region_tag>;
 using service_id = name_of<struct service_tag>;
 using upstream_id = name_of<struct upstream_tag>;
+using customer_id = name_of<struct customer_tag>;
 
 // Priority classes of requests, highest priority first.
 enum class work_rank
@@ -82,6 +83,9 @@
   RelayLost,
   RetryBudgetSpent,
   CallerGone,
+  UnknownCustomer, // no customer holds the request's key
+  StaleCustomers,  // the key may have been revoked since the last reading
+  QuotaExceeded,   // of the customer, over all instances
   Count,
 };
 
