Keys, homes and quotas on the path of requests and between instances

Change: the pipeline asks the gate at arrival and before each attempt, counts the request against the quota, withholds the caller's key and names the customer to the upstream. Steering offers upstreams in the homes of route and customer. Heartbeats date the document in force; usage goes over the same link. Without customers in the configuration nothing changes on the wire.

--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -3,6 +3,7 @@
 // that have registered.
 #include "laburnumdyke/decision/fleet_view.h"
 
+#include <algorithm>
 #include <set>
 #include <tuple>
 
@@ -106,7 +107,13 @@
 fleet_heartbeat
 fleet_view::Heartbeat() const
 {
-  return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion, mSettled };
+  fleet_heartbeat heartbeat;
+  heartbeat.mSender = mOptions.mSelf;
+  heartbeat.mServing = IsServing();
+  heartbeat.mLeaving = mLeaving;
+  heartbeat.mControlVersion = mControlVersion;
+  heartbeat.mSettled = mSettled;
+  return heartbeat;
 }
 
 std::vector<fleet_member>
@@ -163,6 +170,66 @@
   return isFirst ? std::nullopt : ofDomain;
 }
 
+std::optional<endpoint>
+fleet_view::Collector(instant aNow) const
+{
+  const fleet_member* oldest = mLeaving ? nullptr : &mOptions.mSelf;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const member_state& state = one.second;
+    const fleet_member& member = state.mMember;
+    bool isCandidate = member.mDomain == mOptions.mSelf.mDomain &&
+                       IsLive(state, aNow) && !state.mLeaving;
+    if (isCandidate && (oldest == nullptr || IsOlder(member, *oldest))) {
+      oldest = &member;
+    }
+  }
+  bool isSelf = oldest == nullptr || oldest == &mOptions.mSelf;
+  return isSelf ? std::nullopt : std::optional<endpoint>(oldest->mPeer);
+}
+
+std::vector<endpoint>
+fleet_view::DomainPeers(instant aNow) const
+{
+  std::vector<endpoint> peers;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const fleet_member& member = one.second.mMember;
+    if (member.mDomain == mOptions.mSelf.mDomain && IsLive(one.second, aNow)) {
+      peers.push_back(member.mPeer);
+    }
+  }
+  return peers;
+}
+
+std::vector<endpoint>
+fleet_view::RemoteContacts(std::uint64_t aTurn) const
+{
+  std::map<domain_id, std::vector<const fleet_member*>> domains;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const fleet_member& member = one.second.mMember;
+    if (member.mDomain != mOptions.mSelf.mDomain) {
+      domains[member.mDomain].push_back(&member);
+    }
+  }
+  std::vector<endpoint> contacts;
+  for (std::pair<const domain_id, std::vector<const fleet_member*>>& domain :
+       domains) {
+    std::vector<const fleet_member*>& members = domain.second;
+    // The oldest is the collector, unless it is gone.
+    auto oldest = std::min_element(
+      members.begin(),
+      members.end(),
+      [](const fleet_member* aOne, const fleet_member* aOther) {
+        return IsOlder(*aOne, *aOther);
+      });
+    contacts.push_back((*oldest)->mPeer);
+    members.erase(oldest);
+    if (!members.empty()) {
+      contacts.push_back(members[aTurn % members.size()]->mPeer);
+    }
+  }
+  return contacts;
+}
+
 std::vector<endpoint>
 fleet_view::Targets() const
 {
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/cold_start_limiter.h"
+#include "laburnumdyke/decision/knowledge_age.h"
 #include "laburnumdyke/decision/rendezvous.h"
 #include "laburnumdyke/decision/types.h"
 #include "laburnumdyke/kernel/lock_rank.h"
@@ -47,6 +48,10 @@
   std::uint64_t mControlVersion = 0; // of the operator's control settings
   bool mSettled = false;     // its upstreams are in sync with the platform's
   member_key mSenderKey = 0; // in a compact one
+  // Where requests need keys: the configuration that was the latest up to a
+  // time on the platform's clock.
+  std::uint64_t mDocumentVersion = 0;
+  std::optional<platform_time> mCurrentAsOf;
 };
 
 struct fleet_options
@@ -109,6 +114,18 @@
   // reader is the oldest such instance of the region.
   std::optional<fleet_member> Reader(instant aNow) const;
 
+  // The instance of the own failure domain that collects the usage of
+  // customers: the oldest live one. Empty if it is this one.
+  std::optional<endpoint> Collector(instant aNow) const;
+
+  // Live peers of the own failure domain.
+  std::vector<endpoint> DomainPeers(instant aNow) const;
+
+  // For each other failure domain, two registered instances that pass a message
+  // on to its collector, or are the collector. Heartbeats tell nothing about
+  // other regions, so the choice varies with aTurn.
+  std::vector<endpoint> RemoteContacts(std::uint64_t aTurn) const;
+
   // Where to send heartbeats: the registered instances of the own region.
   std::vector<endpoint> Targets() const;
 
--- a/laburnumdyke/decision/platform_reading.h
+++ b/laburnumdyke/decision/platform_reading.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/knowledge_age.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 
@@ -26,6 +27,8 @@
   reading_status mStatus = reading_status::NoAnswer;
   bool mIsSnapshot = false; // snapshot: unlisted entries are removed
   std::uint64_t mVersion = 0;
+  // The platform's clock when it answered, if it says so.
+  std::optional<platform_time> mStamp;
 };
 
 // Operator control: routes and evacuated failure domains.
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -29,6 +29,14 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMaxRetryAfter{ 1000 };
 
+// Whether aRegion is one of aHomes; all are if there are none.
+bool
+IsHome(const std::vector<region_id>& aHomes, const region_id& aRegion)
+{
+  return aHomes.empty() ||
+         std::find(aHomes.begin(), aHomes.end(), aRegion) != aHomes.end();
+}
+
 } // namespace
 
 upstream_steering::upstream_steering(steering_options aOptions)
@@ -146,9 +154,9 @@
     return false;
   }
   const region_id& region = aUpstream.mRegion;
-  const std::vector<region_id>& homes = aRequest.mRoute.mHomes;
-  if (!homes.empty() &&
-      std::find(homes.begin(), homes.end(), region) == homes.end()) {
+  if (!IsHome(aRequest.mRoute.mHomes, region) ||
+      (aRequest.mCustomer != nullptr &&
+       !IsHome(aRequest.mCustomer->mHomes, region))) {
     return false;
   }
   const std::vector<upstream_id>& tried = aRequest.mTried;
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -71,6 +71,7 @@
   instant mReceived;
   instant mDeadline;
   const std::vector<upstream_id>& mTried;
+  const customer_spec* mCustomer = nullptr; // null: none is known
 };
 
 // The upstream chosen for an attempt.
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -261,6 +261,27 @@
       [](settings& aS, text aT) {
         return SetDuration(aS.mBounds.mMaxLookupTtl, aT);
       } },
+    { "bounds",
+      "revoke_timeout",
+      false,
+      kDuration,
+      [](settings& aS, text aT) {
+        return SetDuration(aS.mBounds.mRevokeTimeout, aT);
+      } },
+    { "bounds",
+      "quota_overshoot",
+      false,
+      kNumber,
+      [](settings& aS, text aT) {
+        return SetNumber(aS.mBounds.mQuotaOvershoot, aT);
+      } },
+    { "bounds",
+      "quota_slack",
+      false,
+      kNumber,
+      [](settings& aS, text aT) {
+        return SetNumber(aS.mBounds.mQuotaSlack, aT);
+      } },
   };
   return kKeys;
 }
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -33,6 +33,9 @@
 //   drain_timeout = 2s
 //   grace = 6s
 //   longest_answer_life = 5s
+//   revoke_timeout = 5s
+//   quota_overshoot = 0.1
+//   quota_slack = 20
 //
 // All invalid settings are reported, each with its line, its key and what was
 // expected. Unknown keys and sections are errors.
@@ -77,6 +80,14 @@
   // Time from the stop signal until the process is killed.
   std::chrono::milliseconds mGrace{ 6000 };
   std::chrono::milliseconds mMaxLookupTtl{ 5000 };
+  // Time after the revocation of a key from which on no request with it may
+  // run, even at an instance that cannot read the platform. Zero: keys are
+  // accepted however old the configuration in force may be.
+  std::chrono::milliseconds mRevokeTimeout{ 0 };
+  // What the fleet may run in a window beyond a customer's rate and burst: a
+  // fraction of both, and a number of requests.
+  double mQuotaOvershoot = 0.1;
+  double mQuotaSlack = 20;
 };
 
 struct settings
--- a/laburnumdyke/plugin/fleet_codec.h
+++ b/laburnumdyke/plugin/fleet_codec.h
@@ -1,20 +1,24 @@
-// Encodes and decodes, as protobuf, the heartbeats of instances that route by
-// host and path.
+// Encodes and decodes, as protobuf, the messages between instances that route
+// by host and path: heartbeats, and the usage of customers.
 //
 // A compact heartbeat identifies its sender by an 8-byte key. A receiver that
 // does not know that incarnation, from a full heartbeat or from its
 // registration, can't resolve the key.
 #pragma once
 
+#include "laburnumdyke/decision/customer_usage.h"
 #include "laburnumdyke/decision/fleet_view.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace laburnumdyke {
 
-inline constexpr std::size_t kMaxFleetHeartbeatBytes = 4096; // bytes
+inline constexpr std::size_t kMaxFleetMessageBytes = 32UL * 1024; // bytes
+// Customers in one message; more are active only where each is a small part.
+inline constexpr std::size_t kMaxUsageEntries = 1000;
 
 enum class fleet_heartbeat_form
 {
@@ -26,10 +30,33 @@
 EncodeFleetHeartbeat(const fleet_heartbeat& aHeartbeat,
                      fleet_heartbeat_form aForm);
 
-// Returns nullopt if aBytes is longer than kMaxFleetHeartbeatBytes, malformed,
-// or does not identify a sender. In a compact heartbeat mSender is empty and
-// mSenderKey is set.
-std::optional<fleet_heartbeat>
-DecodeFleetHeartbeat(std::string_view aBytes);
+// Whose usage a message contains, and for whom it is.
+enum class usage_scope
+{
+  Instance, // of one instance, for the collector of its failure domain
+  Domain,   // of a failure domain, for the collectors of the others
+  Fleet,    // for the members of the sender's failure domain
+};
+
+struct usage_message
+{
+  usage_scope mScope = usage_scope::Instance;
+  std::string mName;     // of the instance or the failure domain
+  bool mRelayed = false; // passed on by the instance that first received it
+  usage_list mUsage;
+};
+
+// Encodes the kMaxUsageEntries customers with the highest demand.
+std::string
+EncodeUsage(const usage_message& aMessage);
+
+// monostate: aBytes is longer than kMaxFleetMessageBytes, malformed, or a
+// heartbeat that does not identify its sender. In a compact heartbeat mSender
+// is empty and mSenderKey is set.
+using fleet_message =
+  std::variant<std::monostate, fleet_heartbeat, usage_message>;
+
+fleet_message
+DecodeFleetMessage(std::string_view aBytes);
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -12,10 +12,15 @@
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/sleep.h"
 #include "laburnumdyke/plugin/steering_tables.h"
+#include "laburnumdyke/plugin/usage_exchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <set>
+#include <utility>
+#include <variant>
+
 namespace laburnumdyke {
 
 namespace {
@@ -36,17 +41,18 @@
   explicit fleet_link(kernel& aKernel)
     : mKernel(aKernel)
     , mTables(aKernel)
-    , mLink(aKernel,
-            [this](std::string_view aBytes) { ReceiveHeartbeat(aBytes); })
+    , mLink(aKernel, [this](std::string_view aBytes) { Receive(aBytes); })
+    , mUsage(aKernel)
   {
   }
 
   std::optional<std::string> Start(instant)
   {
     std::optional<std::string> failure =
-      mLink.Listen(mKernel.Settings().mPeer, kMaxFleetHeartbeatBytes);
+      mLink.Listen(mKernel.Settings().mPeer, kMaxFleetMessageBytes);
     if (!failure) {
       asio::co_spawn(mLink.Strand(), SendPeriodically(), asio::detached);
+      asio::co_spawn(mLink.Strand(), ExchangeUsage(), asio::detached);
     }
     return failure;
   }
@@ -61,19 +67,48 @@
   void Stop() { mLink.Close(); }
 
 private:
-  void ReceiveHeartbeat(std::string_view aBytes)
+  void Receive(std::string_view aBytes)
   {
-    std::optional<fleet_heartbeat> heartbeat = DecodeFleetHeartbeat(aBytes);
-    if (!heartbeat) {
+    instant now = std::chrono::steady_clock::now();
+    fleet_message message = DecodeFleetMessage(aBytes);
+    if (usage_message* usage = std::get_if<usage_message>(&message)) {
+      mKernel.Counters().Add("usage_messages_total", "received");
+      mLink.Send(mUsage.Receive(std::move(*usage), now));
+    } else if (fleet_heartbeat* beat = std::get_if<fleet_heartbeat>(&message)) {
+      ReceiveHeartbeat(*beat, now);
+    } else {
       mKernel.Counters().Add("heartbeat_rejected_total", "malformed");
-      return;
     }
-    mTables.Fleet().With([&](fleet_state& aFleet) {
-      aFleet.ReceiveHeartbeat(*heartbeat, std::chrono::steady_clock::now());
-    });
+  }
+
+  void ReceiveHeartbeat(const fleet_heartbeat& aHeartbeat, instant aNow)
+  {
+    mTables.Fleet().With(
+      [&](fleet_state& aFleet) { aFleet.ReceiveHeartbeat(aHeartbeat, aNow); });
+    if (aHeartbeat.mCurrentAsOf) {
+      mTables.InForce().With([&](routes_in_force& aInForce) {
+        bool isSameVersion = aInForce.mRoutes && aInForce.mRoutes->Version() ==
+                                                   aHeartbeat.mDocumentVersion;
+        if (isSameVersion) {
+          aInForce.mAge.RecordCurrent(*aHeartbeat.mCurrentAsOf);
+        }
+      });
+    }
     mKernel.Counters().Add("heartbeats_total");
   }
 
+  // Adds up to when the routes in force are known to be the latest, if they
+  // have customers.
+  void AddAge(fleet_heartbeat& aHeartbeat)
+  {
+    mTables.InForce().With([&](routes_in_force& aInForce) {
+      if (aInForce.mRoutes && aInForce.mRoutes->Customers() != nullptr) {
+        aHeartbeat.mDocumentVersion = aInForce.mRoutes->Version();
+        aHeartbeat.mCurrentAsOf = aInForce.mAge.CurrentAsOf();
+      }
+    });
+  }
+
   // Must run on the link's strand.
   void SendHeartbeats()
   {
@@ -82,6 +117,7 @@
       targets = aFleet.Targets();
       return aFleet.Heartbeat();
     });
+    AddAge(heartbeat);
     bool full = mSentCount < kFirstFullHeartbeats ||
                 mSentCount % kFullHeartbeatInterval == 0;
     ++mSentCount;
@@ -92,6 +128,9 @@
     for (const endpoint& target : targets) {
       messages.push_back({ target, bytes });
     }
+    std::set<endpoint> open(targets.begin(), targets.end());
+    open.insert(mUsage.Targets().begin(), mUsage.Targets().end());
+    mLink.CloseOthers(open);
     mLink.Send(messages);
   }
 
@@ -105,6 +144,14 @@
     }
   }
 
+  asio::awaitable<void> ExchangeUsage()
+  {
+    while (true) {
+      mLink.Send(mUsage.Compose(std::chrono::steady_clock::now()));
+      co_await SleepFor(kUsagePeriod);
+    }
+  }
+
   asio::awaitable<void> AnnounceLeaving()
   {
     for (int i = 0; i < kLeavingHeartbeatCount; ++i) {
@@ -116,6 +163,7 @@
   kernel& mKernel;
   steering_tables mTables;
   message_link mLink;
+  usage_exchange mUsage;
   std::uint64_t mSentCount = 0; // heartbeats
 };
 
--- a/laburnumdyke/plugin/message_link.cc
+++ b/laburnumdyke/plugin/message_link.cc
@@ -86,19 +86,28 @@
 void
 message_link::Send(const std::vector<addressed_message>& aMessages)
 {
-  std::map<endpoint, zmq::socket_t> remaining;
   for (const addressed_message& outgoing : aMessages) {
     auto found = mTargets.find(outgoing.mTarget);
-    zmq::socket_t socket = found == mTargets.end() ? Connect(outgoing.mTarget)
-                                                   : std::move(found->second);
+    if (found == mTargets.end()) {
+      found =
+        mTargets.emplace(outgoing.mTarget, Connect(outgoing.mTarget)).first;
+    }
     zmq::message_t message(outgoing.mBytes.data(), outgoing.mBytes.size());
-    bool sent = socket.send(message, zmq::send_flags::dontwait).has_value();
+    bool sent =
+      found->second.send(message, zmq::send_flags::dontwait).has_value();
     if (!sent) {
       mKernel.Counters().Add("heartbeats_dropped_total");
     }
-    remaining.emplace(outgoing.mTarget, std::move(socket));
   }
-  mTargets = std::move(remaining);
+}
+
+void
+message_link::CloseOthers(const std::set<endpoint>& aTargets)
+{
+  std::erase_if(mTargets,
+                [&](const std::pair<const endpoint, zmq::socket_t>& aOne) {
+                  return aTargets.count(aOne.first) == 0;
+                });
 }
 
 void
--- a/laburnumdyke/plugin/message_link.h
+++ b/laburnumdyke/plugin/message_link.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,10 +59,12 @@
   // Handles all pending messages. Must run on the strand.
   void Drain();
 
-  // Sends aMessages and closes the connections to all other targets. Must run
-  // on the strand.
+  // Sends aMessages, connecting to targets as needed. Must run on the strand.
   void Send(const std::vector<addressed_message>& aMessages);
 
+  // Closes the connections to all targets but aTargets. Must run on the strand.
+  void CloseOthers(const std::set<endpoint>& aTargets);
+
   // Closes all sockets. No worker may be running.
   void Close();
 
--- a/laburnumdyke/plugin/peer_link.cc
+++ b/laburnumdyke/plugin/peer_link.cc
@@ -127,10 +127,13 @@
     std::vector<addressed_heartbeat> outgoing = mTables.Membership().With(
       [&](membership& aMembership) { return aMembership.Address(full, aNow); });
     std::vector<addressed_message> messages;
+    std::set<endpoint> targets;
     for (const addressed_heartbeat& heartbeatToSend : outgoing) {
       messages.push_back(
         { heartbeatToSend.mTarget, EncodeHeartbeat(heartbeatToSend.mMessage) });
+      targets.insert(heartbeatToSend.mTarget);
     }
+    mLink.CloseOthers(targets);
     mLink.Send(messages);
   }
 
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -93,6 +93,7 @@
       asio::co_spawn(mStrand, mUpstreams.Watch(), asio::detached);
       asio::co_spawn(mStrand, WatchFleet(), asio::detached);
       asio::co_spawn(mStrand, WatchPeers(), asio::detached);
+      asio::co_spawn(mStrand, WatchAge(), asio::detached);
     }
     return failure;
   }
@@ -137,6 +138,9 @@
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerCheckInterval{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
+  static constexpr std::chrono::milliseconds kAgeCheckInterval{ 500 };
+  // A reading may fail or be late without the routes growing too old.
+  static constexpr int kReadsPerMaxAge = 4;
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
@@ -145,19 +149,67 @@
     while (true) {
       std::optional<std::uint64_t> after = mControl.After();
       std::chrono::milliseconds longPoll =
-        mUpstreams.IsFollower() ? kControlLongPoll : kReaderControlLongPoll;
-      control_reading reading =
-        co_await mSource.ReadControl(after, mControl.LongPollWait(longPoll));
-      bool accepted = mControl.Take(reading.mHead);
-      LogOutageChange(mKernel, mControl, "control");
-      if (accepted) {
-        ApplyControl(reading);
-      } else {
+        mUpstreams.IsFollower() ? kControlLongPoll : ReaderLongPoll();
+      if (!co_await ReadControl(after, mControl.LongPollWait(longPoll))) {
         co_await SleepFor(mJitter(kRetryAfter));
       }
     }
   }
 
+  // Returns whether a reading was accepted and applied.
+  asio::awaitable<bool> ReadControl(std::optional<std::uint64_t> aAfter,
+                                    std::chrono::milliseconds aWait)
+  {
+    boot_instant sent = boot_clock::now();
+    control_reading reading = co_await mSource.ReadControl(aAfter, aWait);
+    bool accepted = mControl.Take(reading.mHead);
+    LogOutageChange(mKernel, mControl, "control");
+    if (accepted) {
+      ApplyControl(reading);
+      RecordAge(reading.mHead, sent);
+    }
+    co_return accepted;
+  }
+
+  // Where keys can be revoked, readers wait less, so that all instances of the
+  // region know their routes to be the latest as of shortly before.
+  std::chrono::milliseconds ReaderLongPoll()
+  {
+    std::chrono::milliseconds maxAge = mTables.MaxKeyAge();
+    bool isBound = maxAge > std::chrono::milliseconds(0);
+    return isBound ? std::min(kReaderControlLongPoll, maxAge / kReadsPerMaxAge)
+                   : kReaderControlLongPoll;
+  }
+
+  void RecordAge(const reading_head& aHead, boot_instant aSent)
+  {
+    if (aHead.mStamp) {
+      mTables.InForce().With([&](routes_in_force& aInForce) {
+        aInForce.mAge.RecordAnswer(aSent, *aHead.mStamp);
+        aInForce.mAge.RecordCurrent(*aHead.mStamp);
+      });
+    }
+  }
+
+  // Reads the platform without waiting if neither the last reading nor the
+  // peers' heartbeats show that the routes are the latest.
+  asio::awaitable<void> WatchAge()
+  {
+    std::chrono::milliseconds maxAge = mTables.MaxKeyAge();
+    if (maxAge <= std::chrono::milliseconds(0)) {
+      co_return;
+    }
+    while (true) {
+      co_await SleepFor(mJitter(kAgeCheckInterval));
+      dated_routes dated = mTables.DatedRoutes(boot_clock::now());
+      bool hasCustomers = dated.mRoutes && dated.mRoutes->Customers();
+      bool isOld = !dated.mAge || *dated.mAge > maxAge / 2;
+      if (hasCustomers && isOld) {
+        co_await ReadControl(mControl.After(), std::chrono::milliseconds(0));
+      }
+    }
+  }
+
   asio::awaitable<void> WatchFleet()
   {
     fleet_member self =
@@ -251,13 +303,21 @@
       if (aReading.mDocument &&
           (!aInForce.mRoutes ||
            aReading.mDocument->mVersion > aInForce.mRoutes->Version())) {
-        newRoutes = std::make_shared<const route_table>(*aReading.mDocument);
+        newRoutes = std::make_shared<const route_table>(*aReading.mDocument,
+                                                        aInForce.mRoutes.get());
         aInForce.mRoutes = newRoutes;
       }
       evacuated = ApplyEvacuations(aInForce.mEvacuated, aReading);
       evacuationChanged = evacuated != aInForce.mEvacuated;
       aInForce.mEvacuated = evacuated;
     });
+    if (newRoutes) {
+      mTables.Quota().With([&](quota_state& aQuota) {
+        const customer_table* customers = newRoutes->Customers();
+        aQuota.SetCustomers(customers == nullptr ? std::vector<customer_spec>()
+                                                 : customers->All());
+      });
+    }
     mTables.Steering().With([&](steering_state& aSteering) {
       if (newRoutes) {
         aSteering.SetRules(newRoutes);
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -47,6 +47,23 @@
   return text;
 }
 
+std::string
+RateText(double aRate)
+{
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", aRate);
+  return text;
+}
+
+std::uint32_t
+PriorityOf(const steered_request& aRequest)
+{
+  std::uint32_t priority = aRequest.mRoute->mPriority;
+  return aRequest.mCustomer == nullptr
+           ? priority
+           : aRequest.mCustomer->mPriority.value_or(priority);
+}
+
 std::string
 LoadText(const std::optional<reported_load>& aLoad)
 {
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -10,7 +10,9 @@
 //
 // Errors, as the caller sees them:
 //   400  malformed body
+//   401  the route needs a key, and no customer holds the one that was sent
 //   404  no route in the configuration in force
+//   429  the customer's quota is used up, with Retry-After
 //   502  failed, but may have run on an upstream
 //   503  has not run and will not, with Retry-After
 //   503  no configuration yet, or the instance is leaving, with Retry-After
@@ -37,6 +39,7 @@
 {
   std::string mId;
   std::string mObject; // object that the request is about; empty: none
+  std::string mKey;    // of a customer; empty: none, or not a single one
   std::string mHost;
   // How long the caller waits for an answer, if it says so.
   std::optional<std::chrono::milliseconds> mCallerTimeout;
@@ -46,6 +49,7 @@
 concept steering_dialect = requires(const request_parser::value_type& aHead,
                                     const upstream_head& aAnswer,
                                     const upstream_id& aUpstream,
+                                    const customer_id& aCustomer,
                                     std::chrono::milliseconds aRemaining,
                                     const std::string& aId)
 {
@@ -55,6 +59,14 @@
   {
     T::UpstreamHeaders(aUpstream, aRemaining)
     } -> std::same_as<header_list>;
+  // Names the customer to the upstream.
+  {
+    T::CustomerHeaders(aCustomer)
+    } -> std::same_as<header_list>;
+  // Headers of callers that must not reach upstreams where requests need keys.
+  {
+    T::CredentialHeaders()
+    } -> std::same_as<std::vector<std::string_view>>;
   {
     T::ReadAnswer(aAnswer, aId)
     } -> std::same_as<answer_attributes>;
@@ -91,7 +103,10 @@
 struct steered_request
 {
   caller_request mCaller;
-  const route_spec* mRoute = nullptr;
+  std::shared_ptr<const route_table> mRoutes;
+  const route_spec* mRoute = nullptr;       // of mRoutes
+  const customer_spec* mCustomer = nullptr; // of mRoutes; null: none
+  bool mIsInQuota = false;                  // counted as admitted
   service_id mService;
   std::string mBody;
   instant mReceived{};
@@ -112,6 +127,14 @@
 std::string
 RetryAfterText(std::chrono::milliseconds aAfter);
 
+// Formats a rate, in requests per second, with one decimal.
+std::string
+RateText(double aRate);
+
+// The customer's priority, or else the route's; 0 is the most urgent.
+std::uint32_t
+PriorityOf(const steered_request& aRequest);
+
 // Formats a load as "running,waiting,slots"; empty if none was reported.
 std::string
 LoadText(const std::optional<reported_load>& aLoad);
@@ -132,8 +155,10 @@
     steered_request request;
     request.mReceived = aExchange.mReceived;
     request.mCaller = Dialect::ReadCaller(aExchange.Head());
-    std::shared_ptr<const route_table> routes = mTables.Routes();
-    if (!routes) {
+    dated_routes dated = mTables.DatedRoutes(boot_clock::now());
+    request.mRoutes = dated.mRoutes;
+    const route_table* routes = request.mRoutes.get();
+    if (routes == nullptr) {
       co_await Refuse(aExchange,
                       request,
                       http::status::service_unavailable,
@@ -151,6 +176,12 @@
                       std::nullopt);
       co_return;
     }
+    gate_decision gate = CheckKey(request, dated);
+    if (gate.mRefusal != refusal_reason::None) {
+      co_await RefuseCustomer(aExchange, request, gate.mRefusal);
+      co_return;
+    }
+    request.mCustomer = gate.mCustomer;
     std::optional<std::string> body =
       co_await ReadBody(aExchange, routes->Limits().mBodyBytes);
     if (!body) {
@@ -171,6 +202,15 @@
       co_await RefuseLeaving(aExchange, request);
       co_return;
     }
+    std::optional<std::chrono::milliseconds> retryAfter = TakeQuota(request);
+    if (retryAfter) {
+      co_await Refuse(aExchange,
+                      request,
+                      http::status::too_many_requests,
+                      refusal_reason::QuotaExceeded,
+                      retryAfter);
+      co_return;
+    }
     request.mService = mTables.Rotation().With([&](rotation_state& aRotation) {
       return aRotation.Next(*request.mRoute);
     });
@@ -178,10 +218,14 @@
       aBudget.CountRequest(request.mService, Now());
     });
     co_await Run(aExchange, request);
+    ReturnQuota(request);
   }
 
 private:
   static constexpr std::chrono::milliseconds kNoDocumentRetry{ 500 };
+  // The caller may find an instance that reads the platform; if all wait for
+  // it, they retry in no more than this.
+  static constexpr std::chrono::milliseconds kStaleCustomersRetry{ 500 };
   // With less time left, no attempt is made: it could not be answered in time.
   static constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
   // Sends per request, including those that upstreams refuse.
@@ -194,6 +238,81 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
   }
 
+  gate_decision CheckKey(const steered_request& aRequest,
+                         const dated_routes& aRoutes) const
+  {
+    return laburnumdyke::CheckKey(*aRoutes.mRoutes,
+                                  *aRequest.mRoute,
+                                  aRequest.mCaller.mKey,
+                                  aRoutes.mAge,
+                                  mTables.MaxKeyAge());
+  }
+
+  // Checks the key of a request again, by the routes now in force: it may have
+  // been revoked or given to another customer while the request waited.
+  refusal_reason RecheckKey(const steered_request& aRequest)
+  {
+    if (aRequest.mRoutes->Customers() == nullptr) {
+      return refusal_reason::None;
+    }
+    gate_decision gate =
+      CheckKey(aRequest, mTables.DatedRoutes(boot_clock::now()));
+    bool isSame = gate.mCustomer != nullptr && aRequest.mCustomer != nullptr &&
+                  gate.mCustomer->mName == aRequest.mCustomer->mName;
+    if (gate.mRefusal == refusal_reason::None && !isSame &&
+        !aRequest.mRoute->mPublic) {
+      return refusal_reason::StaleCustomers;
+    }
+    return gate.mRefusal;
+  }
+
+  asio::awaitable<void> RefuseCustomer(http_exchange& aExchange,
+                                       const steered_request& aRequest,
+                                       refusal_reason aReason)
+  {
+    bool isUnknown = aReason == refusal_reason::UnknownCustomer;
+    return Refuse(aExchange,
+                  aRequest,
+                  isUnknown ? http::status::unauthorized
+                            : http::status::service_unavailable,
+                  aReason,
+                  isUnknown ? std::nullopt
+                            : std::optional<std::chrono::milliseconds>(
+                                kStaleCustomersRetry));
+  }
+
+  // Counts the request against its customer's quota. Returns when to come back
+  // if the quota is used up.
+  std::optional<std::chrono::milliseconds> TakeQuota(steered_request& aRequest)
+  {
+    if (aRequest.mCustomer == nullptr || aRequest.mRoute->mPublic) {
+      return std::nullopt;
+    }
+    quota_decision decision = mTables.Quota().With([&](quota_state& aQuota) {
+      return aQuota.Admit(aRequest.mCustomer->mName, Now());
+    });
+    aRequest.mIsInQuota = decision.mAdmitted;
+    if (decision.mAdmitted) {
+      return std::nullopt;
+    }
+    mKernel.Log().Info("quota_exceeded",
+                       { { "request", aRequest.mCaller.mId },
+                         { "customer", aRequest.mCustomer->mName.mValue },
+                         { "demand_per_s", RateText(decision.mDemand) },
+                         { "limit_per_s", RateText(decision.mLimit) } });
+    return decision.mRetryAfter;
+  }
+
+  // A request that no upstream has run does not count against the quota.
+  void ReturnQuota(const steered_request& aRequest)
+  {
+    if (aRequest.mIsInQuota && !aRequest.mMayHaveRun) {
+      mTables.Quota().With([&](quota_state& aQuota) {
+        aQuota.Refund(aRequest.mCustomer->mName, Now());
+      });
+    }
+  }
+
   // Whether a planned stop of the instance leaves time for the request. Also
   // limits its deadline, so that it is answered before the process exits.
   bool MayBegin(steered_request& aRequest, instant aNow)
@@ -231,6 +350,11 @@
         aRequest.mTimedOut = true;
         break;
       }
+      refusal_reason reason = RecheckKey(aRequest);
+      if (reason != refusal_reason::None) {
+        co_await AnswerRevoked(aExchange, aRequest, reason);
+        co_return;
+      }
       steering_choice choice = Choose(aRequest, now);
       if (!choice.mTarget) {
         co_await AnswerFailure(aExchange, aRequest, choice);
@@ -272,7 +396,8 @@
   {
     steering_request query{ *aRequest.mRoute,         aRequest.mService,
                             aRequest.mCaller.mObject, aRequest.mReceived,
-                            aRequest.mDeadline,       aRequest.mTried };
+                            aRequest.mDeadline,       aRequest.mTried,
+                            aRequest.mCustomer };
     return mTables.Steering().With([&](steering_state& aSteering) {
       steering_choice choice = aSteering.Choose(query, aNow);
       if (choice.mTarget) {
@@ -310,6 +435,14 @@
     attempt.mBody = aRequest.mBody;
     attempt.mHeaders = Dialect::UpstreamHeaders(
       aTarget.mId, ToMilliseconds(aRequest.mDeadline - begun));
+    if (aRequest.mRoutes->Customers() != nullptr) {
+      attempt.mWithheld = Dialect::CredentialHeaders();
+    }
+    if (aRequest.mCustomer != nullptr) {
+      header_list named = Dialect::CustomerHeaders(aRequest.mCustomer->mName);
+      attempt.mHeaders.insert(
+        attempt.mHeaders.end(), named.begin(), named.end());
+    }
     attempt.mRead = [&aRequest](const upstream_head& aHead) {
       return Dialect::ReadAnswer(aHead, aRequest.mCaller.mId);
     };
@@ -338,7 +471,7 @@
     mKernel.Counters().Add("attempts_total", ToString(outcome.mEnd));
     if (outcome.mEnd == attempt_ending::Answered) {
       mKernel.Latencies().Record("priority_" +
-                                   std::to_string(aRequest.mRoute->mPriority),
+                                   std::to_string(PriorityOf(aRequest)),
                                  now - aRequest.mReceived);
     }
     LogAttempt(aRequest, aTarget, outcome, now - begun);
@@ -363,6 +496,15 @@
            aOutcome.mEnd == attempt_ending::CallerGone;
   }
 
+  // Answers a request whose key no longer admits it.
+  asio::awaitable<void> AnswerRevoked(http_exchange& aExchange,
+                                      const steered_request& aRequest,
+                                      refusal_reason aReason)
+  {
+    return aRequest.mMayHaveRun ? AnswerFailure(aExchange, aRequest, {})
+                                : RefuseCustomer(aExchange, aRequest, aReason);
+  }
+
   // Writes the final answer to a request that no upstream has answered.
   asio::awaitable<void> AnswerFailure(http_exchange& aExchange,
                                       const steered_request& aRequest,
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -3,6 +3,7 @@
 
 #include "laburnumdyke/decision/rendezvous.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,19 @@
   return { bounds.mRepeatRatio, bounds.mRepeatExtra, bounds.mRepeatWindow };
 }
 
+fleet_quota_options
+QuotaOptions(const settings& aSettings)
+{
+  const steering_bounds& bounds = aSettings.mBounds;
+  return { bounds.mQuotaOvershoot,
+           bounds.mQuotaSlack,
+           KeyOf(instance_id{ aSettings.mInstance }, aSettings.mIncarnation) };
+}
+
+// Between the platform's reading of its rows and its stamp, and for the last
+// steps from the check of a key to the send.
+constexpr std::chrono::milliseconds kAgeMargin{ 400 };
+
 } // namespace
 
 steering_state::steering_state(const settings& aSettings)
@@ -68,17 +82,24 @@
 {
 }
 
+quota_state::quota_state(const settings& aSettings)
+  : fleet_quota(QuotaOptions(aSettings))
+{
+}
+
 stop_state::stop_state(const settings& aSettings)
   : planned_stop(aSettings.mBounds.mGrace)
 {
 }
 
 steering_tables::steering_tables(kernel& aKernel)
-  : mInForce(aKernel.Table<routes_in_force>())
+  : mSettings(aKernel.Settings())
+  , mInForce(aKernel.Table<routes_in_force>())
   , mSteering(aKernel.Table<steering_state>())
   , mRotation(aKernel.Table<rotation_state>())
   , mFleet(aKernel.Table<fleet_state>())
   , mBudget(aKernel.Table<budget_state>())
+  , mQuota(aKernel.Table<quota_state>())
   , mPool(aKernel.Table<connection_pool>())
   , mPlannedStop(aKernel.Table<stop_state>())
 {
@@ -91,6 +112,24 @@
     [](routes_in_force& aInForce) { return aInForce.mRoutes; });
 }
 
+dated_routes
+steering_tables::DatedRoutes(boot_instant aNow)
+{
+  return mInForce.With([&](routes_in_force& aInForce) {
+    return dated_routes{ aInForce.mRoutes, aInForce.mAge.At(aNow) };
+  });
+}
+
+std::chrono::milliseconds
+steering_tables::MaxKeyAge() const
+{
+  std::chrono::milliseconds revokeTimeout = mSettings.mBounds.mRevokeTimeout;
+  if (revokeTimeout <= std::chrono::milliseconds(0)) {
+    return std::chrono::milliseconds(0);
+  }
+  return std::max(std::chrono::milliseconds(1), revokeTimeout - kAgeMargin);
+}
+
 void
 steering_tables::PublishFleet()
 {
@@ -98,6 +137,8 @@
     mFleet.With([](fleet_state& aFleet) { return aFleet.InstanceLocations(); });
   mBudget.With(
     [&](budget_state& aBudget) { aBudget.SetFleetSize(locations.size()); });
+  mQuota.With(
+    [&](quota_state& aQuota) { aQuota.SetFleetSize(locations.size()); });
   mSteering.With([&](steering_state& aSteering) {
     aSteering.SetFleet(std::move(locations));
   });
--- a/laburnumdyke/plugin/steering_tables.h
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -5,8 +5,11 @@
 //   std::shared_ptr<const route_table> routes = tables.Routes();
 #pragma once
 
+#include "laburnumdyke/decision/customer_gate.h"
 #include "laburnumdyke/decision/fleet_budget.h"
+#include "laburnumdyke/decision/fleet_quota.h"
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/knowledge_age.h"
 #include "laburnumdyke/decision/planned_stop.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/service_rotation.h"
@@ -14,7 +17,9 @@
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/plugin/connection_pool.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace laburnumdyke {
@@ -25,6 +30,14 @@
   static constexpr lock_rank kLockRank = lock_rank::Document;
   std::shared_ptr<const route_table> mRoutes; // null until the first is read
   std::set<domain_id> mEvacuated;
+  knowledge_age mAge; // of mRoutes
+};
+
+// The routes in force, and since when they may be outdated.
+struct dated_routes
+{
+  std::shared_ptr<const route_table> mRoutes;    // null until the first is read
+  std::optional<std::chrono::milliseconds> mAge; // nullopt: unknown
 };
 
 struct steering_state : upstream_steering
@@ -48,6 +61,11 @@
   explicit budget_state(const settings& aSettings);
 };
 
+struct quota_state : fleet_quota
+{
+  explicit quota_state(const settings& aSettings);
+};
+
 struct stop_state : planned_stop
 {
   static constexpr lock_rank kLockRank = lock_rank::Lifecycle;
@@ -66,19 +84,27 @@
   table<rotation_state>& Rotation() { return mRotation; }
   table<fleet_state>& Fleet() { return mFleet; }
   table<budget_state>& Budget() { return mBudget; }
+  table<quota_state>& Quota() { return mQuota; }
   table<connection_pool>& Pool() { return mPool; }
   table<stop_state>& PlannedStop() { return mPlannedStop; }
 
-  // Passes the current members of the fleet on to steering and the retry
-  // budget.
+  dated_routes DatedRoutes(boot_instant aNow);
+
+  // The age of routes up to which keys are accepted; zero: any.
+  std::chrono::milliseconds MaxKeyAge() const;
+
+  // Passes the current members of the fleet on to steering, the retry budget
+  // and the quotas.
   void PublishFleet();
 
 private:
+  const settings& mSettings;
   table<routes_in_force>& mInForce;
   table<steering_state>& mSteering;
   table<rotation_state>& mRotation;
   table<fleet_state>& mFleet;
   table<budget_state>& mBudget;
+  table<quota_state>& mQuota;
   table<connection_pool>& mPool;
   table<stop_state>& mPlannedStop;
 };
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -103,6 +103,9 @@
   bool hadBody = original.count(http::field::transfer_encoding) > 0 ||
                  original.count(http::field::content_length) > 0;
   request.erase(http::field::transfer_encoding);
+  for (std::string_view withheld : aAttempt.mWithheld) {
+    request.erase(ToBeast(withheld));
+  }
   for (const std::pair<std::string_view, std::string>& header :
        aAttempt.mHeaders) {
     request.set(ToBeast(header.first), header.second);
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -20,6 +20,8 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -49,6 +51,8 @@
   endpoint mTo;
   std::string mBody;    // the whole body of the request
   header_list mHeaders; // set on the forwarded request
+  // Headers of the caller that are not forwarded.
+  std::vector<std::string_view> mWithheld;
   std::function<answer_attributes(const upstream_head&)> mRead;
   // Whether the request may still be sent; asked once the connection is up.
   std::function<bool()> mMaySend;
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -185,9 +185,9 @@
     instant now = Now();
     mTiming.KnownAsOf(now - aUpdate.mAge);
     upstream_reading reading;
-    reading.mHead = { reading_status::Read,
-                      aUpdate.mIsSnapshot,
-                      aUpdate.mVersion };
+    reading.mHead.mStatus = reading_status::Read;
+    reading.mHead.mIsSnapshot = aUpdate.mIsSnapshot;
+    reading.mHead.mVersion = aUpdate.mVersion;
     reading.mRows = ToRows(std::move(aUpdate));
     if (mState.TakeFromPeer(reading.mHead)) {
       ApplyReading(std::move(reading), now);
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -176,10 +176,35 @@
 
 void
 one_front::Configure(bool aBoth)
+{
+  PutInForce(FrontDocument(), aBoth);
+}
+
+void
+one_front::ConfigureCustomers(std::vector<std::string> aKeys)
+{
+  customer_spec customer;
+  customer.mName = { "acme" };
+  customer.mKeys = std::move(aKeys);
+  customer.mQuota = { 1, 1 };
+  routing_document document = FrontDocument();
+  document.mCustomers = { customer };
+  route_spec open = document.mRoutes.front();
+  open.mName = "open";
+  open.mPrefix = "/open/";
+  open.mPublic = true;
+  document.mRoutes.push_back(open);
+  PutInForce(document, false);
+  steering_tables(*mKernel).Quota().With(
+    [&](quota_state& aQuota) { aQuota.SetCustomers({ customer }); });
+}
+
+void
+one_front::PutInForce(routing_document aDocument, bool aBoth)
 {
   steering_tables tables(*mKernel);
   std::shared_ptr<const route_table> routes =
-    std::make_shared<const route_table>(FrontDocument());
+    std::make_shared<const route_table>(std::move(aDocument));
   tables.InForce().With(
     [&](routes_in_force& aInForce) { aInForce.mRoutes = routes; });
   std::vector<upstream_entry> entries = { FrontUpstream("u1",
--- a/laburnumdyke/testing/harness/one_front.h
+++ b/laburnumdyke/testing/harness/one_front.h
@@ -75,6 +75,11 @@
   // Puts the routes in force and registers the first upstream, or both.
   void Configure(bool aBoth);
 
+  // Puts the routes in force with a customer, "acme", who holds the key "k1"
+  // and may send one request a second, and registers the first upstream. A
+  // route under /open/ needs no key.
+  void ConfigureCustomers(std::vector<std::string> aKeys = { "k1" });
+
   std::string Send(const std::string& aBytes);
 
   // Requests that have reached an upstream.
@@ -84,6 +89,9 @@
   scripted_upstream mSecond;
   settings mSettings;
   std::unique_ptr<kernel> mKernel;
+
+private:
+  void PutInForce(routing_document aDocument, bool aBoth);
 };
 
 // A request with the id 77 whose caller waits for two seconds and closes its
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -132,6 +132,49 @@
   CHECK_FALSE(DecodeConfig("").has_value());
 }
 
+TEST(RowCodec, TenantsBecomeCustomers)
+{
+  CHECK_FALSE(DecodeConfig(kConfig)->mCustomers.has_value());
+  const std::string tenants =
+    R"("tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,)"
+    R"("rate-per-s":994,"burst":12.5,"home-regions":["east"]},)"
+    R"({"name":"t2","api-keys":[]}],"base-version":5)";
+  std::string config = Replace(kConfig, R"("base-version":5)", tenants);
+  std::optional<routing_document> read = DecodeConfig(config);
+  CHECK(read.has_value() && read->mCustomers.has_value());
+  LONGS_EQUAL(2, read->mCustomers->size());
+  const customer_spec& first = read->mCustomers->at(0);
+  STRCMP_EQUAL("t1", first.mName.mValue.c_str());
+  LONGS_EQUAL(2, first.mKeys.size());
+  LONGS_EQUAL(1, first.mPriority.value());
+  CHECK(first.mQuota == (quota_spec{ 994, 12.5 }));
+  STRCMP_EQUAL("east", first.mHomes.at(0).mValue.c_str());
+  const customer_spec& second = read->mCustomers->at(1);
+  CHECK(!second.mPriority && !second.mQuota.IsLimited());
+  const std::pair<const char*, const char*> rows[] = {
+    { R"("name":"t2")", R"("name":"t1")" },
+    { R"("api-keys":[]})", R"("api-keys":["k1"]})" },
+    { R"("api-keys":[]})", R"("api-keys":[7]})" },
+    { R"("api-keys":[]})", R"("api-keys":"k3"})" },
+    { R"("rate-per-s":994)", R"("rate-per-s":-1)" },
+    { R"("tenants":[)", R"("tenants":[5,)" },
+    { R"("name":"t2",)", "" },
+  };
+  for (const std::pair<const char*, const char*>& row : rows) {
+    CHECK_TEXT(
+      !DecodeConfig(Replace(config, row.first, row.second)).has_value(),
+      row.second);
+  }
+}
+
+TEST(RowCodec, PublicRoutesAreRead)
+{
+  CHECK_FALSE(DecodeConfig(kConfig)->mRoutes[0].mPublic);
+  std::string open =
+    Replace(kConfig, R"("priority":0,)", R"("priority":0,"public":true,)");
+  CHECK(DecodeConfig(open)->mRoutes[0].mPublic);
+}
+
 TEST(RowCodec, AnEntryBecomesAnUpstream)
 {
   std::optional<upstream_entry> read = DecodeUpstream("i-1", kServer);
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -294,3 +294,89 @@
   STRCMP_EQUAL(
     "", mFront.mKernel->PendingWork(std::chrono::steady_clock::now()).c_str());
 }
+
+namespace {
+
+std::string
+WithHeaders(const std::string& aRequest, const std::string& aHeaders)
+{
+  std::string request = aRequest;
+  return request.insert(request.find("\r\n") + 2, aHeaders);
+}
+
+} // namespace
+
+TEST(SteeredFront, UpstreamsGetTheCustomersNameAndNeverTheKey)
+{
+  mFront.ConfigureCustomers();
+  mFront.mFirst.Script({ kWholeAnswer });
+  std::string answer = mFront.Send(WithHeaders(
+    FrontRequest("GET", "/read/1"), "X-Key: k1\r\nX-Tenant: other\r\n"));
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  std::string head = mFront.mFirst.Requests().at(0);
+  CHECK(head.find("X-Tenant: acme\r\n") != std::string::npos);
+  CHECK(head.find("other") == std::string::npos);
+  CHECK(head.find("k1") == std::string::npos);
+}
+
+TEST(SteeredFront, RequestsWithoutASingleKnownKeyAreRefused)
+{
+  mFront.ConfigureCustomers();
+  const std::string rows[] = {
+    "",
+    "X-Key: \r\n",
+    "X-Key: k2\r\n",
+    "X-Key: k1\r\nX-Key: k1\r\n",
+    "X-Key: k1\r\nX-Key: k2\r\n",
+    "X-Key: k1, k1\r\n",
+    "X-Key: " + std::string(2000, 'k') + "\r\n",
+    "X-Tenant: acme\r\n",
+  };
+  for (const std::string& row : rows) {
+    std::string answer =
+      mFront.Send(WithHeaders(FrontRequest("GET", "/read/1"), row));
+    CHECK_TEXT(StartsWith(answer, "HTTP/1.1 401"), row.c_str());
+  }
+  LONGS_EQUAL(0, mFront.Arrivals());
+}
+
+TEST(SteeredFront, PublicRoutesNeedNoKeyAndPassNoneOn)
+{
+  mFront.ConfigureCustomers();
+  mFront.mFirst.Script({ kWholeAnswer });
+  std::string answer = mFront.Send(WithHeaders(
+    FrontRequest("GET", "/open/1"), "X-Key: k9\r\nX-Tenant: acme\r\n"));
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  std::string head = mFront.mFirst.Requests().at(0);
+  CHECK(head.find("X-Key") == std::string::npos);
+  CHECK(head.find("X-Tenant") == std::string::npos);
+}
+
+TEST(SteeredFront, ARevokedKeyIsRefusedFromTheNextRequestOn)
+{
+  mFront.ConfigureCustomers();
+  mFront.mFirst.Script({ kWholeAnswer, kWholeAnswer });
+  std::string request =
+    WithHeaders(FrontRequest("GET", "/read/1"), "X-Key: k1\r\n");
+  CHECK(StartsWith(mFront.Send(request), "HTTP/1.1 200"));
+  mFront.ConfigureCustomers({ "k3" });
+  CHECK(StartsWith(mFront.Send(request), "HTTP/1.1 401"));
+  LONGS_EQUAL(1, mFront.Arrivals());
+}
+
+TEST(SteeredFront, BeyondItsQuotaACustomerIsToldWhenToComeBack)
+{
+  mFront.ConfigureCustomers();
+  std::string request =
+    WithHeaders(FrontRequest("GET", "/read/1"), "X-Key: k1\r\n");
+  mFront.mFirst.Script(std::vector<std::string>(80, kWholeAnswer));
+  int refused = 0;
+  for (int i = 0; i < 80 && refused == 0; ++i) {
+    std::string answer = mFront.Send(request);
+    if (StartsWith(answer, "HTTP/1.1 429")) {
+      CHECK(answer.find("Retry-After: ") != std::string::npos);
+      ++refused;
+    }
+  }
+  LONGS_EQUAL(1, refused);
+}
