Use learned speeds of upstreams in steering

Cause: an upstream that is slow for good keeps the objects that rank it first, and is expected to be usual again after five seconds without a request.

Change: with [steering] learned_speed = reported (default), always or never, the expected time of an upstream follows its learned base and noise, requests above the knee are expected to delay each other, and objects of a slower first upstream move to the second one, a part at a time by hash. Slow upstreams keep getting probes at a bounded rate.

Ruled out: a base that decays by time alone between samples learned 1.5 for an upstream that is 2.5 times slower, at one sample in five seconds; weights that decay together learn it.

--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -54,6 +54,7 @@
     return;
   }
   target->mLoad.Begin();
+  target->mSpeed.RecordSend(aNow);
   if (IsCold(*target, aNow)) {
     mColdStartLimiter.RecordSend(aTarget.mId, aNow);
   }
@@ -85,12 +86,17 @@
   double slowness = Slowness(aUpstream, aNow);
   aUpstream.mSlowness = slowness + (ratio - slowness) * kSlownessWeight;
   aUpstream.mSlownessUpdated = aNow;
-  if (!IsCold(aUpstream, aNow)) {
-    route.AddSample(work, aReport.mBytes, wasCached);
+  if (IsCold(aUpstream, aNow)) {
+    return;
+  }
+  if (UsesSpeed(aUpstream, aNow)) {
+    double noise = LearnSpeed(aUpstream, aReport, route, work, wasCached, aNow);
+    work = ToDuration(seconds_d(work) / noise);
   }
+  route.AddSample(work, aReport.mBytes, wasCached);
 }
 
-void
+std::optional<speed_notice>
 upstream_steering::End(const steering_target& aTarget,
                        const attempt_report& aReport,
                        instant aNow)
@@ -103,11 +109,14 @@
   }
   upstream* target = Find(aTarget);
   if (target == nullptr) {
-    return;
+    return std::nullopt;
   }
   target->mLoad.End();
   if (aReport.mLoad) {
     target->mLoad.Report(*aReport.mLoad, aNow);
+    if (aReport.mLoad->mWorkPercent) {
+      target->mSpeed.Report(*aReport.mLoad->mWorkPercent, aNow);
+    }
   } else if (aReport.mQueueFull) {
     std::uint32_t slots = target->mEntry.mSlots;
     target->mLoad.Report(
@@ -116,7 +125,7 @@
   }
   if (aReport.mWrongInstance) {
     target->mMisdirected = true;
-    return;
+    return std::nullopt;
   }
   bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
   target->mHealth.RecordAttempt(
@@ -127,6 +136,7 @@
   if (aReport.mResult == attempt_result::Answered) {
     AddSample(*target, aTarget, aReport, aNow);
   }
+  return TakeNotice(*target, aNow);
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -1,7 +1,7 @@
 // All upstreams of a service are ranked for each request: it has tens to a
 // thousand of them and an instance handles some tens of requests per second, so
 // an index by object would not pay off. upstream_feedback.cc has what is
-// learned from attempts.
+// learned from attempts, speed_steering.cc how learned speeds are used.
 #include "laburnumdyke/decision/upstream_steering.h"
 
 #include "laburnumdyke/decision/object_order.h"
@@ -58,6 +58,7 @@
                  change.mKind == upstream_change_kind::Restarted;
     if (isNew) {
       mUpstreams[entry.mId] = upstream();
+      mUpstreams[entry.mId].mSpeed = upstream_speed(SpreadOf(entry.mId));
     }
     upstream& known = mUpstreams[entry.mId];
     known.mEntry = entry;
@@ -268,10 +269,17 @@
   evaluated.mRemote = aRanked.mLocality == locality::OtherRegion;
   double slots = std::max(1U, target.mHealth.Allowed(entry.mSlots, aNow));
   double load = target.mLoad.Estimate(mRegionInstances, aNow);
-  double slowness = Slowness(target, aNow);
+  double slowness = ExpectedSlowness(target, aNow);
   double waiting = std::max(0.0, load + 1 - slots);
   evaluated.mWait =
     ToDuration(seconds_d(aView.mWork.Known()) * slowness * (waiting / slots));
+  double handled = HandledSlots(target, slots, aNow);
+  double excess = std::max(0.0, load + 1 - handled);
+  // Requests beyond those that the upstream handles well delay each other,
+  // whether they wait or run.
+  seconds_d delay = handled < slots ? seconds_d(aView.mWork.Known()) *
+                                        slowness * (excess / handled)
+                                    : seconds_d(evaluated.mWait);
   seconds_d work =
     IsCached(aRanked, aView) ? aView.mWork.Known() : aView.mWork.Unknown();
   work *= slowness * (IsPrimary(aRanked, aView) ? 1 : kNonPrimaryFactor) *
@@ -280,7 +288,7 @@
   seconds_d distance = roundTrip != mRoundTrips.end() ? roundTrip->second
                        : evaluated.mRemote            ? mOptions.mFarRoundTrip
                                                       : mOptions.mNearRoundTrip;
-  seconds_d total = distance + seconds_d(evaluated.mWait) + work;
+  seconds_d total = distance + delay + work;
   evaluated.mTotal = ToDuration(total);
   bool crossesDomains = entry.mDomain != mOptions.mDomain;
   evaluated.mCost =
@@ -307,8 +315,10 @@
   request_view view{ aRequest, work, isAssignedRemotely };
   bool staysInDomain = kCrossDomainCostPerByte * work.Bytes() >
                        seconds_d(aRequest.mRoute.mObjective) / 4;
-  for (const ranked_upstream& ranked :
-       PreferredUpstreams(aRequest, staysInDomain, aTrustHealth, aNow)) {
+  std::vector<ranked_upstream> preferred =
+    PreferredUpstreams(aRequest, staysInDomain, aTrustHealth, aNow);
+  OrderBySpeed(preferred, aRequest, aNow);
+  for (const ranked_upstream& ranked : preferred) {
     candidates.push_back(Evaluate(ranked, view, aNow));
   }
   return candidates;
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -31,7 +31,9 @@
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 #include "laburnumdyke/decision/upstream_health.h"
+#include "laburnumdyke/decision/upstream_speed.h"
 #include "laburnumdyke/decision/work_estimate.h"
+#include "laburnumdyke/kernel/learned_speed.h"
 #include "laburnumdyke/kernel/lock_rank.h"
 
 #include <chrono>
@@ -60,6 +62,7 @@
   std::chrono::milliseconds mNearRoundTrip{ 2 };
   std::chrono::milliseconds mFarRoundTrip{ 40 };
   upstream_directory_options mDirectory;
+  learned_speed mLearnedSpeed = learned_speed::Reported;
   std::uint64_t mSeed = 1;
 };
 
@@ -106,6 +109,14 @@
   std::optional<duration> mConnect; // connect time of a new connection
 };
 
+// An upstream has become slow, or usual again; for the log.
+struct speed_notice
+{
+  speed_change mChange = speed_change::Slow;
+  double mFactor = 1;       // expected service time, relative to the usual one
+  double mHandledSlots = 0; // that it handles well
+};
+
 class upstream_steering
 {
 public:
@@ -134,9 +145,11 @@
   // before the send: the upstream may have begun to leave since the choice.
   bool MaySend(const steering_target& aTarget);
   void Begin(const steering_target& aTarget, instant aNow);
-  void End(const steering_target& aTarget,
-           const attempt_report& aReport,
-           instant aNow);
+  // Returns a notice if the attempt has shown that the upstream's learned speed
+  // has changed.
+  std::optional<speed_notice> End(const steering_target& aTarget,
+                                  const attempt_report& aReport,
+                                  instant aNow);
 
   std::size_t Size() const { return mUpstreams.size(); }
 
@@ -155,6 +168,7 @@
     double mSlowness = 1;      // service time relative to the route's estimate
     instant mSlownessUpdated{};
     recent_objects mRecent;
+    upstream_speed mSpeed;
   };
 
   struct candidate
@@ -205,6 +219,27 @@
                   bool aTrustHealth,
                   instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
+  bool UsesSpeed(const upstream& aUpstream, instant aNow) const;
+  double SpreadOf(const upstream_id& aUpstream) const;
+  double MeanSpeed(const upstream& aUpstream) const;
+  double ExpectedSlowness(const upstream& aUpstream, instant aNow) const;
+  double HandledSlots(const upstream& aUpstream,
+                      double aSlots,
+                      instant aNow) const;
+  bool MovesToSecond(const upstream& aFirst,
+                     const upstream& aSecond,
+                     std::string_view aObject,
+                     instant aNow) const;
+  void OrderBySpeed(std::vector<ranked_upstream>& aRanked,
+                    const steering_request& aRequest,
+                    instant aNow) const;
+  double LearnSpeed(upstream& aUpstream,
+                    const attempt_report& aReport,
+                    const work_estimate& aRoute,
+                    duration aWork,
+                    bool aWasCached,
+                    instant aNow);
+  std::optional<speed_notice> TakeNotice(upstream& aUpstream, instant aNow);
   locality LocalityOf(const upstream& aUpstream, bool aStaysInDomain) const;
   const std::vector<upstream*>& UpstreamsOf(const service_id& aService);
   std::vector<ranked_upstream> PreferredUpstreams(
@@ -250,6 +285,7 @@
   std::map<std::string, work_estimate> mWork;     // by route name
   std::map<service_id, region_balance> mBalances; // computed when needed
   std::map<service_id, region_spillover> mSpillovers;
+  std::map<service_id, service_speed> mServiceSpeeds;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
 };
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -78,6 +78,22 @@
   return aText == "hosts" || aText == "own";
 }
 
+bool
+SetLearnedSpeed(learned_speed& aTarget, std::string_view aText)
+{
+  static const std::map<std::string_view, learned_speed> kValues = {
+    { "reported", learned_speed::Reported },
+    { "always", learned_speed::Always },
+    { "never", learned_speed::Never },
+  };
+  auto found = kValues.find(aText);
+  if (found == kValues.end()) {
+    return false;
+  }
+  aTarget = found->second;
+  return true;
+}
+
 // Accepts a non-negative number, such as 1.5.
 bool
 SetNumber(double& aTarget, std::string_view aText)
@@ -261,6 +277,13 @@
       [](settings& aS, text aT) {
         return SetDuration(aS.mBounds.mMaxLookupTtl, aT);
       } },
+    { "steering",
+      "learned_speed",
+      false,
+      "reported, always or never",
+      [](settings& aS, text aT) {
+        return SetLearnedSpeed(aS.mLearnedSpeed, aT);
+      } },
   };
   return kKeys;
 }
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -33,6 +33,8 @@
 //   drain_timeout = 2s
 //   grace = 6s
 //   longest_answer_life = 5s
+//   [steering]
+//   learned_speed = reported
 //
 // All invalid settings are reported, each with its line, its key and what was
 // expected. Unknown keys and sections are errors.
@@ -40,6 +42,7 @@
 
 #include "laburnumdyke/kernel/endpoint.h"
 #include "laburnumdyke/kernel/ini.h"
+#include "laburnumdyke/kernel/learned_speed.h"
 
 #include <chrono>
 #include <cstddef>
@@ -99,6 +102,7 @@
   // Region of each failure domain; with front = hosts.
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
+  learned_speed mLearnedSpeed = learned_speed::Reported;
   endpoint mPlatform; // table service and object store
   std::vector<endpoint> mSeeds;
   // Whether to send heartbeats also to the entry instances that the platform
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -47,6 +47,14 @@
   return text;
 }
 
+std::string
+DecimalText(double aValue)
+{
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", aValue);
+  return text;
+}
+
 std::string
 LoadText(const std::optional<reported_load>& aLoad)
 {
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -112,6 +112,10 @@
 std::string
 RetryAfterText(std::chrono::milliseconds aAfter);
 
+// Formats aValue with two decimals, such as "1.50".
+std::string
+DecimalText(double aValue);
+
 // Formats a load as "running,waiting,slots", followed by the percentage of the
 // usual time that work takes if it was reported; empty if no load was.
 std::string
@@ -333,8 +337,13 @@
     report.mQueueFull = outcome.mEnd == attempt_ending::NotRun;
     report.mWrongInstance = outcome.mEnd == attempt_ending::WrongInstance;
     report.mConnect = outcome.mConnect;
-    mTables.Steering().With(
-      [&](steering_state& aSteering) { aSteering.End(aTarget, report, now); });
+    std::optional<speed_notice> notice =
+      mTables.Steering().With([&](steering_state& aSteering) {
+        return aSteering.End(aTarget, report, now);
+      });
+    if (notice) {
+      LogSpeed(aTarget, *notice);
+    }
     if (outcome.mMalformedLoad) {
       mKernel.Counters().Add("load_reports_malformed_total");
     }
@@ -450,6 +459,20 @@
     }
   }
 
+  void LogSpeed(const steering_target& aTarget, const speed_notice& aNotice)
+  {
+    std::string_view state =
+      aNotice.mChange == speed_change::Slow ? "slow" : "usual";
+    mKernel.Counters().Add("upstream_speed_changes_total", state);
+    mKernel.Log().Info(
+      "upstream_speed",
+      { { "upstream", aTarget.mId.mValue },
+        { "failure_domain", aTarget.mDomain.mValue },
+        { "state", std::string(state) },
+        { "factor", DecimalText(aNotice.mFactor) },
+        { "handled_slots", DecimalText(aNotice.mHandledSlots) } });
+  }
+
   static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 
   kernel& mKernel;
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -24,6 +24,7 @@
   options.mSpillover.mMostShift = aSettings.mBounds.mMostShift;
   options.mColdOvershoot = aSettings.mBounds.mColdOvershoot;
   options.mColdSlack = aSettings.mBounds.mColdSlack;
+  options.mLearnedSpeed = aSettings.mLearnedSpeed;
   options.mSeed = KeyOf(options.mSelf, aSettings.mIncarnation);
   return options;
 }
--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -105,8 +105,11 @@
   return std::make_shared<const route_table>(std::move(document));
 }
 
-load_replay::load_replay(std::vector<replay_region> aRegions, unsigned aSeed)
+load_replay::load_replay(std::vector<replay_region> aRegions,
+                         unsigned aSeed,
+                         learned_speed aLearnedSpeed)
   : mRandom(aSeed)
+  , mLearnedSpeed(aLearnedSpeed)
   , mRegions(std::move(aRegions))
 {
   std::vector<upstream_entry> entries;
@@ -133,6 +136,7 @@
     std::string name = aRegion.mName + "-i" + std::to_string(i);
     steering_options options = ReplayOptions(name, DomainOf(aRegion.mName, i));
     options.mSeed = mInstances.size() + 1;
+    options.mLearnedSpeed = mLearnedSpeed;
     mInstancesOf[aRegion.mName].push_back(mInstances.size());
     mInstances.emplace_back(options);
     mFleet.push_back({ { name }, { aRegion.mName } });
@@ -147,6 +151,27 @@
   mBurstFactor = aFactor;
 }
 
+void
+load_replay::SetSlow(const std::string& aRegion,
+                     instant aBegin,
+                     duration aFor,
+                     double aFactor)
+{
+  mSlowRegion = aRegion;
+  mSlowBegin = aBegin;
+  mSlowEnd = aBegin + aFor;
+  mSlowFactor = aFactor;
+}
+
+double
+load_replay::Slowness(const steering_target& aTarget, instant aNow) const
+{
+  const std::string& domain = aTarget.mDomain.mValue;
+  bool isSlow = aNow >= mSlowBegin && aNow < mSlowEnd &&
+                domain.substr(0, domain.find('-')) == mSlowRegion;
+  return isSlow ? mSlowFactor : 1;
+}
+
 double
 load_replay::Rate(const replay_region& aRegion, instant aNow) const
 {
@@ -202,17 +227,23 @@
     ++result.mShed;
     attempt_report report;
     report.mQueueFull = true;
-    report.mLoad = Load(upstream);
+    report.mLoad = Load(*choice.mTarget, aNow);
     mInstances[instance].End(*choice.mTarget, report, aNow);
   }
 }
 
 reported_load
-load_replay::Load(const model_upstream& aUpstream)
+load_replay::Load(const steering_target& aTarget, instant aNow)
 {
-  return { aUpstream.mRunning,
-           static_cast<std::uint32_t>(aUpstream.mWaiting.size()),
-           kSlots };
+  const model_upstream& upstream = mUpstreams[aTarget.mId];
+  reported_load load{ upstream.mRunning,
+                      static_cast<std::uint32_t>(upstream.mWaiting.size()),
+                      kSlots };
+  if (!mSlowRegion.empty()) {
+    load.mWorkPercent =
+      static_cast<std::uint32_t>(100 * Slowness(aTarget, aNow));
+  }
+  return load;
 }
 
 void
@@ -229,7 +260,10 @@
   const std::string& domain = request.mTarget.mDomain.mValue;
   mRuns[request.mRegion].push_back(
     { aNow, domain.substr(0, domain.find('-')) });
-  mFinishes.push({ aNow + (isCached ? kCachedWork : kUncachedWork), aNumber });
+  duration work = isCached ? kCachedWork : kUncachedWork;
+  std::chrono::duration<double> slowed = work * Slowness(request.mTarget, aNow);
+  mFinishes.push(
+    { aNow + std::chrono::duration_cast<duration>(slowed), aNumber });
 }
 
 void
@@ -253,7 +287,7 @@
     report.mResult = attempt_result::Answered;
     report.mTook = elapsed;
     report.mBytes = 1500;
-    report.mLoad = Load(upstream);
+    report.mLoad = Load(request.mTarget, done.mAt);
     mInstances[request.mInstance].End(request.mTarget, report, done.mAt);
   }
 }
--- a/laburnumdyke/testing/harness/load_replay.h
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -58,11 +58,20 @@
 class load_replay
 {
 public:
-  load_replay(std::vector<replay_region> aRegions, unsigned aSeed);
+  load_replay(std::vector<replay_region> aRegions,
+              unsigned aSeed,
+              learned_speed aLearnedSpeed = learned_speed::Reported);
 
   // All rates are aFactor times as high from aBegin for aFor.
   void SetBurst(instant aBegin, duration aFor, double aFactor);
 
+  // The upstreams of a region take aFactor times as long for requests that
+  // begin from aBegin for aFor; all upstreams report how long work takes.
+  void SetSlow(const std::string& aRegion,
+               instant aBegin,
+               duration aFor,
+               double aFactor);
+
   // Poisson arrivals for aFor; then waits until all requests have ended.
   void Run(std::chrono::seconds aFor);
 
@@ -114,12 +123,14 @@
                                  instant aBegin,
                                  instant aEnd);
   void Arrive(const replay_region& aRegion, instant aNow);
-  static reported_load Load(const model_upstream& aUpstream);
+  reported_load Load(const steering_target& aTarget, instant aNow);
+  double Slowness(const steering_target& aTarget, instant aNow) const;
   void Begin(std::size_t aNumber, instant aNow);
   void FinishUntil(instant aUntil);
   double Rate(const replay_region& aRegion, instant aNow) const;
 
   std::mt19937 mRandom;
+  learned_speed mLearnedSpeed;
   route_spec mRoute = ReplayRoute();
   std::vector<replay_region> mRegions;
   std::map<std::string, std::vector<std::size_t>> mInstancesOf; // by region
@@ -133,6 +144,10 @@
   instant mBurstBegin{};
   instant mBurstEnd{};
   double mBurstFactor = 1;
+  std::string mSlowRegion{}; // empty: none, and no reports of it
+  instant mSlowBegin{};
+  instant mSlowEnd{};
+  double mSlowFactor = 1;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -94,6 +94,26 @@
   }
 }
 
+TEST(Settings, TheUseOfLearnedSpeedsIsAChoiceOfThree)
+{
+  settings_result result = ParseSettings(kGoodSettings);
+  CHECK(result.mSettings->mLearnedSpeed == learned_speed::Reported);
+  const std::pair<const char*, learned_speed> rows[] = {
+    { "reported", learned_speed::Reported },
+    { "always", learned_speed::Always },
+    { "never", learned_speed::Never },
+  };
+  const std::string head = std::string(kGoodSettings) + "[steering]\n";
+  for (const std::pair<const char*, learned_speed>& row : rows) {
+    result = ParseSettings(head + "learned_speed = " + row.first + "\n");
+    CHECK_TEXT(result.mSettings.has_value(), row.first);
+    CHECK_TEXT(result.mSettings->mLearnedSpeed == row.second, row.first);
+  }
+  result = ParseSettings(head + "learned_speed = yes\n");
+  LONGS_EQUAL(1, result.mFaults.size());
+  STRCMP_EQUAL("steering.learned_speed", result.mFaults[0].mField.c_str());
+}
+
 TEST(Settings, ReadsEverySetting)
 {
   settings_result result = ParseSettings(kGoodSettings);
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -127,6 +127,17 @@
   LONGS_EQUAL(2, counted.Value("load_reports_malformed_total"));
 }
 
+TEST(SteeredFront, AnUpstreamThatReportsSlownessIsAnnounced)
+{
+  mFront.Configure(false);
+  mFront.mFirst.Script({ AnswerWithLoad("1,0,3,2000") });
+  mFront.Send(FrontRequest("GET", "/read/1"));
+  counters& counted = mFront.mKernel->Counters();
+  CHECK(WaitUntil(
+    [&]() { return counted.Value("attempts_total", "answered") == 1; }, 10s));
+  LONGS_EQUAL(1, counted.Value("upstream_speed_changes_total", "slow"));
+}
+
 namespace {
 
 struct outcome_row
--- a/laburnumdyke/testing/upstream_speed_test.cc
+++ b/laburnumdyke/testing/upstream_speed_test.cc
@@ -1,10 +1,13 @@
-// Learned speed of upstreams: what is learned from single answers.
+// Learned speed of upstreams: what is learned from single answers, and replays
+// of load in virtual time with and without it.
 #include "laburnumdyke/decision/upstream_speed.h"
 
-#include "laburnumdyke/testing/harness/load_replay.h"
+#include "laburnumdyke/testing/harness/speed_replay.h"
 
 #include <cmath>
+#include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -219,3 +222,236 @@
   CHECK(changes >= 4);
   CHECK(changes <= 300s / upstream_speed::kMinChangeTime + 1);
 }
+
+namespace {
+
+constexpr unsigned kSeeds = 5;
+
+struct replay_sums
+{
+  int mOnTime = 0;
+  int mAll = 0;
+  int mRefused = 0;
+  duration mMeanTime{};
+
+  double OnTimePart() const { return static_cast<double>(mOnTime) / mAll; }
+};
+
+std::vector<speed_upstream>
+Usual(std::size_t aCount)
+{
+  std::vector<speed_upstream> upstreams;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    upstreams.push_back({ .mId = "u" + std::to_string(i) });
+  }
+  return upstreams;
+}
+
+replay_sums
+Replay(const std::vector<speed_upstream>& aUpstreams,
+       speed_replay_options aOptions,
+       std::chrono::seconds aFor = 60s)
+{
+  replay_sums sums;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    aOptions.mSeed = seed;
+    speed_replay replay(aOptions, aUpstreams);
+    replay.Run(aFor);
+    sums.mOnTime += replay.Result().mOnTime;
+    sums.mAll += replay.Result().All();
+    sums.mRefused += replay.Result().mRefused;
+    sums.mMeanTime += replay.MeanTime() / kSeeds;
+  }
+  return sums;
+}
+
+void
+Print(const char* aName, const char* aCase, const replay_sums& aSums)
+{
+  std::chrono::duration<double, std::milli> mean = aSums.mMeanTime;
+  UT_PRINT(StringFromFormat("%s, %s: on time %.3f, refused %.3f, mean %.0f ms",
+                            aName,
+                            aCase,
+                            aSums.OnTimePart(),
+                            static_cast<double>(aSums.mRefused) / aSums.mAll,
+                            mean.count())
+             .asCharString());
+}
+
+// Replays with and without learned speeds.
+std::pair<replay_sums, replay_sums>
+Compare(const char* aName,
+        const std::vector<speed_upstream>& aUpstreams,
+        speed_replay_options aOptions = {},
+        std::chrono::seconds aFor = 60s)
+{
+  aOptions.mLearnedSpeed = learned_speed::Never;
+  replay_sums without = Replay(aUpstreams, aOptions, aFor);
+  aOptions.mLearnedSpeed = learned_speed::Reported;
+  replay_sums with = Replay(aUpstreams, aOptions, aFor);
+  Print(aName, "never", without);
+  Print(aName, "reported", with);
+  return { without, with };
+}
+
+} // namespace
+
+TEST_GROUP(SpeedReplay){};
+
+TEST(SpeedReplay, UpstreamsOfDifferentFixedSpeeds)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  const double factors[] = { 0.7, 1, 1, 1.5, 2, 2.5 };
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams[i].mFactor = factors[i % std::size(factors)];
+  }
+  std::pair<replay_sums, replay_sums> sums = Compare("fixed", upstreams);
+  CHECK(sums.second.OnTimePart() > sums.first.OnTimePart());
+}
+
+// What "always" adds: upstreams whose reports have three values.
+TEST(SpeedReplay, ServiceTimesAloneTeachFixedSpeeds)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams[i].mFactor = i % 3 == 0 ? 2.5 : 1;
+  }
+  speed_replay_options options;
+  options.mReportsWork = false;
+  options.mLearnedSpeed = learned_speed::Never;
+  replay_sums without = Replay(upstreams, options);
+  options.mLearnedSpeed = learned_speed::Always;
+  replay_sums with = Replay(upstreams, options);
+  Print("fixed, three values", "never", without);
+  Print("fixed, three values", "always", with);
+  CHECK(with.OnTimePart() > without.OnTimePart());
+}
+
+TEST(SpeedReplay, UpstreamsThatSlowDownFromSixtyPercentOfTheirSlots)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  for (std::size_t i = 0; i < upstreams.size(); i += 2) {
+    upstreams[i].mSlots = 10;
+    upstreams[i].mKnee = 0.6;
+  }
+  speed_replay_options options;
+  options.mPerSecond = 160;
+  std::pair<replay_sums, replay_sums> sums =
+    Compare("knee", upstreams, options);
+  CHECK(sums.second.OnTimePart() >= sums.first.OnTimePart());
+}
+
+TEST(SpeedReplay, AnUpstreamThatIsFiveTimesSlowerForSixSeconds)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  for (std::size_t i = 0; i < upstreams.size(); i += 3) {
+    upstreams[i].mSlowFrom = 10s + i * 1s;
+    upstreams[i].mSlowFor = 6s;
+  }
+  std::pair<replay_sums, replay_sums> sums =
+    Compare("slow for 6 s", upstreams, {}, 30s);
+  CHECK(sums.second.OnTimePart() >= sums.first.OnTimePart());
+  // Recovery: within 10 s the upstream has at least half of its usual requests.
+  speed_replay replay({}, upstreams);
+  replay.Run(40s);
+  int before = replay.Sent("u0", 4s, 10s);
+  int after = replay.Sent("u0", 26s, 32s);
+  CHECK_TEXT(replay.Sent("u0", 13s, 16s) > 0, "a trickle remains");
+  CHECK(after >= before / 2);
+}
+
+TEST(SpeedReplay, NoiseThatChangesEveryFiftyMilliseconds)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  for (speed_upstream& upstream : upstreams) {
+    upstream.mNoise = 3;
+  }
+  std::pair<replay_sums, replay_sums> sums = Compare("noise", upstreams);
+  // Noise as short as this can't be used; it must only do no harm.
+  CHECK(sums.second.OnTimePart() >= sums.first.OnTimePart() - 0.01);
+}
+
+TEST(SpeedReplay, AllOfItAtOnce)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  const double factors[] = { 0.7, 1, 1, 1.5, 2, 2.5 };
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    upstreams[i].mFactor = factors[i % std::size(factors)];
+    upstreams[i].mNoise = 2;
+    upstreams[i].mKnee = i % 4 == 0 ? 0.6 : 1;
+    upstreams[i].mSlowFrom = 5s * i;
+    upstreams[i].mSlowFor = i % 3 == 0 ? 6s : 0s;
+  }
+  std::pair<replay_sums, replay_sums> sums = Compare("all", upstreams);
+  CHECK(sums.second.OnTimePart() > sums.first.OnTimePart());
+}
+
+// Guards against instances that all leave a slow upstream for the same other
+// one: none gets more than twice its usual requests.
+TEST(SpeedReplay, InstancesDoNotAllMoveToOneUpstream)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  upstreams[0].mSlowFrom = 20s;
+  upstreams[0].mSlowFor = 6s;
+  std::map<std::string, int> before;
+  std::map<std::string, int> during;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    speed_replay_options options;
+    options.mInstances = 40;
+    options.mSeed = seed;
+    speed_replay replay(options, upstreams);
+    replay.Run(30s);
+    for (const speed_upstream& upstream : upstreams) {
+      before[upstream.mId] += replay.Sent(upstream.mId, 10s, 16s);
+      during[upstream.mId] += replay.Sent(upstream.mId, 20s, 26s);
+    }
+  }
+  // An upstream that is the first for few objects may get a few more.
+  constexpr int kFew = 20;
+  for (const speed_upstream& upstream : upstreams) {
+    CHECK_TEXT(during[upstream.mId] <= 2 * before[upstream.mId] + kFew,
+               upstream.mId.c_str());
+  }
+}
+
+// Guards the bound on the change of place in a burst where speeds are learned:
+// the same load as without them, with reports of usual speed.
+TEST(SpeedReplay, InABurstThePlaceOfServedRequestsMovesWithinTheBound)
+{
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    for (std::chrono::milliseconds begin : { 500ms, 15000ms }) {
+      load_replay replay(
+        { { "east", 8, 16, 80 }, { "west", 8, 4, 80 }, { "north", 8, 12, 80 } },
+        seed);
+      replay.SetBurst(kReplayStart + begin, 6s, 2.5);
+      replay.SetSlow("east", kReplayStart, 0s, 1);
+      replay.Run(25s);
+      for (const char* region : { "east", "west", "north" }) {
+        double moved = replay.GreatestShift(region, 2s);
+        CHECK_TEXT(moved <= region_spillover_options().mMostShift,
+                   StringFromFormat("%s %f", region, moved).asCharString());
+      }
+    }
+  }
+}
+
+// Guards deployments without the fourth value against any change.
+TEST(SpeedReplay, WithThreeValuesTheChoicesAreThoseWithoutLearning)
+{
+  std::vector<speed_upstream> upstreams = Usual(12);
+  upstreams[0].mFactor = 3;
+  upstreams[1].mKnee = 0.5;
+  upstreams[2].mNoise = 3;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    speed_replay_options options;
+    options.mReportsWork = false;
+    options.mPerSecond = 120;
+    options.mSeed = seed;
+    speed_replay reported(options, upstreams);
+    options.mLearnedSpeed = learned_speed::Never;
+    speed_replay never(options, upstreams);
+    reported.Run(30s);
+    never.Run(30s);
+    CHECK(reported.Choices() == never.Choices());
+  }
+}
