--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -36,6 +36,8 @@
 //   revoke_timeout = 5s
 //   quota_overshoot = 0.1
 //   quota_slack = 20
+//   [steering]
+//   learned_speed = reported
 //
 // All invalid settings are reported, each with its line, its key and what was
 // expected. Unknown keys and sections are errors.
@@ -43,6 +45,7 @@
 
 #include "laburnumdyke/kernel/endpoint.h"
 #include "laburnumdyke/kernel/ini.h"
+#include "laburnumdyke/kernel/learned_speed.h"
 
 #include <chrono>
 #include <cstddef>
@@ -110,6 +113,7 @@
   // Region of each failure domain; with front = hosts.
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
+  learned_speed mLearnedSpeed = learned_speed::Reported;
   endpoint mPlatform; // table service and object store
   std::vector<endpoint> mSeeds;
   // Whether to send heartbeats also to the entry instances that the platform
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -48,10 +48,10 @@
 }
 
 std::string
-RateText(double aRate)
+DecimalText(double aValue)
 {
   char text[32];
-  std::snprintf(text, sizeof text, "%.1f", aRate);
+  std::snprintf(text, sizeof text, "%.2f", aValue);
   return text;
 }
 
@@ -70,8 +70,11 @@
   if (!aLoad) {
     return {};
   }
-  return std::to_string(aLoad->mRunning) + "," +
-         std::to_string(aLoad->mWaiting) + "," + std::to_string(aLoad->mSlots);
+  std::string text = std::to_string(aLoad->mRunning) + "," +
+                     std::to_string(aLoad->mWaiting) + "," +
+                     std::to_string(aLoad->mSlots);
+  return aLoad->mWorkPercent ? text + "," + std::to_string(*aLoad->mWorkPercent)
+                             : text;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -127,15 +127,16 @@
 std::string
 RetryAfterText(std::chrono::milliseconds aAfter);
 
-// Formats a rate, in requests per second, with one decimal.
-std::string
-RateText(double aRate);
-
 // The customer's priority, or else the route's; 0 is the most urgent.
 std::uint32_t
 PriorityOf(const steered_request& aRequest);
 
-// Formats a load as "running,waiting,slots"; empty if none was reported.
+// Formats aValue with two decimals, such as "1.50".
+std::string
+DecimalText(double aValue);
+
+// Formats a load as "running,waiting,slots", followed by the percentage of the
+// usual time that work takes if it was reported; empty if no load was.
 std::string
 LoadText(const std::optional<reported_load>& aLoad);
 
@@ -298,8 +299,8 @@
     mKernel.Log().Info("quota_exceeded",
                        { { "request", aRequest.mCaller.mId },
                          { "customer", aRequest.mCustomer->mName.mValue },
-                         { "demand_per_s", RateText(decision.mDemand) },
-                         { "limit_per_s", RateText(decision.mLimit) } });
+                         { "demand_per_s", DecimalText(decision.mDemand) },
+                         { "limit_per_s", DecimalText(decision.mLimit) } });
     return decision.mRetryAfter;
   }
 
@@ -465,8 +466,16 @@
     report.mQueueFull = outcome.mEnd == attempt_ending::NotRun;
     report.mWrongInstance = outcome.mEnd == attempt_ending::WrongInstance;
     report.mConnect = outcome.mConnect;
-    mTables.Steering().With(
-      [&](steering_state& aSteering) { aSteering.End(aTarget, report, now); });
+    std::optional<speed_notice> notice =
+      mTables.Steering().With([&](steering_state& aSteering) {
+        return aSteering.End(aTarget, report, now);
+      });
+    if (notice) {
+      LogSpeed(aTarget, *notice);
+    }
+    if (outcome.mMalformedLoad) {
+      mKernel.Counters().Add("load_reports_malformed_total");
+    }
     aRequest.mTried.push_back(aTarget.mId);
     mKernel.Counters().Add("attempts_total", ToString(outcome.mEnd));
     if (outcome.mEnd == attempt_ending::Answered) {
@@ -588,6 +597,20 @@
     }
   }
 
+  void LogSpeed(const steering_target& aTarget, const speed_notice& aNotice)
+  {
+    std::string_view state =
+      aNotice.mChange == speed_change::Slow ? "slow" : "usual";
+    mKernel.Counters().Add("upstream_speed_changes_total", state);
+    mKernel.Log().Info(
+      "upstream_speed",
+      { { "upstream", aTarget.mId.mValue },
+        { "failure_domain", aTarget.mDomain.mValue },
+        { "state", std::string(state) },
+        { "factor", DecimalText(aNotice.mFactor) },
+        { "handled_slots", DecimalText(aNotice.mHandledSlots) } });
+  }
+
   static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
 
   kernel& mKernel;
