Pause longer after each failed reading of the platform in a row

Cause: in an outage every instance reads configuration and upstreams each 300 ms and, with customers, once more each 500 ms. Change: pauses double up to 1.2 s; the check of the configuration's age leaves a lost platform to the reading that waits for its return.

--- a/laburnumdyke/decision/watch_state.cc
+++ b/laburnumdyke/decision/watch_state.cc
@@ -2,8 +2,16 @@
 // from a peer advances the version like a reading by this instance.
 #include "laburnumdyke/decision/watch_state.h"
 
+#include <algorithm>
+
 namespace laburnumdyke {
 
+namespace {
+
+constexpr int kMaxCountedFailures = 8; // the pause has its maximum by then
+
+} // namespace
+
 std::optional<std::uint64_t>
 watch_state::After() const
 {
@@ -14,7 +22,7 @@
 watch_state::Take(const reading_head& aHead)
 {
   if (aHead.mStatus == reading_status::NoAnswer) {
-    mFailures = mFailures < kFailuresUntilLost ? mFailures + 1 : mFailures;
+    mFailures = std::min(mFailures + 1, kMaxCountedFailures);
     return false;
   }
   mFailures = 0;
@@ -41,6 +49,16 @@
   return true;
 }
 
+std::chrono::milliseconds
+watch_state::RetryPause() const
+{
+  std::chrono::milliseconds pause = kFirstRetryPause;
+  for (int i = 1; i < mFailures; ++i) {
+    pause *= 2;
+  }
+  return std::min(pause, kMaxRetryPause);
+}
+
 std::optional<bool>
 watch_state::TakeOutageChange()
 {
--- a/laburnumdyke/decision/watch_state.h
+++ b/laburnumdyke/decision/watch_state.h
@@ -23,6 +23,10 @@
 public:
   // Single calls fail occasionally; two consecutive failures are an outage.
   static constexpr int kFailuresUntilLost = 2;
+  // Pauses after the first failure and after several. The longest still leaves
+  // most of a leaving upstream's time once the platform answers again.
+  static constexpr std::chrono::milliseconds kFirstRetryPause{ 300 };
+  static constexpr std::chrono::milliseconds kMaxRetryPause{ 1200 };
 
   // Version from which to read a delta; nullopt: read a snapshot.
   std::optional<std::uint64_t> After() const;
@@ -45,6 +49,11 @@
     return mFailures == 0 ? aLongest : std::chrono::milliseconds(0);
   }
 
+  // How long to pause after a failed reading. Grows with each failure in a row:
+  // in an outage every instance asks in vain, and the platform counts all
+  // calls.
+  std::chrono::milliseconds RetryPause() const;
+
   // Returns true if the platform was lost since the last call, false if it
   // recovered, nullopt if neither.
   std::optional<bool> TakeOutageChange();
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -135,7 +135,6 @@
   // heartbeats.
   static constexpr std::chrono::milliseconds kFirstFleetInterval{ 1000 };
   static constexpr std::chrono::milliseconds kFleetInterval{ 20000 };
-  static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerCheckInterval{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
   static constexpr std::chrono::milliseconds kAgeCheckInterval{ 500 };
@@ -151,7 +150,7 @@
       std::chrono::milliseconds longPoll =
         mUpstreams.IsFollower() ? kControlLongPoll : ReaderLongPoll();
       if (!co_await ReadControl(after, mControl.LongPollWait(longPoll))) {
-        co_await SleepFor(mJitter(kRetryAfter));
+        co_await SleepFor(mJitter(mControl.RetryPause()));
       }
     }
   }
@@ -204,7 +203,8 @@
       dated_routes dated = mTables.DatedRoutes(boot_clock::now());
       bool hasCustomers = dated.mRoutes && dated.mRoutes->Customers();
       bool isOld = !dated.mAge || *dated.mAge > maxAge / 2;
-      if (hasCustomers && isOld) {
+      // After a failure WatchControl reads without waiting, too.
+      if (hasCustomers && isOld && !mControl.IsLost()) {
         co_await ReadControl(mControl.After(), std::chrono::milliseconds(0));
       }
     }
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -78,7 +78,9 @@
       std::chrono::milliseconds pause = kRetryAfter;
       if (!isFresh) {
         bool accepted = co_await ReadPlatform();
-        pause = accepted && !mReader ? mTiming.ReadPause(Now()) : kRetryAfter;
+        pause = !accepted  ? mState.RetryPause()
+                : !mReader ? mTiming.ReadPause(Now())
+                           : kRetryAfter;
       }
       co_await SleepFor(mJitter(pause));
     }
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -540,6 +540,26 @@
 
 // In an outage of eight seconds each reading that waited for changes took its
 // whole time-out, and the recovery was noticed only five seconds after it.
+// Guards against an outage in which each instance asks many times a second.
+TEST(WatchState, PausesGrowWithEachFailureUpToABound)
+{
+  const reading_head noAnswer;
+  mState.Take(noAnswer);
+  CHECK(mState.RetryPause() == watch_state::kFirstRetryPause);
+  mState.Take(noAnswer);
+  CHECK(mState.RetryPause() == 2 * watch_state::kFirstRetryPause);
+  for (int i = 0; i < 40; ++i) {
+    mState.Take(noAnswer);
+  }
+  CHECK(mState.RetryPause() == watch_state::kMaxRetryPause);
+  reading_head answered;
+  answered.mStatus = reading_status::Read;
+  answered.mIsSnapshot = true;
+  mState.Take(answered);
+  mState.Take(noAnswer);
+  CHECK(mState.RetryPause() == watch_state::kFirstRetryPause);
+}
+
 TEST(WatchState, AfterAFailureAReadingDoesNotWait)
 {
   CHECK(mState.LongPollWait(3s) == 3s);
