--- a/laburnumdyke/decision/fleet_view.cc
+++ b/laburnumdyke/decision/fleet_view.cc
@@ -1,10 +1,17 @@
 // Registration says which instances may exist, heartbeats which are alive. Both
 // are needed: rows outlive their instances, and heartbeats go only to instances
 // that have registered.
+//
+// A backup may list instances that have withdrawn since, and no owner is left
+// to delete their rows. They are known by the removal of their rows and by
+// their last heartbeats, and the oldest instance of their region deletes the
+// rows.
 #include "laburnumdyke/decision/fleet_view.h"
 
+#include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace laburnumdyke {
 
@@ -28,17 +35,135 @@
     mRegisteredBefore = mRegisteredBefore || isEarlierIncarnation;
     return;
   }
+  mWithdrawn.erase(aMember.mInstance);
   member_state& state = mMembers[aMember.mInstance];
   if (aMember.mIncarnation > state.mMember.mIncarnation) {
     state = {};
     state.mMember = aMember;
   }
+  state.mIsUnlisted = false;
 }
 
 void
 fleet_view::Remove(const instance_id& aInstance)
 {
-  mMembers.erase(aInstance);
+  auto withdrawn = mWithdrawn.find(aInstance);
+  if (withdrawn != mWithdrawn.end()) {
+    withdrawn->second.mIsListed = false;
+  }
+  auto found = mMembers.find(aInstance);
+  if (found != mMembers.end()) {
+    mWithdrawn[aInstance] = { found->second.mMember, std::nullopt, false };
+    mMembers.erase(found);
+  }
+}
+
+bool
+fleet_view::IsWithdrawn(const fleet_member& aMember) const
+{
+  auto withdrawn = mWithdrawn.find(aMember.mInstance);
+  return withdrawn != mWithdrawn.end() &&
+         aMember.mIncarnation <= withdrawn->second.mMember.mIncarnation;
+}
+
+bool
+fleet_view::HasLeft(const member_state& aState, instant aNow) const
+{
+  return aState.mLeaving && !IsLive(aState, aNow);
+}
+
+void
+fleet_view::ReplaceRestored(const std::vector<fleet_member>& aMembers,
+                            instant aNow)
+{
+  mRestored = true;
+  for (auto it = mMembers.begin(); it != mMembers.end();) {
+    const member_state& state = it->second;
+    if (HasLeft(state, aNow)) {
+      mWithdrawn[it->first] = { state.mMember, std::nullopt, false };
+      it = mMembers.erase(it);
+    } else {
+      it->second.mIsUnlisted = true;
+      ++it;
+    }
+  }
+  for (const fleet_member& member : aMembers) {
+    if (IsWithdrawn(member)) {
+      mWithdrawn[member.mInstance].mIsListed = true;
+    } else {
+      Put(member);
+    }
+  }
+  Expire(aNow);
+}
+
+void
+fleet_view::Expire(instant aNow)
+{
+  std::erase_if(mMembers,
+                [&](const std::pair<const instance_id, member_state>& aOne) {
+                  return aOne.second.mIsUnlisted && !IsLive(aOne.second, aNow);
+                });
+  for (std::pair<const instance_id, withdrawn_state>& one : mWithdrawn) {
+    one.second.mSince = one.second.mSince.value_or(aNow);
+  }
+  std::erase_if(mWithdrawn,
+                [&](const std::pair<const instance_id, withdrawn_state>& aOne) {
+                  return !aOne.second.mIsListed &&
+                         aNow - *aOne.second.mSince >= mOptions.mWithdrawnTime;
+                });
+}
+
+bool
+fleet_view::IsOldestOfRegion(instant aNow) const
+{
+  if (mLeaving) {
+    return false;
+  }
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const member_state& state = one.second;
+    if (state.mMember.mRegion == mOptions.mSelf.mRegion && !state.mLeaving &&
+        IsLive(state, aNow) && IsOlder(state.mMember, mOptions.mSelf)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<instance_id>
+fleet_view::RowsToDelete(instant aNow) const
+{
+  std::vector<instance_id> rows;
+  if (!mRestored || !IsOldestOfRegion(aNow)) {
+    return rows;
+  }
+  const region_id& region = mOptions.mSelf.mRegion;
+  for (const std::pair<const instance_id, withdrawn_state>& one : mWithdrawn) {
+    if (one.second.mIsListed && one.second.mMember.mRegion == region) {
+      rows.push_back(one.first);
+    }
+  }
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (one.second.mMember.mRegion == region && HasLeft(one.second, aNow)) {
+      rows.push_back(one.first);
+    }
+  }
+  return rows;
+}
+
+void
+fleet_view::NoteEra(std::uint64_t aEra)
+{
+  if (aEra > mEra) {
+    mEra = aEra;
+    mIsEraToAnnounce = true;
+  }
+}
+
+bool
+fleet_view::TakeEraToAnnounce()
+{
+  return std::exchange(mIsEraToAnnounce, false);
 }
 
 void
@@ -53,12 +178,33 @@
   std::set<instance_id> listed;
   for (const fleet_member& member : aMembers) {
     listed.insert(member.mInstance);
-    Put(member);
+    auto withdrawn = mWithdrawn.find(member.mInstance);
+    bool isStillWithdrawn = withdrawn != mWithdrawn.end() &&
+                            withdrawn->second.mIsListed && IsWithdrawn(member);
+    if (!isStillWithdrawn) {
+      Put(member);
+    }
+  }
+  RemoveUnlisted(listed);
+}
+
+void
+fleet_view::RemoveUnlisted(const std::set<instance_id>& aListed)
+{
+  std::vector<instance_id> unlisted;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    if (aListed.count(one.first) == 0) {
+      unlisted.push_back(one.first);
+    }
+  }
+  for (const std::pair<const instance_id, withdrawn_state>& one : mWithdrawn) {
+    if (aListed.count(one.first) == 0) {
+      unlisted.push_back(one.first);
+    }
+  }
+  for (const instance_id& instance : unlisted) {
+    Remove(instance);
   }
-  std::erase_if(mMembers,
-                [&](const std::pair<const instance_id, member_state>& aOne) {
-                  return listed.count(aOne.first) == 0;
-                });
 }
 
 // Returns null if the heartbeat is to be ignored. Adds the sender of a full
@@ -100,13 +246,23 @@
   sender->mLeaving = aHeartbeat.mLeaving;
   sender->mControlVersion = aHeartbeat.mControlVersion;
   sender->mSettled = aHeartbeat.mSettled;
+  sender->mDocumentVersion = aHeartbeat.mDocumentVersion;
+  mEra = std::max(mEra, aHeartbeat.mControlVersion.mEra);
   return true;
 }
 
 fleet_heartbeat
 fleet_view::Heartbeat() const
 {
-  return { mOptions.mSelf, IsServing(), mLeaving, mControlVersion, mSettled };
+  fleet_heartbeat heartbeat;
+  heartbeat.mSender = mOptions.mSelf;
+  heartbeat.mServing = IsServing();
+  heartbeat.mLeaving = mLeaving;
+  heartbeat.mControlVersion =
+    mControlVersion.mEra == mEra ? mControlVersion : store_version(mEra, 0);
+  heartbeat.mSettled = mSettled;
+  heartbeat.mDocumentVersion = mEra == 0 ? 0 : mDocumentVersion;
+  return heartbeat;
 }
 
 std::vector<fleet_member>
@@ -114,14 +270,42 @@
 {
   std::vector<fleet_member> ahead;
   for (const std::pair<const instance_id, member_state>& one : mMembers) {
-    if (IsLive(one.second, aNow) &&
-        one.second.mControlVersion > mControlVersion) {
+    const member_state& state = one.second;
+    bool isAhead = state.mControlVersion.mVersion != 0 &&
+                   state.mControlVersion > mControlVersion;
+    bool hasNewerDocument = state.mDocumentVersion > mDocumentVersion;
+    if (IsLive(state, aNow) && (isAhead || hasNewerDocument)) {
       ahead.push_back(one.second.mMember);
     }
   }
   return ahead;
 }
 
+std::optional<fleet_member>
+fleet_view::PeerWithNewerDocument(std::uint64_t aVersion, instant aNow) const
+{
+  std::optional<fleet_member> newest;
+  for (const std::pair<const instance_id, member_state>& one : mMembers) {
+    const member_state& state = one.second;
+    if (IsLive(state, aNow) && state.mDocumentVersion > aVersion) {
+      aVersion = state.mDocumentVersion;
+      newest = state.mMember;
+    }
+  }
+  return newest;
+}
+
+bool
+fleet_view::HasReportedDocument(instant aNow) const
+{
+  return std::any_of(
+    mMembers.begin(),
+    mMembers.end(),
+    [&](const std::pair<const instance_id, member_state>& aOne) {
+      return IsLive(aOne.second, aNow) && aOne.second.mDocumentVersion > 0;
+    });
+}
+
 bool
 fleet_view::HasSettledPeer(instant aNow) const
 {
--- a/laburnumdyke/decision/platform_reading.h
+++ b/laburnumdyke/decision/platform_reading.h
@@ -1,11 +1,13 @@
 // Results of reading the platform's registry, decoded into domain types.
 //
 // A reading is a snapshot, or a delta since a version. Versions order the
-// readings of one kind, whether they come from the platform or from a peer.
+// readings of one kind, whether they come from the platform or from a peer; see
+// store_version.h.
 #pragma once
 
 #include "laburnumdyke/decision/fleet_view.h"
 #include "laburnumdyke/decision/route_table.h"
+#include "laburnumdyke/decision/store_version.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 
 #include <cstdint>
@@ -25,7 +27,10 @@
 {
   reading_status mStatus = reading_status::NoAnswer;
   bool mIsSnapshot = false; // snapshot: unlisted entries are removed
-  std::uint64_t mVersion = 0;
+  // The era is 0 if the answer names none.
+  store_version mVersion;
+  // Delta: the version that it was requested from, if known.
+  std::optional<store_version> mAfter = std::nullopt;
 };
 
 // Operator control: routes and evacuated failure domains.
--- a/laburnumdyke/decision/upstream_directory.cc
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -1,5 +1,9 @@
 // Outages of the platform cause false removals and no other false events, so
 // only removals are delayed; draining takes effect at once.
+//
+// A restored store also shows outdated rows. They are told by start time and
+// sequence. Followers of a reader do not see every sequence, so for an upstream
+// that left, the sequence in the copy itself is the one that it must exceed.
 #include "laburnumdyke/decision/upstream_directory.h"
 
 #include <algorithm>
@@ -19,6 +23,18 @@
   return startDiffers || locationDiffers || aNew.mSequence < aOld.mSequence;
 }
 
+// Whether aNew was not written after aOld. The start times are compared only if
+// both are known.
+bool
+IsNotLater(const upstream_entry& aNew, const upstream_entry& aOld)
+{
+  bool hasStart = aNew.mBorn.count() != 0 && aOld.mBorn.count() != 0;
+  if (hasStart && aNew.mBorn != aOld.mBorn) {
+    return aNew.mBorn < aOld.mBorn;
+  }
+  return aNew.mSequence <= aOld.mSequence;
+}
+
 bool
 IsHeartbeat(const upstream_entry& aOld, const upstream_entry& aNew)
 {
@@ -70,6 +86,10 @@
 {
   auto found = mKnown.find(aEntry.mId);
   if (found == mKnown.end()) {
+    if (IsListedDeparted(aEntry)) {
+      return {};
+    }
+    mDeparted.erase(aEntry.mId);
     mKnown[aEntry.mId] = { aEntry, false };
     return { { upstream_change_kind::Joined, std::move(aEntry) } };
   }
@@ -91,6 +111,7 @@
 std::vector<upstream_change>
 upstream_directory::Remove(const upstream_id& aId, instant aNow)
 {
+  OnRowRemoved(aId, aNow);
   auto found = mKnown.find(aId);
   if (found == mKnown.end()) {
     return {};
@@ -99,10 +120,98 @@
     found->second.mMissing = true;
     return {};
   }
+  return { Depart(aId, aNow) };
+}
+
+upstream_change
+upstream_directory::Depart(const upstream_id& aId, instant aNow)
+{
+  auto found = mKnown.find(aId);
   upstream_change change{ upstream_change_kind::Left,
                           std::move(found->second.mEntry) };
   mKnown.erase(found);
-  return { std::move(change) };
+  mDeparted[aId] = { change.mEntry, aNow };
+  return change;
+}
+
+void
+upstream_directory::OnRowRemoved(const upstream_id& aId, instant aNow)
+{
+  auto departed = mDeparted.find(aId);
+  if (departed != mDeparted.end() && departed->second.mListed) {
+    departed->second.mListed.reset();
+    departed->second.mSince = aNow;
+  }
+}
+
+bool
+upstream_directory::IsListedDeparted(const upstream_entry& aEntry) const
+{
+  auto departed = mDeparted.find(aEntry.mId);
+  if (departed == mDeparted.end() || !departed->second.mListed) {
+    return false;
+  }
+  // Without a start time, a sequence below the listed one is a new start.
+  bool isNewStart =
+    aEntry.mBorn.count() == 0 && aEntry.mSequence < *departed->second.mListed;
+  return !isNewStart && IsNotLater(aEntry, departed->second.mEntry);
+}
+
+bool
+upstream_directory::IsOutdated(const upstream_entry& aEntry)
+{
+  auto known = mKnown.find(aEntry.mId);
+  if (known != mKnown.end()) {
+    bool isOutdated = IsNotLater(aEntry, known->second.mEntry);
+    if (isOutdated) {
+      known->second.mMissing = false;
+    }
+    return isOutdated;
+  }
+  auto departed = mDeparted.find(aEntry.mId);
+  if (departed == mDeparted.end()) {
+    return false;
+  }
+  departed_upstream& one = departed->second;
+  bool isLaterStart =
+    one.mEntry.mBorn.count() != 0 && aEntry.mBorn > one.mEntry.mBorn;
+  if (isLaterStart) {
+    return false;
+  }
+  if (!IsNotLater(aEntry, one.mEntry)) {
+    one.mEntry = aEntry;
+  }
+  one.mListed = aEntry.mSequence;
+  return true;
+}
+
+std::vector<upstream_change>
+upstream_directory::ReplaceRestored(std::vector<upstream_entry> aEntries,
+                                    instant aNow)
+{
+  mAwaitsRestored = false;
+  mRestoreGraceUntil = aNow + mOptions.mRecoveryGrace;
+  std::set<upstream_id> listed;
+  std::vector<upstream_change> changes;
+  for (upstream_entry& entry : aEntries) {
+    listed.insert(entry.mId);
+    if (IsOutdated(entry)) {
+      continue;
+    }
+    for (upstream_change& change : Put(std::move(entry), aNow)) {
+      changes.push_back(std::move(change));
+    }
+  }
+  for (std::pair<const upstream_id, known_upstream>& known : mKnown) {
+    known.second.mMissing =
+      known.second.mMissing || listed.count(known.first) == 0;
+  }
+  for (std::pair<const upstream_id, departed_upstream>& departed : mDeparted) {
+    if (listed.count(departed.first) == 0) {
+      OnRowRemoved(departed.first, aNow);
+    }
+  }
+  return changes;
 }
 
 std::vector<upstream_change>
@@ -148,6 +257,12 @@
       unlisted.push_back(known.first);
     }
   }
+  for (const std::pair<const upstream_id, departed_upstream>& departed :
+       mDeparted) {
+    if (listed.count(departed.first) == 0) {
+      unlisted.push_back(departed.first);
+    }
+  }
   for (const upstream_id& id : unlisted) {
     for (upstream_change& change : Remove(id, aNow)) {
       changes.push_back(std::move(change));
@@ -196,19 +311,31 @@
 upstream_directory::Expire(instant aNow)
 {
   std::vector<upstream_change> changes;
+  ForgetDeparted(aNow);
   if (!IsSettled(aNow)) {
     return changes;
   }
-  for (auto it = mKnown.begin(); it != mKnown.end();) {
-    if (it->second.mMissing) {
-      changes.push_back(
-        { upstream_change_kind::Left, std::move(it->second.mEntry) });
-      it = mKnown.erase(it);
-    } else {
-      ++it;
+  std::vector<upstream_id> missing;
+  for (const std::pair<const upstream_id, known_upstream>& known : mKnown) {
+    if (known.second.mMissing) {
+      missing.push_back(known.first);
     }
   }
+  for (const upstream_id& id : missing) {
+    changes.push_back(Depart(id, aNow));
+  }
   return changes;
 }
 
+void
+upstream_directory::ForgetDeparted(instant aNow)
+{
+  std::erase_if(
+    mDeparted,
+    [&](const std::pair<const upstream_id, departed_upstream>& aOne) {
+      return !aOne.second.mListed &&
+             aNow - aOne.second.mSince >= mOptions.mDepartedTime;
+    });
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -12,6 +12,13 @@
 // kept, and removed only if they have not registered again by then. If another
 // instance never lost the platform, there was no such outage, and EndGrace ends
 // the grace period early.
+//
+// A store that is restored from a backup lists upstreams as they were then:
+//   directory.OnStoreRestored();             // a new era is known
+//   changes = directory.ReplaceRestored(entries, now); // its first snapshot
+// Missing upstreams are kept for mRecoveryGrace after that snapshot. Rows older
+// than what is known change nothing, and upstreams that had left stay out until
+// they write again.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -75,6 +82,8 @@
   std::chrono::milliseconds mRecoveryGrace{ 2200 };
   // In a shorter outage no entry expires.
   std::chrono::milliseconds mMinOutage{ 1000 };
+  // How long upstreams that left are remembered, in case a backup lists them.
+  std::chrono::milliseconds mDepartedTime{ 600000 };
 };
 
 class upstream_directory
@@ -96,13 +105,25 @@
   std::vector<upstream_change> Replace(std::vector<upstream_entry> aEntries,
                                        instant aNow);
 
+  // Removes nothing until the next ReplaceRestored() and its grace period.
+  void OnStoreRestored() { mAwaitsRestored = true; }
+
+  // Applies the first snapshot of a restored store.
+  std::vector<upstream_change> ReplaceRestored(
+    std::vector<upstream_entry> aEntries,
+    instant aNow);
+
   void OnPlatformLost(instant aNow);
   void OnPlatformRecovered(instant aNow);
 
   void EndGrace(instant aNow);
 
   // Whether missing upstreams are removed at once.
-  bool IsSettled(instant aNow) const { return !mLost && aNow >= mGraceUntil; }
+  bool IsSettled(instant aNow) const
+  {
+    return !mLost && !mAwaitsRestored && aNow >= mGraceUntil &&
+           aNow >= mRestoreGraceUntil;
+  }
 
   // Removes upstreams still missing after the grace period.
   std::vector<upstream_change> Expire(instant aNow);
@@ -119,15 +140,44 @@
     bool mMissing = false;
   };
 
+  // An upstream that left.
+  struct departed_upstream
+  {
+    upstream_entry mEntry;
+    instant mSince{};
+    // Sequence listed by a restored store; nullopt: not listed. While it is
+    // listed, it is ignored until it writes again.
+    std::optional<std::uint64_t> mListed = std::nullopt;
+  };
+
   // aWasRemoved: whether the entry was removed since it was known.
   std::vector<upstream_change> PutAgain(upstream_entry aEntry,
                                         bool aWasRemoved);
 
+  // Removes aId from the known upstreams and remembers it.
+  upstream_change Depart(const upstream_id& aId, instant aNow);
+
+  // Whether the restored store lists an upstream that left and has not written
+  // again.
+  bool IsListedDeparted(const upstream_entry& aEntry) const;
+
+  // Whether a row of a restored store is older than what is known. If so, it is
+  // recorded as listed.
+  bool IsOutdated(const upstream_entry& aEntry);
+
+  void OnRowRemoved(const upstream_id& aId, instant aNow);
+  void ForgetDeparted(instant aNow);
+
   upstream_directory_options mOptions;
   std::map<upstream_id, known_upstream> mKnown;
+  std::map<upstream_id, departed_upstream> mDeparted;
   bool mLost = false;
   instant mLostSince{};
   instant mGraceUntil{};
+  bool mAwaitsRestored = false;
+  // A settled peer does not end this grace period: it may have started after
+  // the restore, without having known the missing upstreams.
+  instant mRestoreGraceUntil{};
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/upstream_update.cc
+++ b/laburnumdyke/decision/upstream_update.cc
@@ -34,7 +34,7 @@
   }
 }
 
-std::optional<std::uint64_t>
+std::optional<store_version>
 update_log::Version() const
 {
   if (mReadings.empty()) {
@@ -44,13 +44,14 @@
 }
 
 bool
-update_log::ReachesBackTo(std::uint64_t aVersion) const
+update_log::ReachesBackTo(store_version aVersion) const
 {
-  return !mReadings.empty() && mReadings.front().mAfter <= aVersion;
+  return !mReadings.empty() && mReadings.front().mAfter.mEra == aVersion.mEra &&
+         mReadings.front().mAfter <= aVersion;
 }
 
 std::optional<upstream_update>
-update_log::Since(std::uint64_t aVersion) const
+update_log::Since(store_version aVersion) const
 {
   if (!ReachesBackTo(aVersion) || aVersion > mReadings.back().mVersion) {
     return std::nullopt;
@@ -83,8 +84,8 @@
 }
 
 upstream_update
-ToUpdate(std::uint64_t aAfter,
-         std::uint64_t aVersion,
+ToUpdate(store_version aAfter,
+         store_version aVersion,
          const std::vector<upstream_change>& aChanges)
 {
   upstream_update update;
--- a/laburnumdyke/decision/upstream_update.h
+++ b/laburnumdyke/decision/upstream_update.h
@@ -7,9 +7,11 @@
 //   std::optional<upstream_update> update = log.Since(followerVersion);
 //
 // The log holds consecutive deltas: changes after version V are available while
-// the log reaches back to V. A follower that is further behind gets a snapshot.
+// the log reaches back to V. A follower that is further behind, or in an
+// earlier era of the store, gets a snapshot.
 #pragma once
 
+#include "laburnumdyke/decision/store_version.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 
 #include <chrono>
@@ -23,8 +25,8 @@
 
 struct upstream_update
 {
-  std::uint64_t mAfter = 0;   // delta from this version, exclusive
-  std::uint64_t mVersion = 0; // to this version, inclusive
+  store_version mAfter;   // delta from this version, exclusive
+  store_version mVersion; // to this version, inclusive
   // An upstream is in one of these at most.
   std::vector<upstream_entry> mEntries;
   std::vector<upstream_id> mRemovedIds;
@@ -51,14 +53,14 @@
   void Clear() { mReadings.clear(); }
 
   // Version of the last reading, if any.
-  std::optional<std::uint64_t> Version() const;
+  std::optional<store_version> Version() const;
 
   // Whether the log holds all changes after aVersion.
-  bool ReachesBackTo(std::uint64_t aVersion) const;
+  bool ReachesBackTo(store_version aVersion) const;
 
   // All changes after aVersion, merged; nullopt if the log does not reach back
   // to aVersion, or if aVersion is later than the last reading.
-  std::optional<upstream_update> Since(std::uint64_t aVersion) const;
+  std::optional<upstream_update> Since(store_version aVersion) const;
 
 private:
   std::deque<upstream_update> mReadings;
@@ -67,8 +69,8 @@
 // Builds the update of a reading from aChanges, the changes that the directory
 // reported for it. Heartbeats are left out.
 upstream_update
-ToUpdate(std::uint64_t aAfter,
-         std::uint64_t aVersion,
+ToUpdate(store_version aAfter,
+         store_version aVersion,
          const std::vector<upstream_change>& aChanges);
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/watch_state.h
+++ b/laburnumdyke/decision/watch_state.h
@@ -6,7 +6,9 @@
 //   if (state.Take(reading.mHead)) ... apply the reading
 //
 // Versions never decrease: a snapshot older than the current version, for
-// example from a store that has just dropped its history, is rejected.
+// example from a store that has just dropped its history, is rejected. If the
+// store is restored from a backup, its era rises; from then on readings of an
+// older era are rejected, and a snapshot must be read.
 #pragma once
 
 #include "laburnumdyke/decision/platform_reading.h"
@@ -25,7 +27,16 @@
   static constexpr int kFailuresUntilLost = 2;
 
   // Version from which to read a delta; nullopt: read a snapshot.
-  std::optional<std::uint64_t> After() const;
+  std::optional<store_version> After() const;
+
+  // Records that the store is in aEra, as reported by an answer or by a peer.
+  // Returns whether that is a restore after which a snapshot must be read;
+  // false if the era is known, or if nothing has been read before.
+  bool LearnEra(std::uint64_t aEra);
+
+  // Whether no reading of the latest era has been applied since LearnEra()
+  // returned true.
+  bool AwaitsEra() const { return mAwaitsEra; }
 
   // Records a reading. Returns whether to apply it.
   bool Take(const reading_head& aHead);
@@ -34,7 +45,7 @@
   // the platform is reachable. Only a later version is applied.
   bool TakeFromPeer(const reading_head& aHead);
 
-  std::uint64_t Version() const { return mVersion; }
+  store_version Version() const { return mVersion; }
   bool IsLost() const { return mFailures >= kFailuresUntilLost; }
 
   // How long a reading may wait for a change (long poll). Zero after a failure,
@@ -50,8 +61,13 @@
   std::optional<bool> TakeOutageChange();
 
 private:
-  std::uint64_t mVersion = 0;
+  bool IsOfThisState(const reading_head& aHead) const;
+  void Accept(const store_version& aVersion);
+
+  store_version mVersion;
+  std::uint64_t mEra = 0; // latest known; 0: unknown
   bool mNeedsSnapshot = true;
+  bool mAwaitsEra = false;
   int mFailures = 0;
   bool mReportedLost = false;
 };
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -45,7 +45,9 @@
   }
   message.set_serving(aHeartbeat.mServing);
   message.set_leaving(aHeartbeat.mLeaving);
-  message.set_control_version(aHeartbeat.mControlVersion);
+  message.set_control_version(aHeartbeat.mControlVersion.mVersion);
+  message.set_store_era(aHeartbeat.mControlVersion.mEra);
+  message.set_document_version(aHeartbeat.mDocumentVersion);
   message.set_settled(aHeartbeat.mSettled);
   return message.SerializeAsString();
 }
@@ -73,7 +75,9 @@
   heartbeat.mSenderKey = message.sender_key();
   heartbeat.mServing = message.serving();
   heartbeat.mLeaving = message.leaving();
-  heartbeat.mControlVersion = message.control_version();
+  heartbeat.mControlVersion = { message.store_era(),
+                                message.control_version() };
+  heartbeat.mDocumentVersion = message.document_version();
   heartbeat.mSettled = message.settled();
   return heartbeat;
 }
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -7,7 +7,8 @@
 // kFirstFullHeartbeats and then every kFullHeartbeatInterval-th are full, for
 // receivers that know the sender neither from its registration nor from an
 // earlier full heartbeat. An instance that stops announces this at once with
-// several heartbeats, so that losing one does no harm.
+// several heartbeats, so that losing one does no harm. A new era of the
+// platform's store, as reported by the store itself, is announced at once.
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/sleep.h"
@@ -25,6 +26,8 @@
 constexpr int kFullHeartbeatInterval = 8;
 constexpr int kLeavingHeartbeatCount = 3;
 constexpr std::chrono::milliseconds kLeavingInterval{ 50 };
+// How often it is checked whether a new era of the store is to be announced.
+constexpr std::chrono::milliseconds kEraCheckInterval{ 50 };
 
 class fleet_link
 {
@@ -101,7 +104,19 @@
       SendHeartbeats();
       mLink.Drain();
       mTables.PublishFleet();
-      co_await SleepFor(kPeriod);
+      co_await AwaitNextHeartbeat();
+    }
+  }
+
+  // Waits for kPeriod, or until a new era of the store is to be announced.
+  asio::awaitable<void> AwaitNextHeartbeat()
+  {
+    instant until = std::chrono::steady_clock::now() + kPeriod;
+    bool isDue = false;
+    while (!isDue && std::chrono::steady_clock::now() < until) {
+      co_await SleepFor(kEraCheckInterval);
+      isDue = mTables.Fleet().With(
+        [](fleet_state& aFleet) { return aFleet.TakeEraToAnnounce(); });
     }
   }
 
--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -42,8 +42,13 @@
   if (failure) {
     co_return std::nullopt;
   }
+  std::string header;
+  if (!aRequest.mWantedHeader.empty()) {
+    header = FromBeast(parser.get()[aRequest.mWantedHeader]);
+  }
   co_return client_answer{ parser.get().result_int(),
-                           std::move(parser.get().body()) };
+                           std::move(parser.get().body()),
+                           std::move(header) };
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/http_client.h
+++ b/laburnumdyke/plugin/http_client.h
@@ -19,6 +19,8 @@
   http::verb mMethod = http::verb::get;
   std::string mTarget;
   std::string mIfMatch; // the If-Match header; empty: not sent
+  // Name of a header of the answer that the caller needs; empty: none.
+  std::string mWantedHeader;
   std::string mBody;
   std::chrono::milliseconds mTimeout{ 2000 };
   std::size_t mLimit = 256UL * 1024 * 1024; // bytes of the answer's body
@@ -28,6 +30,7 @@
 {
   unsigned mStatus = 0;
   std::string mBody;
+  std::string mHeader = {}; // value of the wanted header; empty: absent
 };
 
 // Returns nullopt if no complete answer arrived within mTimeout; the request
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -7,10 +7,14 @@
 // The relay address serves peers: this instance's copy of the control state,
 // and updates of upstreams.
 //
+// After a restore of the store, known by its era from any answer or from a
+// peer, everything is read again as a snapshot: see docs/design/store-era.md.
+//
 // Usage: a source registers this class:
 //   const plugin_registrar<platform_watch<my_source>> kRegistered;
 #pragma once
 
+#include "laburnumdyke/decision/evacuation_hold.h"
 #include "laburnumdyke/decision/platform_reading.h"
 #include "laburnumdyke/decision/watch_state.h"
 #include "laburnumdyke/plugin/http_client.h"
@@ -24,6 +28,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,7 +38,7 @@
 
 template<class T>
 concept platform_source = requires(T& aSource,
-                                   std::optional<std::uint64_t> aAfter,
+                                   std::optional<store_version> aAfter,
                                    std::chrono::milliseconds aWait,
                                    fleet_member aMember,
                                    instance_id aInstance,
@@ -63,6 +68,9 @@
   {
     aSource.ImportView(aView)
     } -> std::same_as<control_reading>;
+  {
+    aSource.Era() // the latest that the platform has reported; 0: none
+    } -> std::same_as<std::uint64_t>;
 };
 
 template<platform_source Source>
@@ -80,6 +88,7 @@
     , mStrand(asio::make_strand(aKernel.Context()))
     , mPeerServer(aKernel, *this)
     , mJitter(aKernel.Settings().mIncarnation)
+    , mFleetTimer(mStrand)
     , mUpstreams(aKernel, mSource, mStrand)
   {
   }
@@ -107,7 +116,7 @@
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
     std::string target(FromBeast(aExchange.Head().target()));
-    std::optional<std::uint64_t> after = ReadUpdateTarget(target);
+    std::optional<store_version> after = ReadUpdateTarget(target);
     string_answer answer(http::status::not_found, 11);
     if (target == kViewTarget) {
       answer.result(http::status::ok);
@@ -137,27 +146,114 @@
   static constexpr std::chrono::milliseconds kRetryAfter{ 300 };
   static constexpr std::chrono::milliseconds kPeerCheckInterval{ 250 };
   static constexpr std::chrono::milliseconds kViewTimeout{ 800 };
+  // After a restore of the store: the time over which instances spread their
+  // calls about instance rows, and, for those that follow a reader, the average
+  // time until they read the control state themselves instead of a peer's copy.
+  static constexpr std::chrono::milliseconds kRestoreSpread{ 5000 };
+  static constexpr std::chrono::milliseconds kFollowerControlWait{ 2000 };
+  // How long an instance that starts waits for heartbeats before it puts its
+  // first configuration in force, since the store may be a restored one. By
+  // then each peer has sent two.
+  static constexpr std::chrono::milliseconds kInitialListenTime{ 1200 };
+  static constexpr std::chrono::milliseconds kInitialListenStep{ 50 };
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
   asio::awaitable<void> WatchControl()
   {
     while (true) {
-      std::optional<std::uint64_t> after = mControl.After();
       std::chrono::milliseconds longPoll =
         mUpstreams.IsFollower() ? kControlLongPoll : kReaderControlLongPoll;
-      control_reading reading =
-        co_await mSource.ReadControl(after, mControl.LongPollWait(longPoll));
-      bool accepted = mControl.Take(reading.mHead);
-      LogOutageChange(mKernel, mControl, "control");
-      if (accepted) {
-        ApplyControl(reading);
-      } else {
+      bool accepted = co_await ReadControl(longPoll);
+      if (!accepted) {
         co_await SleepFor(mJitter(kRetryAfter));
       }
     }
   }
 
+  asio::awaitable<bool> ReadControl(std::chrono::milliseconds aLongPoll)
+  {
+    control_reading reading = co_await mSource.ReadControl(
+      mControl.After(), mControl.LongPollWait(aLongPoll));
+    NoteStoreEra();
+    bool isFirst = reading.mHead.mStatus == reading_status::Read && mEra != 0 &&
+                   !mTables.Routes();
+    if (isFirst) {
+      co_await ReadNewerDocument(reading.mDocument);
+    }
+    bool isRestored = mControl.AwaitsEra();
+    bool accepted = mControl.Take(reading.mHead);
+    LogOutageChange(mKernel, mControl, "control");
+    if (accepted) {
+      ApplyControl(reading, isRestored);
+    }
+    co_return accepted;
+  }
+
+  // Before the first configuration is in force: a restored store may show an
+  // older one than peers have in force. Takes theirs if so.
+  asio::awaitable<void> ReadNewerDocument(
+    const std::optional<routing_document>& aDocument)
+  {
+    std::uint64_t version = aDocument ? aDocument->mVersion : 0;
+    instant until = Now() + kInitialListenTime;
+    bool heard = false;
+    while (Now() < until && !heard && !mTables.Routes()) {
+      co_await SleepFor(kInitialListenStep);
+      std::optional<fleet_member> peer =
+        mTables.Fleet().With([&](fleet_state& aFleet) {
+          heard = aFleet.HasReportedDocument(Now());
+          return aFleet.PeerWithNewerDocument(version, Now());
+        });
+      heard = heard && !peer;
+      if (peer) {
+        co_await ReadPeerView(std::move(*peer));
+      }
+    }
+  }
+
+  // Passes on the era that the store has reported.
+  void NoteStoreEra()
+  {
+    std::uint64_t era = mSource.Era();
+    mTables.Fleet().With([&](fleet_state& aFleet) { aFleet.NoteEra(era); });
+    LearnEra(era, "store");
+  }
+
+  void LearnEra(std::uint64_t aEra, std::string_view aFrom)
+  {
+    if (aEra <= mEra) {
+      return;
+    }
+    bool isRestore = mControl.LearnEra(aEra);
+    isRestore = mFleet.LearnEra(aEra) || isRestore;
+    mUpstreams.LearnEra(aEra);
+    if (isRestore) {
+      mKernel.Log().Warn("store_era_changed",
+                         { { "from", std::to_string(mEra) },
+                           { "to", std::to_string(aEra) },
+                           { "learned_from", std::string(aFrom) } });
+      mKernel.Counters().Add("store_era_changes_total", aFrom);
+      PlanReadings();
+    }
+    mEra = aEra;
+  }
+
+  // Plans the readings after a restore, spread over the instances.
+  void PlanReadings()
+  {
+    instant now = Now();
+    mReadControlAt =
+      mUpstreams.IsFollower() ? now + mJitter(kFollowerControlWait) : now;
+    std::chrono::milliseconds delay(
+      mJitter.Pick(static_cast<std::size_t>(kRestoreSpread.count())));
+    mReadFleetAt = std::min(mReadFleetAt, now + delay);
+    mFleetTimer.cancel();
+    if (mLeaving) { // the backup may list this instance
+      asio::co_spawn(mStrand, Withdraw(), asio::detached);
+    }
+  }
+
   asio::awaitable<void> WatchFleet()
   {
     fleet_member self =
@@ -165,12 +261,16 @@
     bool registered = false;
     int readingCount = 0; // since this instance registered
     while (true) {
-      std::optional<std::uint64_t> after = mFleet.After();
+      std::optional<store_version> after = mFleet.After();
       fleet_reading reading =
         co_await mSource.ReadFleet(after, std::chrono::milliseconds(0));
+      NoteStoreEra();
+      bool isRestored = mFleet.AwaitsEra();
       if (mFleet.Take(reading.mHead)) {
         readingCount += registered ? 1 : 0;
-        ApplyFleet(reading, registered);
+        ApplyFleet(reading, registered, isRestored);
+        registered = registered && !IsOwnRowLost(reading, self, isRestored);
+        co_await DeleteWithdrawnRows();
       }
       // Registers after the first reading, which shows whether an earlier
       // process of this instance had registered.
@@ -180,8 +280,46 @@
       // Instances often start together, so the first readings may miss the
       // rows of others; the list is read more often at first.
       bool isSettled = readingCount >= fleet_view::kMinReadings;
-      co_await SleepFor(
-        mJitter(isSettled ? kFleetInterval : kFirstFleetInterval));
+      bool isPending = mFleet.AwaitsEra() || (!registered && !mLeaving);
+      bool isSoon = !isSettled || (mEra != 0 && isPending);
+      mReadFleetAt =
+        Now() + mJitter(isSoon ? kFirstFleetInterval : kFleetInterval);
+      while (Now() < mReadFleetAt) {
+        mFleetTimer.expires_at(mReadFleetAt);
+        error_code cancelled;
+        co_await mFleetTimer.async_wait(
+          asio::redirect_error(asio::use_awaitable, cancelled));
+      }
+    }
+  }
+
+  // Whether the row of this instance has to be written again: a restored store
+  // does not list it, or another instance has deleted it.
+  bool IsOwnRowLost(const fleet_reading& aReading,
+                    const fleet_member& aSelf,
+                    bool aIsRestored) const
+  {
+    bool isListed = std::any_of(
+      aReading.mMembers.begin(),
+      aReading.mMembers.end(),
+      [&](const fleet_member& aMember) { return aMember == aSelf; });
+    bool isRemoved = std::find(aReading.mRemovedIds.begin(),
+                               aReading.mRemovedIds.end(),
+                               aSelf.mInstance) != aReading.mRemovedIds.end();
+    return mEra != 0 && ((aIsRestored && !isListed) || isRemoved);
+  }
+
+  // Deletes rows of withdrawn instances that a restored store lists.
+  asio::awaitable<void> DeleteWithdrawnRows()
+  {
+    std::vector<instance_id> rows = mTables.Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.RowsToDelete(Now()); });
+    for (const instance_id& instance : rows) {
+      bool deleted = co_await mSource.Withdraw(instance);
+      NoteStoreEra();
+      mKernel.Log().Info(
+        "withdrawn_row_deleted",
+        { { "of", instance.mValue }, { "done", deleted ? "yes" : "unknown" } });
     }
   }
 
@@ -193,9 +331,20 @@
     while (true) {
       co_await SleepFor(mJitter(kPeerCheckInterval));
       instant now = Now();
-      std::vector<fleet_member> peers = mTables.Fleet().With(
-        [&](fleet_state& aFleet) { return aFleet.PeersWithNewerControl(now); });
+      std::uint64_t era = 0;
+      std::vector<fleet_member> peers =
+        mTables.Fleet().With([&](fleet_state& aFleet) {
+          era = aFleet.Era();
+          return aFleet.PeersWithNewerControl(now);
+        });
+      LearnEra(era, "peer");
       mUpstreams.UpdateSettled(now);
+      ExpireEvacuations(now);
+      // Beside the long poll, which may wait for a version of the old era.
+      if (mControl.AwaitsEra() && now >= mReadControlAt) {
+        mReadControlAt = now + mJitter(kFollowerControlWait);
+        co_await ReadControl(std::chrono::milliseconds(0));
+      }
       bool isAhead = !peers.empty();
       bool readView = isAhead && wasAhead;
       wasAhead = isAhead;
@@ -220,12 +369,17 @@
     }
     mKernel.Counters().Add("views_total", "read");
     control_reading control = mSource.ImportView(answer->mBody);
+    LearnEra(control.mHead.mVersion.mEra, "peer");
+    bool isRestored = mControl.AwaitsEra();
     if (mControl.TakeFromPeer(control.mHead)) {
       mKernel.Log().Info(
         "control_from_peer",
         { { "peer", aPeer.mInstance.mValue },
-          { "version", std::to_string(control.mHead.mVersion) } });
-      ApplyControl(control);
+          { "version", std::to_string(control.mHead.mVersion.mVersion) } });
+      ApplyControl(control, isRestored);
+    } else if (mEra != 0) {
+      // A restored store shows an older configuration than the peer may have.
+      ApplyDocument(control.mDocument);
     }
   }
 
@@ -239,64 +393,88 @@
                        { { "done", withdrawn ? "yes" : "unknown" } });
   }
 
-  void ApplyControl(const control_reading& aReading)
+  // aIsRestored: this is the first reading since a restore of the store.
+  void ApplyControl(const control_reading& aReading, bool aIsRestored)
   {
-    std::shared_ptr<const route_table> newRoutes;
     if (aReading.mUnreadable > 0) {
       mKernel.Log().Warn("configuration_unreadable", {});
     }
-    std::set<domain_id> evacuated;
-    bool evacuationChanged = false;
+    ApplyDocument(aReading.mDocument);
+    SetEvacuated(
+      mEvacuations.Apply(aReading, aIsRestored, DocumentVersion(), Now()));
+    mTables.Fleet().With([&](fleet_state& aFleet) {
+      aFleet.SetControlVersion(mControl.Version());
+    });
+  }
+
+  std::uint64_t DocumentVersion()
+  {
+    std::shared_ptr<const route_table> routes = mTables.Routes();
+    return routes ? routes->Version() : 0;
+  }
+
+  // Puts a configuration in force if it is newer than the present one, whatever
+  // reading it is from: its versions are the operator's, not the store's.
+  void ApplyDocument(const std::optional<routing_document>& aDocument)
+  {
+    std::shared_ptr<const route_table> newRoutes;
     mTables.InForce().With([&](routes_in_force& aInForce) {
-      if (aReading.mDocument &&
-          (!aInForce.mRoutes ||
-           aReading.mDocument->mVersion > aInForce.mRoutes->Version())) {
-        newRoutes = std::make_shared<const route_table>(*aReading.mDocument);
+      if (aDocument && (!aInForce.mRoutes ||
+                        aDocument->mVersion > aInForce.mRoutes->Version())) {
+        newRoutes = std::make_shared<const route_table>(*aDocument);
         aInForce.mRoutes = newRoutes;
       }
-      evacuated = ApplyEvacuations(aInForce.mEvacuated, aReading);
-      evacuationChanged = evacuated != aInForce.mEvacuated;
-      aInForce.mEvacuated = evacuated;
-    });
-    mTables.Steering().With([&](steering_state& aSteering) {
-      if (newRoutes) {
-        aSteering.SetRules(newRoutes);
-      }
-      if (evacuationChanged) {
-        aSteering.SetEvacuated(evacuated, Now());
-      }
     });
+    if (!newRoutes) {
+      return;
+    }
+    mTables.Steering().With(
+      [&](steering_state& aSteering) { aSteering.SetRules(newRoutes); });
     mTables.Fleet().With([&](fleet_state& aFleet) {
-      aFleet.SetControlVersion(mControl.Version());
-      if (newRoutes) {
-        aFleet.SetServing(true);
-      }
+      aFleet.SetDocumentVersion(newRoutes->Version());
+      aFleet.SetServing(true);
     });
-    LogControl(newRoutes, evacuationChanged, evacuated);
+    mKernel.Log().Info("configuration_in_force",
+                       { { "version", std::to_string(newRoutes->Version()) },
+                         { "routes", std::to_string(newRoutes->Size()) } });
   }
 
-  void LogControl(const std::shared_ptr<const route_table>& aNewRoutes,
-                  bool aEvacuationChanged,
-                  const std::set<domain_id>& aEvacuated)
+  // The evacuations held since a restore may end.
+  void ExpireEvacuations(instant aNow)
   {
-    if (aNewRoutes) {
-      mKernel.Log().Info("configuration_in_force",
-                         { { "version", std::to_string(aNewRoutes->Version()) },
-                           { "routes", std::to_string(aNewRoutes->Size()) } });
+    if (mEvacuations.IsHeld()) {
+      SetEvacuated(mEvacuations.Expire(DocumentVersion(), aNow));
     }
-    if (aEvacuationChanged) {
-      std::string names;
-      for (const domain_id& domain : aEvacuated) {
-        names += (names.empty() ? "" : ",") + domain.mValue;
-      }
-      mKernel.Log().Info("evacuation_changed", { { "domains", names } });
+  }
+
+  void SetEvacuated(const std::set<domain_id>& aEvacuated)
+  {
+    bool isChange = mTables.InForce().With([&](routes_in_force& aInForce) {
+      return std::exchange(aInForce.mEvacuated, aEvacuated) != aEvacuated;
+    });
+    if (!isChange) {
+      return;
     }
+    mTables.Steering().With([&](steering_state& aSteering) {
+      aSteering.SetEvacuated(aEvacuated, Now());
+    });
+    std::string names;
+    for (const domain_id& domain : aEvacuated) {
+      names += (names.empty() ? "" : ",") + domain.mValue;
+    }
+    mKernel.Log().Info("evacuation_changed", { { "domains", names } });
   }
 
-  void ApplyFleet(const fleet_reading& aReading, bool aRegistered)
+  void ApplyFleet(const fleet_reading& aReading,
+                  bool aRegistered,
+                  bool aIsRestored)
   {
     mTables.Fleet().With([&](fleet_state& aFleet) {
       aFleet.CountReading(aRegistered);
+      if (aIsRestored) {
+        aFleet.ReplaceRestored(aReading.mMembers, Now());
+        return;
+      }
       if (aReading.mHead.mIsSnapshot) {
         aFleet.Replace(aReading.mMembers);
         return;
@@ -307,6 +485,7 @@
       for (const instance_id& removed : aReading.mRemovedIds) {
         aFleet.Remove(removed);
       }
+      aFleet.Expire(Now());
     });
     mTables.PublishFleet();
   }
@@ -317,9 +496,14 @@
   asio::strand<asio::io_context::executor_type> mStrand;
   http_server<platform_watch> mPeerServer;
   jitter mJitter;
+  asio::steady_timer mFleetTimer; // until the next reading of instances
   upstream_watch<Source> mUpstreams;
+  evacuation_hold mEvacuations;
   watch_state mControl;
   watch_state mFleet;
+  std::uint64_t mEra = 0;   // of the store, the latest known
+  instant mReadControlAt{}; // after a restore
+  instant mReadFleetAt{};
   bool mLeaving = false;
 };
 
--- a/laburnumdyke/plugin/update_codec.cc
+++ b/laburnumdyke/plugin/update_codec.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kTargetPrefix = "/v1/news?after=";
+constexpr std::string_view kEraParameter = "&era=";
 // No reader goes without a reading for this long.
 constexpr std::uint64_t kMaxAgeMs = 3600000;
 
@@ -37,26 +38,44 @@
 } // namespace
 
 std::string
-UpdateTarget(std::uint64_t aAfter)
+UpdateTarget(store_version aAfter)
 {
-  return std::string(kTargetPrefix) + std::to_string(aAfter);
+  std::string target =
+    std::string(kTargetPrefix) + std::to_string(aAfter.mVersion);
+  if (aAfter.mEra != 0) {
+    target += std::string(kEraParameter) + std::to_string(aAfter.mEra);
+  }
+  return target;
 }
 
-std::optional<std::uint64_t>
+std::optional<store_version>
 ReadUpdateTarget(std::string_view aTarget)
 {
   if (aTarget.substr(0, kTargetPrefix.size()) != kTargetPrefix) {
     return std::nullopt;
   }
-  return ReadNumber<std::uint64_t>(aTarget.substr(kTargetPrefix.size()));
+  std::string_view numbers = aTarget.substr(kTargetPrefix.size());
+  std::size_t end = numbers.find(kEraParameter);
+  std::optional<std::uint64_t> version =
+    ReadNumber<std::uint64_t>(numbers.substr(0, end));
+  std::optional<std::uint64_t> era = 0;
+  if (end != std::string_view::npos) {
+    era = ReadNumber<std::uint64_t>(numbers.substr(end + kEraParameter.size()));
+  }
+  if (!version || !era) {
+    return std::nullopt;
+  }
+  return store_version(*era, *version);
 }
 
 std::string
 EncodeUpdate(const upstream_update& aUpdate)
 {
   proto::upstream_news message;
-  message.set_after(aUpdate.mAfter);
-  message.set_version(aUpdate.mVersion);
+  message.set_after(aUpdate.mAfter.mVersion);
+  message.set_after_era(aUpdate.mAfter.mEra);
+  message.set_version(aUpdate.mVersion.mVersion);
+  message.set_era(aUpdate.mVersion.mEra);
   message.set_whole(aUpdate.mIsSnapshot);
   message.set_age_ms(static_cast<std::uint64_t>(aUpdate.mAge.count()));
   for (const upstream_entry& entry : aUpdate.mEntries) {
@@ -82,12 +101,15 @@
 {
   proto::upstream_news message;
   if (!message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size())) ||
-      message.version() < message.after() || message.age_ms() > kMaxAgeMs) {
+      message.age_ms() > kMaxAgeMs) {
     return std::nullopt;
   }
   upstream_update update;
-  update.mAfter = message.after();
-  update.mVersion = message.version();
+  update.mAfter = { message.after_era(), message.after() };
+  update.mVersion = { message.era(), message.version() };
+  if (update.mVersion < update.mAfter) {
+    return std::nullopt;
+  }
   update.mIsSnapshot = message.whole();
   update.mAge = std::chrono::milliseconds(message.age_ms());
   for (const proto::upstream_entry& one : message.entries()) {
--- a/laburnumdyke/plugin/update_codec.h
+++ b/laburnumdyke/plugin/update_codec.h
@@ -3,7 +3,8 @@
 //
 // A follower sends its version to the reader's relay address. The reader
 // answers once it has a later version:
-//   GET /v1/news?after=VERSION
+//   GET /v1/news?after=VERSION           the era of the store is unknown
+//   GET /v1/news?after=VERSION&era=ERA
 //   200 with the update; 503 if this instance can't provide one
 #pragma once
 
@@ -18,11 +19,11 @@
 
 // Returns the request target that asks for the changes after version aAfter.
 std::string
-UpdateTarget(std::uint64_t aAfter);
+UpdateTarget(store_version aAfter);
 
 // Returns the version that a request target names; nullopt if it is not a
 // target made by UpdateTarget().
-std::optional<std::uint64_t>
+std::optional<store_version>
 ReadUpdateTarget(std::string_view aTarget);
 
 std::string
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -8,6 +8,9 @@
 // time, so such a reading would return at once. An instance that receives no
 // update in time reads the platform itself.
 //
+// After a restore of the store (LearnEra) a snapshot is read at once; see
+// upstream_directory for what it changes.
+//
 // Usage, all on one strand:
 //   upstream_watch<my_source> upstreams(kernel, source, strand);
 //   asio::co_spawn(strand, upstreams.Watch(), asio::detached);
@@ -58,6 +61,7 @@
     , mTables(aKernel)
     , mSource(aSource)
     , mUpdateTimer(aStrand, instant::max())
+    , mPauseTimer(aStrand)
     , mJitter(aKernel.Settings().mIncarnation)
     , mTiming(aKernel.Settings().mBounds.mDrainTimeout)
   {
@@ -80,24 +84,44 @@
         bool accepted = co_await ReadPlatform();
         pause = accepted && !mReader ? mTiming.ReadPause(Now()) : kRetryAfter;
       }
-      co_await SleepFor(mJitter(pause));
+      mPauseTimer.expires_after(mJitter(pause));
+      error_code cancelled;
+      co_await mPauseTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
     }
   }
 
+  // Records the era of the store, as reported by an answer or by a peer. After
+  // a restore, what is known is kept until a snapshot of the era is read.
+  void LearnEra(std::uint64_t aEra)
+  {
+    if (!mState.LearnEra(aEra)) {
+      return;
+    }
+    mTables.Steering().With([](steering_state& aSteering) {
+      aSteering.Directory().OnStoreRestored();
+    });
+    ClearUpdates();
+    mPauseTimer.cancel();
+  }
+
   // Returns the changes after aVersion, or a snapshot: at once if there are
   // changes, otherwise after the next reading. Returns nullopt if the log of
   // updates is empty (this instance follows a reader, has lost the platform or
   // does not know all upstreams yet) or ends before aVersion.
   asio::awaitable<std::optional<upstream_update>> UpdateSince(
-    std::uint64_t aVersion)
+    store_version aVersion)
   {
     if (mUpdates.Version() && *mUpdates.Version() <= aVersion) {
       error_code cancelled;
       co_await mUpdateTimer.async_wait(
         asio::redirect_error(asio::use_awaitable, cancelled));
     }
+    // A follower that knows of a later era needs none of an earlier one.
+    bool isBehind =
+      mUpdates.Version() && mUpdates.Version()->mEra < aVersion.mEra;
     bool needsSnapshot =
-      mUpdates.Version() && !mUpdates.ReachesBackTo(aVersion);
+      !isBehind && mUpdates.Version() && !mUpdates.ReachesBackTo(aVersion);
     std::optional<upstream_update> update =
       needsSnapshot ? std::optional<upstream_update>(Snapshot())
                     : mUpdates.Since(aVersion);
@@ -154,8 +178,10 @@
   {
     std::optional<fleet_member> reader = mTables.Fleet().With(
       [](fleet_state& aFleet) { return aFleet.Reader(Now()); });
-    // The first reading is made by this instance unless the platform is lost.
-    bool canFollow = reader && (mState.After() || mState.IsLost());
+    // The first reading is made by this instance unless the platform is lost or
+    // has been restored.
+    bool canFollow =
+      reader && (mState.After() || mState.IsLost() || mState.AwaitsEra());
     SetReader(canFollow ? std::move(reader) : std::nullopt);
     if (!mReader) {
       co_return false;
@@ -176,21 +202,30 @@
 
   bool ApplyUpdate(upstream_update aUpdate)
   {
-    std::uint64_t knownVersion = mState.Version();
-    bool continues = mState.After() && aUpdate.mAfter <= knownVersion;
+    NoteEra(aUpdate.mVersion.mEra);
+    store_version knownVersion = mState.Version();
+    bool continues = mState.After() && aUpdate.mAfter <= knownVersion &&
+                     aUpdate.mAfter.mEra == knownVersion.mEra;
     if (!(aUpdate.mIsSnapshot || continues) ||
         aUpdate.mVersion < knownVersion) {
       return false;
     }
     instant now = Now();
-    mTiming.KnownAsOf(now - aUpdate.mAge);
     upstream_reading reading;
     reading.mHead = { reading_status::Read,
                       aUpdate.mIsSnapshot,
                       aUpdate.mVersion };
     reading.mRows = ToRows(std::move(aUpdate));
-    if (mState.TakeFromPeer(reading.mHead)) {
-      ApplyReading(std::move(reading), now);
+    bool isRestored = mState.AwaitsEra();
+    bool taken = mState.TakeFromPeer(reading.mHead);
+    // Not taken: an update of an earlier era is of no use, one without changes
+    // is.
+    if (!taken && mState.AwaitsEra()) {
+      return false;
+    }
+    mTiming.KnownAsOf(now - aUpdate.mAge);
+    if (taken) {
+      ApplyReading(std::move(reading), isRestored, now);
     }
     return true;
   }
@@ -198,21 +233,23 @@
   asio::awaitable<bool> ReadPlatform()
   {
     instant requestedAt = Now();
-    std::optional<std::uint64_t> after = mState.After();
+    std::optional<store_version> after = mState.After();
     upstream_reading reading =
       co_await mSource.ReadUpstreams(after, std::chrono::milliseconds(0));
     instant now = Now();
     reading_head head = reading.mHead;
+    NoteEra(mSource.Era());
+    bool isRestored = mState.AwaitsEra();
     bool accepted = mState.Take(head);
     LogOutageChange(mKernel, mState, "upstreams");
     UpdatePlatformState(now);
     std::vector<upstream_change> changes;
     if (accepted) {
       mTiming.KnownAsOf(requestedAt);
-      changes = ApplyReading(std::move(reading), now);
+      changes = ApplyReading(std::move(reading), isRestored, now);
     }
     if (accepted && after && mSettled) {
-      mUpdates.Add(ToUpdate(*after, head.mVersion, changes));
+      mUpdates.Add(ToUpdate(*after, mState.Version(), changes));
       mUpdateTimer.cancel();
     } else {
       ClearUpdates();
@@ -220,6 +257,13 @@
     co_return accepted;
   }
 
+  // Records an era and passes it on to platform_watch and to peers.
+  void NoteEra(std::uint64_t aEra)
+  {
+    mTables.Fleet().With([&](fleet_state& aFleet) { aFleet.NoteEra(aEra); });
+    LearnEra(aEra);
+  }
+
   // Drops the log of updates and wakes waiting followers, which then read the
   // platform themselves.
   void ClearUpdates()
@@ -228,15 +272,22 @@
     mUpdateTimer.cancel();
   }
 
+  // aIsRestored: this is the first reading since a restore of the store.
   std::vector<upstream_change> ApplyReading(upstream_reading aReading,
+                                            bool aIsRestored,
                                             instant aNow)
   {
     std::vector<upstream_change> changes;
     mTables.Steering().With([&](steering_state& aSteering) {
       upstream_directory& directory = aSteering.Directory();
-      changes = aReading.mHead.mIsSnapshot
-                  ? directory.Replace(EntriesOf(std::move(aReading)), aNow)
-                  : directory.ApplyRows(std::move(aReading.mRows), aNow);
+      if (aIsRestored) {
+        changes =
+          directory.ReplaceRestored(EntriesOf(std::move(aReading)), aNow);
+      } else if (aReading.mHead.mIsSnapshot) {
+        changes = directory.Replace(EntriesOf(std::move(aReading)), aNow);
+      } else {
+        changes = directory.ApplyRows(std::move(aReading.mRows), aNow);
+      }
       aSteering.Apply(changes, aNow);
     });
     Log(changes);
@@ -302,6 +353,7 @@
   Source& mSource;
   // Never expires; cancelled to wake waiting followers.
   asio::steady_timer mUpdateTimer;
+  asio::steady_timer mPauseTimer; // until the next reading
   jitter mJitter;
   follower_timing mTiming;
   watch_state mState;
--- a/laburnumdyke/testing/harness/hosts_deployment.cc
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -145,9 +145,7 @@
   if (failure) {
     StopTest("store", *failure);
   }
-  mStore->With([](store_model& aRows) {
-    aRows.Put("op", "config", std::string(kConfig));
-  });
+  WriteConfiguration(1);
   mThread = std::thread([this]() { mContext.run(); });
 }
 
@@ -161,6 +159,18 @@
   std::filesystem::remove_all(mFolder, ignored);
 }
 
+void
+hosts_deployment::WriteConfiguration(std::uint64_t aVersion)
+{
+  constexpr std::string_view kFirst = R"("version":1,)";
+  std::string text(kConfig);
+  text.replace(text.find(kFirst),
+               kFirst.size(),
+               R"("version":)" + std::to_string(aVersion) + ",");
+  mStore->With(
+    [&](store_model& aRows) { aRows.Put("op", "config", std::move(text)); });
+}
+
 void
 hosts_deployment::AddUpstream(const std::string& aId)
 {
--- a/laburnumdyke/testing/harness/hosts_deployment.h
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -48,6 +48,9 @@
 
   store_standin& Store() { return *mStore; }
 
+  // Writes the operator's configuration with this version.
+  void WriteConfiguration(std::uint64_t aVersion);
+
   // Starts an upstream and registers it.
   void AddUpstream(const std::string& aId);
 
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -278,7 +278,7 @@
   LONGS_EQUAL(4, answer.mRows.size());
   // The first page's version, so that rows that changed between the pages are
   // read again as changes.
-  LONGS_EQUAL(8, answer.mVersion);
+  LONGS_EQUAL(8, answer.mVersion.mVersion);
   STRCMP_EQUAL("/laburnumdyke/rows-get?table=t&part=&from=b",
                mHttp.mRequests[1].mTarget.c_str());
 }
@@ -305,6 +305,46 @@
     mHttp.mRequests[0].mBody.c_str());
 }
 
+// An instance that reads the era only from successful answers would notice a
+// restore late, while the store still refuses calls.
+TEST(StoreClient, TheEraIsReadFromEveryAnswer)
+{
+  mHttp.mAnswers = {
+    client_answer{ 429, "", "2" },  client_answer{ 503, "", "3" },
+    client_answer{ 410, "", "4" },  client_answer{ 200, "{}", "5" },
+    client_answer{ 200, "{", "x" }, std::nullopt,
+    client_answer{ 503, "", "4" }
+  };
+  LONGS_EQUAL(0, mStore.Era());
+  RunToCompletion(mStore.ReadAll("t"));
+  LONGS_EQUAL(2, mStore.Era());
+  RunToCompletion(mStore.ReadChanges("t", 1, 0ms));
+  LONGS_EQUAL(3, mStore.Era());
+  store_answer lost = RunToCompletion(mStore.ReadChanges("t", 1, 0ms));
+  CHECK(lost.mStatus == reading_status::HistoryLost);
+  LONGS_EQUAL(4, lost.mVersion.mEra);
+  RunToCompletion(mStore.Put("t", "k", "v"));
+  LONGS_EQUAL(5, mStore.Era());
+  // Without an era, without an answer, and with an older era.
+  for (int i = 0; i < 3; ++i) {
+    RunToCompletion(mStore.ReadAll("t"));
+    LONGS_EQUAL(5, mStore.Era());
+  }
+  STRCMP_EQUAL("Store-Era", mHttp.mRequests[0].mWantedHeader.c_str());
+}
+
+TEST(StoreClient, PagesOfDifferentErasAreNoReading)
+{
+  client_answer first =
+    Rows(8, { { "a", "1" }, { "b", "2" } }, ",\"truncated\":true");
+  first.mHeader = "1";
+  client_answer second = Rows(9, { { "b", "2" }, { "c", "3" } });
+  second.mHeader = "2";
+  mHttp.mAnswers = { first, second };
+  CHECK(RunToCompletion(mStore.ReadAll("t")).mStatus ==
+        reading_status::NoAnswer);
+}
+
 TEST_GROUP(StoreSource){};
 
 TEST(StoreSource, AnUnreadableRowDoesNotAffectOthers)
@@ -399,12 +439,40 @@
   second.Apply(ReadStoreAnswer(Rows(3, {})), true);
   second.Apply(DecodeSnapshot(first.Encode()), true);
   store_answer third = DecodeSnapshot(second.Encode());
-  LONGS_EQUAL(9, third.mVersion);
+  LONGS_EQUAL(9, third.mVersion.mVersion);
   CHECK(ToControl(third, true).mDocument.has_value());
   // An older view has no effect.
   table_snapshot old;
   old.Apply(ReadStoreAnswer(Rows(2, {})), true);
   second.Apply(DecodeSnapshot(old.Encode()), true);
-  LONGS_EQUAL(9, DecodeSnapshot(second.Encode()).mVersion);
+  LONGS_EQUAL(9, DecodeSnapshot(second.Encode()).mVersion.mVersion);
   CHECK(DecodeSnapshot("nonsense").mStatus == reading_status::NoAnswer);
 }
+
+// Guards against a configuration that rolls back between two instances: one
+// that started after the restore reads a peer's view to get the newer one.
+TEST(StoreSource, AfterARestoreAViewHasTheLatestConfiguration)
+{
+  auto answerOf = [](std::uint64_t aEra, const client_answer& aRows) {
+    client_answer answer = aRows;
+    answer.mHeader = std::to_string(aEra);
+    return ReadStoreAnswer(answer);
+  };
+  table_snapshot rows;
+  store_answer before = answerOf(1, Rows(90, { { "config", kConfig } }));
+  rows.Apply(before, true);
+  rows.KeepConfiguration(before, ToControl(before, true));
+  std::string older = Replace(kConfig, R"("version":7)", R"("version":6)");
+  store_answer restored =
+    answerOf(2, Rows(40, { { "config", older }, { "evacuate/east-a", "{}" } }));
+  rows.Apply(restored, true);
+  rows.KeepConfiguration(restored, ToControl(restored, true));
+  // A late answer of the era before changes nothing.
+  rows.Apply(answerOf(1, Rows(95, {})), true);
+  rows.Apply(answerOf(1, Rows(95, {})), false);
+  store_answer view = DecodeSnapshot(rows.Encode());
+  CHECK(view.mVersion == store_version(2, 40));
+  control_reading reading = ToControl(view, true);
+  LONGS_EQUAL(7, reading.mDocument->mVersion);
+  LONGS_EQUAL(1, reading.mEvacuated.size());
+}
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -38,6 +38,7 @@
   std::chrono::milliseconds mLastLongPoll{ 0 };
   int mRegistered = 0;
   int mWithdrawn = 0;
+  std::uint64_t mEra = 0; // of the store
 
   template<class Function>
   auto With(Function aFunction)
@@ -59,7 +60,7 @@
   {
   }
 
-  asio::awaitable<control_reading> ReadControl(std::optional<std::uint64_t>,
+  asio::awaitable<control_reading> ReadControl(std::optional<store_version>,
                                                std::chrono::milliseconds aWait)
   {
     co_await SleepFor(20ms);
@@ -70,20 +71,21 @@
   }
 
   asio::awaitable<upstream_reading> ReadUpstreams(
-    std::optional<std::uint64_t> aAfter,
+    std::optional<store_version> aAfter,
     std::chrono::milliseconds)
   {
     co_return sPlatform->With([&](scripted_platform& aPlatform) {
       if (aPlatform.mUnanswered.count(mInstance) > 0) {
         return upstream_reading();
       }
-      return aPlatform.mChanges.empty()
-               ? aPlatform.mUpstreams
-               : Merge(aPlatform.mChanges, aAfter.value_or(0), !aAfter);
+      return aPlatform.mChanges.empty() ? aPlatform.mUpstreams
+                                        : Merge(aPlatform.mChanges,
+                                                aAfter.value_or(0).mVersion,
+                                                !aAfter);
     });
   }
 
-  asio::awaitable<fleet_reading> ReadFleet(std::optional<std::uint64_t>,
+  asio::awaitable<fleet_reading> ReadFleet(std::optional<store_version>,
                                            std::chrono::milliseconds)
   {
     co_return fleet_reading{ { reading_status::Read, true, 1 }, {}, {} };
@@ -124,13 +126,19 @@
       [](scripted_platform& aPlatform) { return aPlatform.mPeerView; });
   }
 
+  std::uint64_t Era()
+  {
+    return sPlatform->With(
+      [](scripted_platform& aPlatform) { return aPlatform.mEra; });
+  }
+
   std::string mInstance;
 };
 
 static_assert(platform_source<scripted_source>);
 
 control_reading
-MakeControl(std::uint64_t aStoreVersion, std::uint64_t aVersion)
+MakeControl(store_version aStoreVersion, std::uint64_t aVersion)
 {
   control_reading reading;
   reading.mHead = { reading_status::Read, true, aStoreVersion };
@@ -140,7 +148,7 @@
 }
 
 upstream_reading
-MakeUpstreams(std::uint64_t aStoreVersion, std::vector<std::string> aIds)
+MakeUpstreams(store_version aStoreVersion, std::vector<std::string> aIds)
 {
   upstream_reading reading;
   reading.mHead = { reading_status::Read, true, aStoreVersion };
@@ -278,6 +286,24 @@
     mPeer = Start(peer);
   }
 
+  // The store is in this era and shows these tables.
+  void SetEra(std::uint64_t aEra,
+              const control_reading& aControl,
+              const upstream_reading& aUpstreams)
+  {
+    mPlatform.With([&](scripted_platform& aPlatform) {
+      aPlatform.mEra = aEra;
+      aPlatform.mControl = aControl;
+      aPlatform.mUpstreams = aUpstreams;
+    });
+  }
+
+  std::set<domain_id> Evacuated()
+  {
+    return steering_tables(*mKernel).InForce().With(
+      [](routes_in_force& aInForce) { return aInForce.mEvacuated; });
+  }
+
   bool IsServing()
   {
     return steering_tables(*mKernel).Fleet().With(
@@ -472,6 +498,86 @@
   CHECK(WaitWithHeartbeats([&]() { return UpstreamCount() == 2; }));
 }
 
+// The backup has an older configuration, no evacuation and one upstream less,
+// and its version is lower than the known one.
+TEST(PlatformWatch, ARestoredStoreTakesNothingBack)
+{
+  control_reading control = MakeControl({ 1, 100 }, 5);
+  control.mEvacuated = { { "east-b" } };
+  SetEra(1, control, MakeUpstreams({ 1, 100 }, { "a", "b" }));
+  CHECK(WaitForVersion(5));
+  CHECK(WaitForUpstreams(2));
+  SetEra(2, MakeControl({ 2, 40 }, 3), MakeUpstreams({ 2, 40 }, { "a" }));
+  std::this_thread::sleep_for(1500ms);
+  LONGS_EQUAL(5, VersionInForce());
+  LONGS_EQUAL(2, UpstreamCount());
+  CHECK(Evacuated() == std::set<domain_id>{ { "east-b" } });
+  // Nothing waits until versions have passed the known one.
+  control = MakeControl({ 2, 41 }, 6);
+  control.mEvacuated = { { "east-b" }, { "east-c" } };
+  SetEra(2, control, MakeUpstreams({ 2, 41 }, { "a", "c" }));
+  CHECK(WaitForVersion(6));
+  CHECK(WaitUntil([&]() { return Evacuated().size() == 2; }, 10s));
+  CHECK(WaitUntil([&]() { return UpstreamCount() >= 2; }, 10s));
+}
+
+// An instance in a long poll, or one that the store does not answer, would
+// learn of the restore too late.
+TEST(PlatformWatch, ARestoreIsLearnedFromAPeersHeartbeat)
+{
+  SetEra(1, MakeControl({ 1, 100 }, 5), MakeUpstreams({ 1, 100 }, { "a" }));
+  CHECK(WaitForVersion(5));
+  Set(control_reading());
+  Set(upstream_reading());
+  fleet_heartbeat heartbeat;
+  settings peer = FreeSettings("two", "east-a", "east");
+  heartbeat.mSender = { { "two" },    1,          { "east" }, { "east-a" },
+                        peer.mCaller, peer.mPeer, peer.mRelay };
+  heartbeat.mControlVersion = { 2, 0 };
+  steering_tables(*mKernel).Fleet().With([&](fleet_state& aFleet) {
+    aFleet.ReceiveHeartbeat(heartbeat, std::chrono::steady_clock::now());
+  });
+  CHECK(WaitUntil(
+    [&]() {
+      return mKernel->Counters().Value("store_era_changes_total", "peer") == 1;
+    },
+    10s));
+  // A late answer of the era before is discarded, one of the new era is not.
+  Set(MakeControl({ 1, 200 }, 7));
+  std::this_thread::sleep_for(1000ms);
+  LONGS_EQUAL(5, VersionInForce());
+  Set(MakeControl({ 2, 40 }, 6));
+  CHECK(WaitForVersion(6));
+}
+
+// A process that starts after the restore reads only the backup. It must not
+// put the older configuration in force while a peer has the newer one.
+TEST(PlatformWatch, AnInstanceThatStartsTakesTheNewerConfigurationOfAPeer)
+{
+  SetEra(1, MakeControl({ 1, 100 }, 5), MakeUpstreams({ 1, 100 }, { "a" }));
+  CHECK(WaitForVersion(5));
+  SetEra(2, MakeControl({ 2, 40 }, 3), MakeUpstreams({ 2, 40 }, { "a" }));
+  mPlatform.With([](scripted_platform& aPlatform) {
+    aPlatform.mPeerView = MakeControl({ 2, 40 }, 5);
+  });
+  CHECK(WaitUntil(
+    [&]() {
+      return steering_tables(*mKernel).Fleet().With([](fleet_state& aFleet) {
+        return aFleet.Heartbeat().mControlVersion == store_version(2, 40);
+      });
+    },
+    10s));
+  StartPeer();
+  bool hadOlder = false;
+  CHECK(WaitWithHeartbeats([&]() {
+    std::shared_ptr<const route_table> routes =
+      steering_tables(*mPeer).Routes();
+    hadOlder = hadOlder || (routes && routes->Version() == 3);
+    return routes && routes->Version() == 5;
+  }));
+  CHECK_FALSE(hadOlder);
+}
+
 TEST_GROUP(UpdateCodec){};
 
 TEST(UpdateCodec, UpdatesAreDecodedAsEncodedOrRejected)
@@ -496,8 +602,8 @@
   CHECK(read->mEntries == update.mEntries);
   CHECK(read->mRemovedIds == update.mRemovedIds);
   CHECK(read->mAge == update.mAge);
-  LONGS_EQUAL(7, read->mAfter);
-  LONGS_EQUAL(9, read->mVersion);
+  LONGS_EQUAL(7, read->mAfter.mVersion);
+  LONGS_EQUAL(9, read->mVersion.mVersion);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     DecodeUpdate(std::string_view(bytes).substr(0, size));
   }
@@ -513,7 +619,7 @@
   struct row
   {
     std::string mTarget;
-    std::optional<std::uint64_t> mAfter;
+    std::optional<store_version> mAfter;
   };
   const row kRows[] = {
     { UpdateTarget(12), 12 },
@@ -548,7 +654,7 @@
   CHECK(read.has_value());
   CHECK(read->mSender == heartbeat.mSender);
   CHECK(read->mServing && read->mSettled && !read->mLeaving);
-  LONGS_EQUAL(1234567, read->mControlVersion);
+  LONGS_EQUAL(1234567, read->mControlVersion.mVersion);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     DecodeFleetHeartbeat(std::string_view(bytes).substr(0, size));
   }
--- a/laburnumdyke/testing/standin/store_model.cc
+++ b/laburnumdyke/testing/standin/store_model.cc
@@ -12,7 +12,12 @@
                  std::string aValue)
 {
   ++mVersion;
-  mHistory.push_back({ aTable, aKey, std::move(aValue), mVersion, false });
+  mHistory.push_back({ aTable,
+                       aKey,
+                       std::move(aValue),
+                       mVersion,
+                       false,
+                       std::chrono::steady_clock::now() });
 }
 
 void
@@ -27,7 +32,42 @@
     return;
   }
   ++mVersion;
-  mHistory.push_back({ aTable, aKey, {}, mVersion, true });
+  mHistory.push_back(
+    { aTable, aKey, {}, mVersion, true, std::chrono::steady_clock::now() });
+}
+
+std::vector<model_row>
+store_model::Restore(std::chrono::milliseconds aAge,
+                     std::chrono::steady_clock::time_point aNow)
+{
+  auto firstLost =
+    std::find_if(mHistory.begin(), mHistory.end(), [&](const model_row& aRow) {
+      return aRow.mWritten > aNow - aAge;
+    });
+  std::vector<model_row> lost(firstLost, mHistory.end());
+  mHistory.erase(firstLost, mHistory.end());
+  mVersion = mHistory.empty() ? 0 : mHistory.back().mVersion;
+  ++mEra;
+  return lost;
+}
+
+void
+store_model::Rewrite(const std::vector<model_row>& aLost,
+                     const std::string& aTable)
+{
+  std::map<std::string, model_row> last;
+  for (const model_row& change : aLost) {
+    if (change.mTable == aTable) {
+      last[change.mKey] = change;
+    }
+  }
+  for (const std::pair<const std::string, model_row>& row : last) {
+    if (row.second.mRemoved) {
+      Remove(aTable, row.first);
+    } else {
+      Put(aTable, row.first, row.second.mValue);
+    }
+  }
 }
 
 std::vector<model_row>
--- a/laburnumdyke/testing/standin/store_standin.cc
+++ b/laburnumdyke/testing/standin/store_standin.cc
@@ -94,7 +94,11 @@
     body = Rows(target);
   } else if (target.mPath == wire::kFeedPath) {
     co_await AwaitChange(target);
-    body = Feed(target);
+    if (HasVersion(target)) {
+      body = Feed(target);
+    } else {
+      status = http::status::gone;
+    }
   } else if (target.mPath == wire::kTransactPath) {
     status =
       Transact(aRequest.body()) ? http::status::ok : http::status::bad_request;
@@ -104,7 +108,26 @@
   if (mOutage) {
     co_return std::nullopt;
   }
-  co_return MakeAnswer(status, body, aRequest.keep_alive());
+  short_answer answer = MakeAnswer(status, body, aRequest.keep_alive());
+  SetEra(answer);
+  co_return answer;
+}
+
+void
+store_standin::SetEra(short_answer& aAnswer)
+{
+  std::uint64_t era = With([](store_model& aRows) { return aRows.Era(); });
+  if (era != 0) {
+    aAnswer.set(wire::kStoreEra, std::to_string(era));
+  }
+}
+
+bool
+store_standin::HasVersion(const request_target& aTarget)
+{
+  std::uint64_t after =
+    ParseWhole(Text(aTarget, "after"), kMostVersion).value_or(0);
+  return With([&](store_model& aRows) { return after <= aRows.Version(); });
 }
 
 asio::awaitable<void>
--- a/laburnumdyke/testing/standin/store_standin.h
+++ b/laburnumdyke/testing/standin/store_standin.h
@@ -9,8 +9,10 @@
 //
 // It serves what the product calls: rows-get (as one page), rows-feed with its
 // wait, and rows-tx without conditions. In an outage connections are closed
-// unanswered. The context must outlive it; With and SetOutage may be called
-// from any thread.
+// unanswered. Once the model has an era, every response reports it in
+// Store-Era, also one that refuses a call. A feed from a version that the model
+// does not have gets 410. The context must outlive it; With and SetOutage may
+// be called from any thread.
 #pragma once
 
 #include "laburnumdyke/kernel/endpoint.h"
@@ -60,6 +62,9 @@
     std::shared_ptr<store_standin> aSelf,
     boost::asio::ip::tcp::socket aSocket);
 
+  // Puts the era into an answer of any status.
+  void SetEra(short_answer& aAnswer);
+  bool HasVersion(const request_target& aTarget);
   // Waits until the table has changed or the wait is over.
   boost::asio::awaitable<void> AwaitChange(const request_target& aTarget);
   std::string Rows(const request_target& aTarget);
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -516,13 +516,13 @@
 TEST(WatchState, AStaleSnapshotAfterLostHistoryIsRejected)
 {
   CHECK(mState.Take(Snapshot(50)));
-  CHECK(mState.After() == std::optional<std::uint64_t>(50));
+  CHECK(mState.After() == std::optional<store_version>(50));
   CHECK_FALSE(mState.Take({ reading_status::HistoryLost, false, 0 }));
   CHECK(mState.After() == std::nullopt);
   CHECK_FALSE(mState.Take(Snapshot(40)));
   CHECK(mState.After() == std::nullopt);
   CHECK(mState.Take(Snapshot(60)));
-  CHECK(mState.After() == std::optional<std::uint64_t>(60));
+  CHECK(mState.After() == std::optional<store_version>(60));
 }
 
 TEST(WatchState, TwoConsecutiveFailuresAreAnOutageReportedOnce)
@@ -555,7 +555,7 @@
   CHECK_FALSE(mState.TakeFromPeer(Snapshot(50)));
   CHECK_FALSE(mState.TakeFromPeer({}));
   CHECK(mState.TakeFromPeer(Snapshot(51)));
-  CHECK(mState.After() == std::optional<std::uint64_t>(51));
+  CHECK(mState.After() == std::optional<store_version>(51));
 }
 
 TEST(WatchState, EvacuationsAreAddedAndRemoved)
--- a/laburnumdyke/testing/upstream_update_test.cc
+++ b/laburnumdyke/testing/upstream_update_test.cc
@@ -133,7 +133,7 @@
   CHECK(log.Since(5).has_value());
   CHECK(log.Since(7)->mEntries.empty());
   CHECK_FALSE(log.Since(8).has_value());
-  LONGS_EQUAL(7, *log.Version());
+  LONGS_EQUAL(7, log.Version()->mVersion);
   // Versions 8 and 9 are missing, so the earlier readings are dropped.
   log.Add({ 9, 10, {}, { { "a" } } });
   CHECK_FALSE(log.Since(7).has_value());
@@ -151,7 +151,7 @@
   LONGS_EQUAL(1, update.mEntries.size());
   LONGS_EQUAL(2, update.mEntries[0].mSequence);
   CHECK(update.mRemovedIds == std::vector<upstream_id>{ { "a" } });
-  LONGS_EQUAL(3, update.mVersion);
+  LONGS_EQUAL(3, update.mVersion.mVersion);
 }
 
 TEST(UpdateLog, HeartbeatsAreLeftOut)
@@ -166,8 +166,8 @@
                { upstream_change_kind::Updated, draining },
                { upstream_change_kind::Restarted, Entry("d", 1) },
                { upstream_change_kind::Left, Entry("d", 1) } });
-  LONGS_EQUAL(3, update.mAfter);
-  LONGS_EQUAL(8, update.mVersion);
+  LONGS_EQUAL(3, update.mAfter.mVersion);
+  LONGS_EQUAL(8, update.mVersion.mVersion);
   LONGS_EQUAL(2, update.mEntries.size());
   CHECK(update.mEntries[1].mDraining);
   CHECK(update.mRemovedIds == std::vector<upstream_id>{ { "d" } });
@@ -186,7 +186,7 @@
       upstream_update update = RandomUpdate(version, random);
       upstream_map next = known[version];
       Apply(next, update);
-      version = update.mVersion;
+      version = update.mVersion.mVersion;
       known[version] = next;
       log.Add(std::move(update));
       for (const std::pair<const std::uint64_t, upstream_map>& follower :
