After a restore, an instance that starts asks its reader which upstreams left

Cause: a process that starts after a restore reads only the backup, so it used upstreams that its peers know to have left.

Measured: PlatformWatch 14 cases and the groups of store_era_test pass, including AnInstanceThatStartsLearnsWhichUpstreamsHaveLeft and ASecondSnapshotOfTheEraChangesNothingEither.

--- a/laburnumdyke/decision/upstream_directory.cc
+++ b/laburnumdyke/decision/upstream_directory.cc
@@ -185,11 +185,25 @@
   return true;
 }
 
+bool
+upstream_directory::IsEarlierWrite(const upstream_entry& aEntry)
+{
+  auto known = mKnown.find(aEntry.mId);
+  bool isEarlier = known != mKnown.end() && aEntry.mBorn.count() != 0 &&
+                   aEntry.mBorn == known->second.mEntry.mBorn &&
+                   aEntry.mSequence < known->second.mEntry.mSequence;
+  if (isEarlier) {
+    known->second.mMissing = false;
+  }
+  return isEarlier;
+}
+
 std::vector<upstream_change>
 upstream_directory::ReplaceRestored(std::vector<upstream_entry> aEntries,
                                     instant aNow)
 {
   mAwaitsRestored = false;
+  mWasRestored = true;
   mRestoreGraceUntil = aNow + mOptions.mRecoveryGrace;
   std::set<upstream_id> listed;
   std::vector<upstream_change> changes;
@@ -247,6 +261,9 @@
   std::set<upstream_id> listed;
   for (upstream_entry& entry : aEntries) {
     listed.insert(entry.mId);
+    if (mWasRestored && IsEarlierWrite(entry)) {
+      continue;
+    }
     for (upstream_change& change : Put(std::move(entry), aNow)) {
       changes.push_back(std::move(change));
     }
--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -165,6 +165,11 @@
   // recorded as listed.
   bool IsOutdated(const upstream_entry& aEntry);
 
+  // Whether a row was written by the known start of an upstream before the
+  // known one: a restored store shows it until the upstream writes again. If
+  // so, it is recorded as listed.
+  bool IsEarlierWrite(const upstream_entry& aEntry);
+
   void OnRowRemoved(const upstream_id& aId, instant aNow);
   void ForgetDeparted(instant aNow);
 
@@ -175,6 +180,7 @@
   instant mLostSince{};
   instant mGraceUntil{};
   bool mAwaitsRestored = false;
+  bool mWasRestored = false; // since this instance started
   // A settled peer does not end this grace period: it may have started after
   // the restore, without having known the missing upstreams.
   instant mRestoreGraceUntil{};
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -161,6 +161,14 @@
 
   static instant Now() { return std::chrono::steady_clock::now(); }
 
+  // Whether this instance has read upstreams only from a store that may have
+  // been restored before it started. A reader that has been running for longer
+  // knows which of them have left.
+  bool WantsPeerSnapshot() const
+  {
+    return !mHasPeerSnapshot && mState.Version().mEra != 0;
+  }
+
   upstream_update Snapshot()
   {
     upstream_update snapshot;
@@ -189,7 +197,9 @@
     ClearUpdates(); // followers ask the reader, not this instance
     client_request request;
     request.mTo = mReader->mRelay;
-    request.mTarget = UpdateTarget(mState.Version());
+    // A reader always answers the first version with a snapshot.
+    request.mTarget =
+      UpdateTarget(WantsPeerSnapshot() ? store_version() : mState.Version());
     request.mTimeout = mTiming.UpdateTimeout(Now());
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
     std::optional<upstream_update> update;
@@ -224,7 +234,10 @@
       return false;
     }
     mTiming.KnownAsOf(now - aUpdate.mAge);
-    if (taken) {
+    bool isWanted = WantsPeerSnapshot() && reading.mHead.mIsSnapshot &&
+                    reading.mHead.mVersion == knownVersion;
+    mHasPeerSnapshot = mHasPeerSnapshot || reading.mHead.mIsSnapshot;
+    if (taken || isWanted) {
       ApplyReading(std::move(reading), isRestored, now);
     }
     return true;
@@ -359,6 +372,7 @@
   watch_state mState;
   update_log mUpdates;
   bool mSettled = false;
+  bool mHasPeerSnapshot = false;       // since this instance started
   std::optional<fleet_member> mReader; // nullopt: the platform is read directly
 };
 
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -578,6 +578,25 @@
   CHECK_FALSE(hadOlder);
 }
 
+// A process that starts after the restore does not know which of the upstreams
+// in the backup have left. Its reader does.
+TEST(PlatformWatch, AnInstanceThatStartsLearnsWhichUpstreamsHaveLeft)
+{
+  SetEra(
+    1, MakeControl({ 1, 100 }, 5), MakeUpstreams({ 1, 100 }, { "a", "b" }));
+  CHECK(WaitForUpstreams(2));
+  SetEra(1, MakeControl({ 1, 101 }, 5), MakeUpstreams({ 1, 101 }, { "a" }));
+  CHECK(WaitForUpstreams(1));
+  SetEra(2, MakeControl({ 2, 40 }, 5), MakeUpstreams({ 2, 40 }, { "a", "b" }));
+  mPlatform.With([](scripted_platform& aPlatform) {
+    aPlatform.mPeerView = MakeControl({ 2, 40 }, 5);
+  });
+  StartPeer();
+  CHECK(WaitWithHeartbeats([&]() { return UpstreamCountOf(*mPeer) == 2; }));
+  CHECK(WaitWithHeartbeats([&]() { return UpstreamCountOf(*mPeer) == 1; }));
+  LONGS_EQUAL(1, UpstreamCount());
+}
+
 TEST_GROUP(UpdateCodec){};
 
 TEST(UpdateCodec, UpdatesAreDecodedAsEncodedOrRejected)
--- a/laburnumdyke/testing/store_era_test.cc
+++ b/laburnumdyke/testing/store_era_test.cc
@@ -281,6 +281,18 @@
   CHECK_FALSE(mDirectory.Entries()[0].mDraining);
 }
 
+// The store loses its history before the upstream has written again.
+TEST(RestoredUpstreams, ASecondSnapshotOfTheEraChangesNothingEither)
+{
+  upstream_entry draining = Entry("a", 6);
+  draining.mDraining = true;
+  mDirectory.Replace({ draining }, kStart);
+  Restore({ Entry("a", 5) }, kStart + 5s);
+  CHECK(mDirectory.Replace({ Entry("a", 5) }, kStart + 6s).empty());
+  CHECK(mDirectory.Entries()[0].mDraining);
+  CHECK(mDirectory.Expire(kStart + 10s).empty());
+}
+
 TEST(RestoredUpstreams, AnEarlierStartInTheBackupChangesNothing)
 {
   upstream_entry second = Entry("a", 1);
