An instance that starts after a restore waits for its peers' configuration

Cause: the wait of 1.2 s left little time between the first heartbeat of a starting instance and the answers of its peers. The heartbeat period also grew by up to 50 ms, because the check for a new era overshot it.

Change: wait up to 1.5 s; the last check ends with the period. The process test starts two instances after a restore.

--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -17,6 +17,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace laburnumdyke {
 
 namespace {
@@ -111,12 +113,16 @@
   // Waits for kPeriod, or until a new era of the store is to be announced.
   asio::awaitable<void> AwaitNextHeartbeat()
   {
-    instant until = std::chrono::steady_clock::now() + kPeriod;
+    instant now = std::chrono::steady_clock::now();
+    instant until = now + kPeriod;
     bool isDue = false;
-    while (!isDue && std::chrono::steady_clock::now() < until) {
-      co_await SleepFor(kEraCheckInterval);
+    while (!isDue && now < until) {
+      co_await SleepFor(
+        std::min(kEraCheckInterval,
+                 std::chrono::ceil<std::chrono::milliseconds>(until - now)));
       isDue = mTables.Fleet().With(
         [](fleet_state& aFleet) { return aFleet.TakeEraToAnnounce(); });
+      now = std::chrono::steady_clock::now();
     }
   }
 
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -152,9 +152,10 @@
   static constexpr std::chrono::milliseconds kRestoreSpread{ 5000 };
   static constexpr std::chrono::milliseconds kFollowerControlWait{ 2000 };
   // How long an instance that starts waits for heartbeats before it puts its
-  // first configuration in force, since the store may be a restored one. By
-  // then each peer has sent two.
-  static constexpr std::chrono::milliseconds kInitialListenTime{ 1200 };
+  // first configuration in force, since the store may be a restored one. Peers
+  // know it about 0.5 s after its start, by its first heartbeat, and send their
+  // own within another 0.5 s.
+  static constexpr std::chrono::milliseconds kInitialListenTime{ 1500 };
   static constexpr std::chrono::milliseconds kInitialListenStep{ 50 };
 
   static instant Now() { return std::chrono::steady_clock::now(); }
--- a/laburnumdyke/testing/process_era_test.cc
+++ b/laburnumdyke/testing/process_era_test.cc
@@ -118,7 +118,8 @@
 // Guards against everything that a restored store could make the daemons
 // believe. In the time that the backup lacks, i-2 registered, i-1 began to
 // drain, i-3 left, the configuration changed and instance three registered. So
-// only i-2 may be used, and the backup shows only the others.
+// only i-2 may be used, and the backup shows only the others. Instances four
+// and five start after a restore, and must not fall back to its configuration.
 TEST(ProcessEra, TwoRestoresInARowTakeNothingBack)
 {
   mDeployed.AddUpstream("i-1");
@@ -147,6 +148,7 @@
     CHECK(IsListed("servers", "i-3"));
     CHECK_FALSE(IsListed("servers", "i-2"));
     CHECK_FALSE(IsListed("instances", "three"));
+    CHECK(mDeployed.StartDaemon(drill == 0 ? "four" : "five"));
     SendFor(1000ms);
     mDeployed.Register("i-1", true);
     mDeployed.Register("i-2", false);
@@ -161,6 +163,8 @@
     std::vector<int> versions = Configurations(name);
     CHECK(std::is_sorted(versions.begin(), versions.end()));
   }
+  LONGS_EQUAL(2, Configurations("four").front());
+  LONGS_EQUAL(2, Configurations("five").front());
   LONGS_EQUAL(0, RunsAfter("i-1", left));
   LONGS_EQUAL(0, RunsAfter("i-3", left));
   LONGS_EQUAL(mSent, mAnswered);
