--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -107,10 +107,11 @@
   }
   message.set_serving(aHeartbeat.mServing);
   message.set_leaving(aHeartbeat.mLeaving);
-  message.set_control_version(aHeartbeat.mControlVersion);
+  message.set_control_version(aHeartbeat.mControlVersion.mVersion);
+  message.set_store_era(aHeartbeat.mControlVersion.mEra);
+  message.set_document_version(aHeartbeat.mDocumentVersion);
   message.set_settled(aHeartbeat.mSettled);
   if (aHeartbeat.mCurrentAsOf) {
-    message.set_document_version(aHeartbeat.mDocumentVersion);
     message.set_current_as_of_ms(
       static_cast<std::uint64_t>(aHeartbeat.mCurrentAsOf->count()));
   }
@@ -161,11 +162,12 @@
   heartbeat.mSenderKey = message.sender_key();
   heartbeat.mServing = message.serving();
   heartbeat.mLeaving = message.leaving();
-  heartbeat.mControlVersion = message.control_version();
+  heartbeat.mControlVersion = { message.store_era(),
+                                message.control_version() };
+  heartbeat.mDocumentVersion = message.document_version();
   heartbeat.mSettled = message.settled();
-  if (message.document_version() > 0 &&
+  if (message.current_as_of_ms() > 0 &&
       message.current_as_of_ms() <= kMaxPlatformTimeMs) {
-    heartbeat.mDocumentVersion = message.document_version();
     heartbeat.mCurrentAsOf = platform_time(message.current_as_of_ms());
   }
   return heartbeat;
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -7,7 +7,8 @@
 // kFirstFullHeartbeats and then every kFullHeartbeatInterval-th are full, for
 // receivers that know the sender neither from its registration nor from an
 // earlier full heartbeat. An instance that stops announces this at once with
-// several heartbeats, so that losing one does no harm.
+// several heartbeats, so that losing one does no harm. A new era of the
+// platform's store, as reported by the store itself, is announced at once.
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/sleep.h"
@@ -17,6 +18,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <variant>
@@ -30,6 +32,8 @@
 constexpr int kFullHeartbeatInterval = 8;
 constexpr int kLeavingHeartbeatCount = 3;
 constexpr std::chrono::milliseconds kLeavingInterval{ 50 };
+// How often it is checked whether a new era of the store is to be announced.
+constexpr std::chrono::milliseconds kEraCheckInterval{ 250 };
 
 class fleet_link
 {
@@ -83,9 +87,12 @@
 
   void ReceiveHeartbeat(const fleet_heartbeat& aHeartbeat, instant aNow)
   {
-    mTables.Fleet().With(
-      [&](fleet_state& aFleet) { aFleet.ReceiveHeartbeat(aHeartbeat, aNow); });
-    if (aHeartbeat.mCurrentAsOf) {
+    bool isSameEra = mTables.Fleet().With([&](fleet_state& aFleet) {
+      aFleet.ReceiveHeartbeat(aHeartbeat, aNow);
+      return aFleet.Era() == aHeartbeat.mControlVersion.mEra;
+    });
+    // Each era may have a clock of its own.
+    if (aHeartbeat.mCurrentAsOf && isSameEra) {
       mTables.InForce().With([&](routes_in_force& aInForce) {
         bool isSameVersion = aInForce.mRoutes && aInForce.mRoutes->Version() ==
                                                    aHeartbeat.mDocumentVersion;
@@ -140,7 +147,18 @@
       SendHeartbeats();
       mLink.Drain();
       mTables.PublishFleet();
-      co_await SleepFor(kPeriod);
+      co_await AwaitNextHeartbeat();
+    }
+  }
+
+  // Waits for kPeriod, or until a new era of the store is to be announced.
+  asio::awaitable<void> AwaitNextHeartbeat()
+  {
+    co_await SleepFor(kEraCheckInterval);
+    bool isDue = mTables.Fleet().With(
+      [](fleet_state& aFleet) { return aFleet.TakeEraToAnnounce(); });
+    if (!isDue) {
+      co_await SleepFor(kPeriod - kEraCheckInterval);
     }
   }
 
