Hold request bodies and responses within a byte budget; accept only HTTP statuses

Cause: with front = hosts each request body was held whole, in a string that doubled as it grew and was copied for each attempt, and nothing bounded the sum. Clients that stop just short of the end of their bodies made a process exceed its memory. Bodies over max-body-bytes were answered 400 after they had been read. Every status below 200 counted as interim, and 600 to 999 were forwarded.

Change: body_budget decides who gets memory and which stalled body is dropped for one that progresses; held_body reads under it into blocks that are not copied, and responses buffer within a quarter of it. 413 and 503 are answered before anything is forwarded. Bodies and readers of responses have minimum rates. The kernel's buffers of client connections are bounded. KindOfStatus accepts 100 to 599 except 101, for upstreams, for forwarding and for small exchanges; the rest ends an attempt as garbled.

That the small exchange returned interim responses as final was read in the source, not run.

hosts_deployment takes bodies of up to 2 MB at its upstreams, sends responses of a stated size, and adds lines to the settings of its daemons; one_front takes limits.

--- a/laburnumdyke/decision/types.cc
+++ b/laburnumdyke/decision/types.cc
@@ -46,6 +46,9 @@
     "relay_lost",
     "retry_budget_spent",
     "caller_gone",
+    "body_too_large",
+    "body_too_slow",
+    "no_body_room",
   };
 
 constexpr std::array<std::string_view,
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -82,6 +82,9 @@
   RelayLost,
   RetryBudgetSpent,
   CallerGone,
+  BodyTooLarge,
+  BodyTooSlow, // the caller sent less than the minimum rate
+  NoBodyRoom,  // the memory for request bodies is exhausted
   Count,
 };
 
--- a/laburnumdyke/kernel/lock_rank.h
+++ b/laburnumdyke/kernel/lock_rank.h
@@ -26,6 +26,7 @@
   Regions = 45,      // region caps and shifts
   Admission = 50,    // upstream slots and queues
   Links = 60,        // byte budgets of region pairs
+  Bodies = 65,       // memory of request bodies and responses
   Retries = 70,      // retry budget
   Waiters = 75,      // coroutines that wait for a slot
   Connections = 80,  // idle upstream connections
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -87,6 +87,15 @@
   return parsed.ec == std::errc() && parsed.ptr == end && aTarget >= 0;
 }
 
+// Accepts a positive whole number.
+bool
+SetSize(std::size_t& aTarget, std::string_view aText)
+{
+  const char* end = aText.data() + aText.size();
+  std::from_chars_result parsed = std::from_chars(aText.data(), end, aTarget);
+  return parsed.ec == std::errc() && parsed.ptr == end && aTarget > 0;
+}
+
 // Accepts "1500ms" or "2s".
 bool
 SetDuration(std::chrono::milliseconds& aTarget, std::string_view aText)
@@ -118,6 +127,8 @@
   static constexpr std::string_view kEndpoint =
     "an IP address and port such as 127.0.0.1:7001";
   static constexpr std::string_view kNumber = "a number such as 1.5";
+  static constexpr std::string_view kBytes =
+    "a whole number of bytes, at least 1";
   static constexpr std::string_view kDuration = "a time such as 1500ms or 2s";
   using text = std::string_view;
   static const std::vector<setting_key> kKeys = {
@@ -261,6 +272,39 @@
       [](settings& aS, text aT) {
         return SetDuration(aS.mBounds.mMaxLookupTtl, aT);
       } },
+    { "limits",
+      "body_memory",
+      false,
+      kBytes,
+      [](settings& aS, text aT) {
+        return SetSize(aS.mLimits.mBodyMemory, aT);
+      } },
+    { "limits",
+      "body_rate",
+      false,
+      kBytes,
+      [](settings& aS, text aT) { return SetSize(aS.mLimits.mBodyRate, aT); } },
+    { "limits",
+      "body_grace",
+      false,
+      kDuration,
+      [](settings& aS, text aT) {
+        return SetDuration(aS.mLimits.mBodyGrace, aT);
+      } },
+    { "limits",
+      "reader_rate",
+      false,
+      kBytes,
+      [](settings& aS, text aT) {
+        return SetSize(aS.mLimits.mReaderRate, aT);
+      } },
+    { "limits",
+      "reader_grace",
+      false,
+      kDuration,
+      [](settings& aS, text aT) {
+        return SetDuration(aS.mLimits.mReaderGrace, aT);
+      } },
   };
   return kKeys;
 }
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -33,6 +33,12 @@
 //   drain_timeout = 2s
 //   grace = 6s
 //   longest_answer_life = 5s
+//   [limits]
+//   body_memory = 67108864
+//   body_rate = 4096
+//   body_grace = 15s
+//   reader_rate = 16384
+//   reader_grace = 1500ms
 //
 // All invalid settings are reported, each with its line, its key and what was
 // expected. Unknown keys and sections are errors.
@@ -79,6 +85,22 @@
   std::chrono::milliseconds mMaxLookupTtl{ 5000 };
 };
 
+// Limits on what clients may make an instance that routes by host and path
+// hold in memory.
+struct client_bounds
+{
+  // Bytes of request bodies and buffered responses in all; 0: a fraction of
+  // the machine's memory.
+  std::size_t mBodyMemory = 0;
+  // Bytes per second that a client must send of a body, and how far it may lag
+  // behind.
+  std::size_t mBodyRate = 4096;
+  std::chrono::milliseconds mBodyGrace{ 15000 };
+  // The same for a client that reads a response.
+  std::size_t mReaderRate = 16384;
+  std::chrono::milliseconds mReaderGrace{ 1500 };
+};
+
 struct settings
 {
   std::string mInstance;
@@ -99,7 +121,8 @@
   // Region of each failure domain; with front = hosts.
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
-  endpoint mPlatform; // table service and object store
+  client_bounds mLimits; // with front = hosts
+  endpoint mPlatform;    // table service and object store
   std::vector<endpoint> mSeeds;
   // Whether to send heartbeats also to the entry instances that the platform
   // lists, beside the seeds.
--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -35,15 +35,24 @@
     co_return std::nullopt;
   }
   beast::flat_buffer buffer(kUnparsedLimit);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(aRequest.mLimit);
-  co_await http::async_read(
-    stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-  if (failure) {
-    co_return std::nullopt;
+  for (int read = 0; read <= kMaxInterimAnswers; ++read) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(aRequest.mLimit);
+    co_await http::async_read(
+      stream,
+      buffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    status_kind kind = KindOfStatus(parser.get().result_int());
+    if (failure || kind == status_kind::Invalid) {
+      co_return std::nullopt;
+    }
+    if (kind == status_kind::Final) {
+      co_return client_answer{ parser.get().result_int(),
+                               std::move(parser.get().body()) };
+    }
   }
-  co_return client_answer{ parser.get().result_int(),
-                           std::move(parser.get().body()) };
+  co_return std::nullopt;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/http_client.h
+++ b/laburnumdyke/plugin/http_client.h
@@ -30,8 +30,8 @@
   std::string mBody;
 };
 
-// Returns nullopt if no complete answer arrived within mTimeout; the request
-// may have taken effect nevertheless.
+// Returns nullopt if no complete answer with a valid final status arrived
+// within mTimeout; the request may have taken effect nevertheless.
 asio::awaitable<std::optional<client_answer>>
 Exchange(client_request aRequest);
 
--- a/laburnumdyke/plugin/http_forward.cc
+++ b/laburnumdyke/plugin/http_forward.cc
@@ -170,16 +170,31 @@
 }
 
 asio::awaitable<error_code>
-ReadAnswerHead(const forward_request& aRequest, remote_connection& aRemote)
+ReadAnswerHead(const forward_request& aRequest,
+               bool aIsHead,
+               remote_connection& aRemote)
 {
   error_code failure;
   aRemote.mStream->expires_at(aRequest.mDeadline);
-  co_await http::async_read_header(
-    *aRemote.mStream,
-    aRemote.mBuffer,
-    *aRemote.mParser,
-    asio::redirect_error(asio::use_awaitable, failure));
-  co_return failure;
+  for (int read = 0; read <= kMaxInterimAnswers; ++read) {
+    aRemote.mParser = std::make_unique<answer_parser>();
+    aRemote.mParser->header_limit(kHeaderLimit);
+    aRemote.mParser->body_limit(boost::none);
+    aRemote.mParser->skip(aIsHead);
+    co_await http::async_read_header(
+      *aRemote.mStream,
+      aRemote.mBuffer,
+      *aRemote.mParser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    status_kind kind = KindOfStatus(aRemote.mParser->get().result_int());
+    if (!failure && kind == status_kind::Invalid) {
+      failure = http::error::bad_status;
+    }
+    if (failure || kind == status_kind::Final) {
+      co_return failure;
+    }
+  }
+  co_return http::error::unexpected_body;
 }
 
 refusal_reason
@@ -398,27 +413,22 @@
     co_return Fail(outcome_kind::NotRun, refusal_reason::LeaseLapsed);
   }
   // From here on the remote server may have received bytes of the request.
-  remote.mParser = std::make_unique<answer_parser>();
-  remote.mParser->header_limit(kHeaderLimit);
-  remote.mParser->body_limit(boost::none);
-  if (aExchange.Head().method() == http::verb::head) {
-    remote.mParser->skip(true);
-  }
+  bool isHead = aExchange.Head().method() == http::verb::head;
   failure = co_await SendRequest(aExchange, aPrefix, aRequest, remote);
   if (failure && !aExchange.mParser.is_done()) {
     aExchange.mKeepAlive = false;
     co_return Fail(outcome_kind::Unknown, LossReason(failure));
   }
   if (aRequest.mCancel) {
-    std::variant<error_code, std::monostate> first =
-      co_await (ReadAnswerHead(aRequest, remote) || WaitCallerGone(aExchange));
+    std::variant<error_code, std::monostate> first = co_await (
+      ReadAnswerHead(aRequest, isHead, remote) || WaitCallerGone(aExchange));
     if (first.index() == 1) {
       aExchange.mKeepAlive = false;
       co_return Fail(outcome_kind::Unknown, refusal_reason::CallerGone);
     }
     failure = std::get<0>(first);
   } else {
-    failure = co_await ReadAnswerHead(aRequest, remote);
+    failure = co_await ReadAnswerHead(aRequest, isHead, remote);
   }
   if (failure) {
     co_return Fail(outcome_kind::Unknown, LossReason(failure));
--- a/laburnumdyke/plugin/http_parts.cc
+++ b/laburnumdyke/plugin/http_parts.cc
@@ -64,6 +64,15 @@
          aHead.result() == http::status::not_modified;
 }
 
+status_kind
+KindOfStatus(unsigned aStatus)
+{
+  if (aStatus < 100 || aStatus > 599 || aStatus == 101) {
+    return status_kind::Invalid;
+  }
+  return aStatus < 200 ? status_kind::Interim : status_kind::Final;
+}
+
 void
 EnableDeadPeerDetection(tcp::socket& aSocket)
 {
--- a/laburnumdyke/plugin/http_parts.h
+++ b/laburnumdyke/plugin/http_parts.h
@@ -15,6 +15,20 @@
 bool
 HasNoBody(http::verb aMethod, const http::response_header<>& aHead);
 
+enum class status_kind
+{
+  Interim, // another response follows
+  Final,
+  Invalid, // not a status that a server may answer with
+};
+
+// 101 is invalid: no request forwarded from here asks for another protocol.
+status_kind
+KindOfStatus(unsigned aStatus);
+
+// Limit on the interim responses to one request.
+inline constexpr int kMaxInterimAnswers = 16;
+
 // Enables TCP keepalive and a user timeout, so that the kernel resets a
 // connection whose peer acknowledges neither data nor probes. Also disables
 // Nagle's algorithm.
--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr std::size_t kDiscardLimit = 64UL * 1024; // bytes
-constexpr std::size_t kFirstRead = 4096;           // bytes; most headers fit
+// For the rest of a body that was refused: a round trip or two.
+constexpr std::chrono::milliseconds kLingerTime{ 1000 };
+constexpr std::size_t kLingerLimit = 4UL * 1024 * 1024; // bytes
+constexpr std::size_t kFirstRead = 4096; // bytes; most headers fit
 
 bool
 IsClosing(error_code aFailure)
@@ -153,6 +156,20 @@
   co_return body;
 }
 
+asio::awaitable<void>
+DiscardRest(tcp_stream& aStream)
+{
+  error_code failure;
+  aStream.socket().shutdown(tcp::socket::shutdown_send, failure);
+  std::array<char, 4096> chunk;
+  std::size_t discarded = 0;
+  aStream.expires_after(kLingerTime);
+  while (!failure && discarded < kLingerLimit) {
+    discarded += co_await aStream.async_read_some(
+      asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
 asio::awaitable<void>
 WriteAnswer(http_exchange& aExchange, string_answer aAnswer)
 {
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -11,7 +11,8 @@
 // its body has not. Each connection runs on its own strand. A request that is
 // not valid HTTP, whose body length is ambiguous, or whose header exceeds the
 // limit gets 400 or 431 and its connection is closed; it is counted in
-// http_rejected_total. A handler can override the limits by defining Limits().
+// http_rejected_total. A handler can override the limits by defining Limits(),
+// and the size of the kernel's buffers by defining kSocketBuffer.
 #pragma once
 
 #include "laburnumdyke/kernel/kernel.h"
@@ -99,6 +100,12 @@
 asio::awaitable<void>
 SendContinue(http_exchange& aExchange);
 
+// Ends the writing side, then reads and discards for a while what the caller
+// still sends of a body that was refused: closing at once would reset the
+// connection, and the caller might lose the answer.
+asio::awaitable<void>
+DiscardRest(tcp_stream& aStream);
+
 // An accepted connection. Used on the strand of its stream alone.
 struct server_connection
 {
@@ -141,6 +148,7 @@
     mAcceptor.open(address.protocol(), failure);
     if (!failure) {
       mAcceptor.set_option(asio::socket_base::reuse_address(true), failure);
+      SetSocketBuffers();
       mAcceptor.bind(address, failure);
     }
     if (!failure) {
@@ -204,6 +212,20 @@
     }
   }
 
+  // Accepted sockets inherit them; the window scale depends on them, so that
+  // they are set before a connection is made.
+  void SetSocketBuffers()
+  {
+    if constexpr (requires { Handler::kSocketBuffer; }) {
+      error_code ignored;
+      mAcceptor.set_option(
+        asio::socket_base::receive_buffer_size(Handler::kSocketBuffer),
+        ignored);
+      mAcceptor.set_option(
+        asio::socket_base::send_buffer_size(Handler::kSocketBuffer), ignored);
+    }
+  }
+
   static void CloseIfIdle(server_connection& aConnection)
   {
     aConnection.mServesOneMore = false;
@@ -229,7 +251,7 @@
     while (open) {
       request_parser parser;
       server_limits limits = Limits();
-      buffer.max_size(limits.mHeaderBytes + kUnparsedLimit);
+      buffer.max_size(limits.mHeaderBytes + kUnparsedRequest);
       parser.header_limit(limits.mHeaderBytes);
       parser.body_limit(boost::none);
       open = co_await AwaitRequest(*aConnection, buffer, limits) &&
@@ -246,6 +268,9 @@
         --mInFlight;
         aConnection->mIsIdle = true;
         open = exchange.mKeepAlive && aConnection->mServesOneMore;
+        if (!exchange.mKeepAlive && !parser.is_done()) {
+          co_await DiscardRest(aConnection->mStream);
+        }
       }
     }
     error_code ignored;
--- a/laburnumdyke/plugin/http_types.h
+++ b/laburnumdyke/plugin/http_types.h
@@ -44,6 +44,9 @@
 inline constexpr std::size_t kStreamBuffer = 32UL * 1024;
 // Bytes read from a peer but not parsed yet: a message or chunk header.
 inline constexpr std::size_t kUnparsedLimit = 128UL * 1024;
+// The same from a client, beyond the limit on its header: a chunk header.
+// Small, since each of many connections may hold as much.
+inline constexpr std::size_t kUnparsedRequest = 8UL * 1024;
 inline constexpr std::size_t kReplayableBody = 64UL * 1024; // bytes
 inline constexpr std::chrono::seconds kIdleTimeout{ 60 };
 inline constexpr std::chrono::seconds kHeaderTimeout{ 10 };
--- a/laburnumdyke/plugin/steered_front.h
+++ b/laburnumdyke/plugin/steered_front.h
@@ -122,6 +122,12 @@
 private:
   struct caller_handler
   {
+    // Bytes of a connection that the kernel may hold in each direction. Its own
+    // limits of several megabytes would let a few clients that don't read fill
+    // the machine's memory; this much carries 20 Mbit/s over a round trip of
+    // 100 ms.
+    static constexpr int kSocketBuffer = 256 * 1024;
+
     steered_front& mFront;
 
     asio::awaitable<void> Handle(http_exchange& aExchange)
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -27,6 +27,7 @@
                                          : attempt_result::Abandoned;
     case attempt_ending::NotSent:
     case attempt_ending::Lost:
+    case attempt_ending::Garbled:
     case attempt_ending::TimedOut:
       return attempt_result::Failed;
     case attempt_ending::UpstreamLeaving:
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -11,9 +11,11 @@
 // Errors, as the caller sees them:
 //   400  malformed body
 //   404  no route in the configuration in force
+//   413  the body is over the limit; has not run
 //   502  failed, but may have run on an upstream
 //   503  has not run and will not, with Retry-After
 //   503  no configuration yet, or the instance is leaving, with Retry-After
+//   503  no memory for the body, with Retry-After; has not run
 //   504  deadline exceeded, but may have run on an upstream
 // A request whose caller has disconnected is sent to no further upstream and
 // gets no answer.
@@ -74,17 +76,17 @@
 struct upstream_transport
 {
   explicit upstream_transport(kernel& aKernel)
-    : mPool(aKernel.Table<connection_pool>())
+    : mTables{ aKernel.Table<connection_pool>(), aKernel.Table<body_table>() }
   {
   }
 
   asio::awaitable<attempt_outcome> Attempt(http_exchange& aExchange,
                                            const upstream_attempt& aAttempt)
   {
-    return AttemptUpstream(mPool, aExchange, aAttempt);
+    return AttemptUpstream(mTables, aExchange, aAttempt);
   }
 
-  table<connection_pool>& mPool;
+  exchange_tables mTables;
 };
 
 // State of a request while it is served.
@@ -93,7 +95,7 @@
   caller_request mCaller;
   const route_spec* mRoute = nullptr;
   service_id mService;
-  std::string mBody;
+  held_body mBody;
   instant mReceived{};
   instant mDeadline{};
   std::vector<upstream_id> mTried{};
@@ -123,6 +125,7 @@
   steered_pipeline(kernel& aKernel, Transport& aTransport)
     : mKernel(aKernel)
     , mTables(aKernel)
+    , mBodies(aKernel.Table<body_table>())
     , mTransport(aTransport)
   {
   }
@@ -151,18 +154,13 @@
                       std::nullopt);
       co_return;
     }
-    std::optional<std::string> body =
-      co_await ReadBody(aExchange, routes->Limits().mBodyBytes);
-    if (!body) {
-      aExchange.mKeepAlive = false;
-      co_await Refuse(aExchange,
-                      request,
-                      http::status::bad_request,
-                      refusal_reason::MalformedRequest,
-                      std::nullopt);
+    body_read body =
+      co_await ReadHeldBody(mBodies, aExchange, routes->Limits().mBodyBytes);
+    if (body.mEnd != body_end::Whole) {
+      co_await RefuseBody(aExchange, request, body.mEnd);
       co_return;
     }
-    request.mBody = std::move(*body);
+    request.mBody = std::move(body.mBody);
     request.mDeadline =
       request.mReceived + std::min(request.mCaller.mCallerTimeout.value_or(
                                      request.mRoute->mTimeout),
@@ -182,6 +180,8 @@
 
 private:
   static constexpr std::chrono::milliseconds kNoDocumentRetry{ 500 };
+  // Bodies in memory are forwarded or dropped within about a second.
+  static constexpr std::chrono::milliseconds kBodyRoomRetry{ 1000 };
   // With less time left, no attempt is made: it could not be answered in time.
   static constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
   // Sends per request, including those that upstreams refuse.
@@ -206,6 +206,30 @@
     });
   }
 
+  // Refuses a request whose body was not read to its end, and closes its
+  // connection.
+  asio::awaitable<void> RefuseBody(http_exchange& aExchange,
+                                   const steered_request& aRequest,
+                                   body_end aEnd)
+  {
+    aExchange.mKeepAlive = false;
+    http::status status = http::status::service_unavailable;
+    refusal_reason reason = refusal_reason::NoBodyRoom;
+    std::optional<std::chrono::milliseconds> retry = kBodyRoomRetry;
+    if (aEnd == body_end::TooLarge) {
+      status = http::status::payload_too_large;
+      reason = refusal_reason::BodyTooLarge;
+      retry = std::nullopt;
+    } else if (aEnd == body_end::TooSlow) {
+      reason = refusal_reason::BodyTooSlow;
+    } else if (aEnd == body_end::Broken) {
+      status = http::status::bad_request;
+      reason = refusal_reason::MalformedRequest;
+      retry = std::nullopt;
+    }
+    return Refuse(aExchange, aRequest, status, reason, retry);
+  }
+
   // Refuses a request for which a planned stop leaves no time. The caller may
   // send it to another instance at once.
   asio::awaitable<void> RefuseLeaving(http_exchange& aExchange,
@@ -307,7 +331,7 @@
     instant begun = Now();
     upstream_attempt attempt;
     attempt.mTo = aTarget.mAddress;
-    attempt.mBody = aRequest.mBody;
+    attempt.mBody = &aRequest.mBody.Bytes();
     attempt.mHeaders = Dialect::UpstreamHeaders(
       aTarget.mId, ToMilliseconds(aRequest.mDeadline - begun));
     attempt.mRead = [&aRequest](const upstream_head& aHead) {
@@ -450,6 +474,7 @@
 
   kernel& mKernel;
   steering_tables mTables;
+  table<body_table>& mBodies;
   Transport& mTransport;
 };
 
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -34,8 +34,6 @@
 // Connecting takes one round trip. A lost SYN is retransmitted only after a
 // second; trying another upstream is quicker than that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
-// The answer to a caller that reads nothing for this time is aborted.
-constexpr std::chrono::milliseconds kCallerTimeout{ 1500 };
 // Time after the deadline in which an answer that was begun may be completed.
 // Bounded, since an endless body can't be told from a long one.
 constexpr std::chrono::milliseconds kLateAnswerTimeout{ 1500 };
@@ -85,13 +83,31 @@
   co_return failure;
 }
 
+// Makes a block the next piece of a body. aEnds: the body ends with aBytes.
+void
+SetPiece(http::buffer_body::value_type& aPiece,
+         const block_buffer& aBytes,
+         std::size_t aBlock,
+         bool aEnds)
+{
+  std::size_t blocks = aBytes.Filled();
+  std::span<const char> bytes;
+  if (aBlock < blocks) {
+    bytes = aBytes.Block(aBlock);
+  }
+  // The serializer does not modify the bytes.
+  aPiece.data = bytes.empty() ? nullptr : const_cast<char*>(bytes.data());
+  aPiece.size = bytes.size();
+  aPiece.more = !aEnds || aBlock + 1 < blocks;
+}
+
 asio::awaitable<error_code>
 SendRequest(const http_exchange& aExchange,
             const upstream_attempt& aAttempt,
             upstream_connection& aConnection)
 {
   const request_parser::value_type& original = aExchange.Head();
-  http::request<http::string_body> request;
+  http::request<http::buffer_body> request;
   request.method_string(original.method_string());
   request.target(original.target());
   request.version(11);
@@ -107,17 +123,25 @@
        aAttempt.mHeaders) {
     request.set(ToBeast(header.first), header.second);
   }
-  request.body() = aAttempt.mBody;
+  const block_buffer none;
+  const block_buffer& body = aAttempt.mBody == nullptr ? none : *aAttempt.mBody;
   if (hadBody) {
-    request.content_length(aAttempt.mBody.size());
+    request.content_length(body.Size());
   }
+  http::request_serializer<http::buffer_body> serializer(request);
   error_code failure;
   aConnection.mStream->expires_at(aAttempt.mDeadline);
-  co_await http::async_write(
-    *aConnection.mStream,
-    request,
-    asio::redirect_error(asio::use_awaitable, failure));
-  co_return failure;
+  for (std::size_t sent = 0; !serializer.is_done(); ++sent) {
+    SetPiece(request.body(), body, sent, true);
+    co_await http::async_write(
+      *aConnection.mStream,
+      serializer,
+      asio::redirect_error(asio::use_awaitable, failure));
+    if (failure && failure != http::error::need_buffer) {
+      co_return failure;
+    }
+  }
+  co_return error_code();
 }
 
 // Reads and discards the rest of an answer, up to kMaxDiscardedBody bytes.
@@ -154,7 +178,9 @@
                upstream_connection& aConnection)
 {
   error_code failure;
-  for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+  int foreign = 0;
+  int interim = 0;
+  while (foreign <= kMaxForeignAnswers && interim <= kMaxInterimAnswers) {
     aConnection.mParser = std::make_unique<answer_parser>();
     aConnection.mParser->header_limit(kHeaderLimit);
     aConnection.mParser->body_limit(boost::none);
@@ -168,13 +194,19 @@
     if (failure) {
       co_return failure;
     }
-    if (aConnection.mParser->get().result_int() < 200) {
-      continue; // interim (1xx); the final answer follows
+    status_kind kind = KindOfStatus(aConnection.mParser->get().result_int());
+    if (kind == status_kind::Invalid) {
+      co_return http::error::bad_status;
+    }
+    if (kind == status_kind::Interim) {
+      ++interim;
+      continue;
     }
     aConnection.mAnswer = aAttempt.mRead(aConnection.mParser->get());
     if (aConnection.mAnswer.mBelongs != answer_attributes::belongs::ToAnother) {
       co_return error_code();
     }
+    ++foreign;
     aConnection.mClean = false;
     failure = co_await DiscardBody(aConnection, aAttempt.mDeadline);
     if (failure) {
@@ -184,24 +216,27 @@
   co_return http::error::unexpected_body;
 }
 
-// Reads the body into aBuffered until it has kMaxBufferedAnswer bytes or the
-// body ends.
+// Reads the body into aBuffered until it has kMaxBufferedAnswer bytes, the
+// budget has no room for more, or the body ends.
 asio::awaitable<error_code>
 BufferBody(upstream_connection& aConnection,
-           std::string& aBuffered,
+           held_response& aBuffered,
            instant aUntil)
 {
-  std::vector<char> chunk(kStreamBuffer);
   error_code failure;
   aConnection.mStream->expires_at(aUntil);
   while (!aConnection.mParser->is_done() &&
-         aBuffered.size() < kMaxBufferedAnswer) {
+         aBuffered.Bytes().Size() < kMaxBufferedAnswer) {
     // Reads that complete at once never let the stream's timer expire.
     if (clock::now() >= aUntil) {
       co_return beast::error::timeout;
     }
-    aConnection.mParser->get().body().data = chunk.data();
-    aConnection.mParser->get().body().size = chunk.size();
+    std::span<char> space = aBuffered.Space();
+    if (space.empty()) {
+      co_return error_code();
+    }
+    aConnection.mParser->get().body().data = space.data();
+    aConnection.mParser->get().body().size = space.size();
     co_await http::async_read(
       *aConnection.mStream,
       aConnection.mBuffer,
@@ -210,8 +245,8 @@
     if (failure && failure != http::error::need_buffer) {
       co_return failure;
     }
-    aBuffered.append(chunk.data(),
-                     chunk.size() - aConnection.mParser->get().body().size);
+    aBuffered.Bytes().Commit(space.size() -
+                             aConnection.mParser->get().body().size);
   }
   co_return error_code();
 }
@@ -242,7 +277,7 @@
 ForwardAnswer(http_exchange& aExchange,
               const upstream_attempt& aAttempt,
               upstream_connection& aConnection,
-              std::string& aBuffered,
+              held_response& aBuffered,
               attempt_outcome& aOutcome)
 {
   http::response<http::buffer_body> head =
@@ -260,20 +295,23 @@
     co_return failure;
   }
   while (!serializer.is_done()) {
-    head.body().data = aBuffered.empty() ? nullptr : aBuffered.data();
-    head.body().size = aBuffered.size();
-    head.body().more = !aConnection.mParser->is_done();
-    aOutcome.mBytes += aBuffered.size();
-    aExchange.mStream.expires_at(
-      std::max(aAttempt.mDeadline, clock::now() + kCallerTimeout));
-    co_await http::async_write(
-      aExchange.mStream,
-      serializer,
-      asio::redirect_error(asio::use_awaitable, failure));
-    if (failure && failure != http::error::need_buffer) {
-      co_return failure;
+    std::size_t blocks = std::max<std::size_t>(aBuffered.Bytes().Filled(), 1);
+    for (std::size_t i = 0; i < blocks && !serializer.is_done(); ++i) {
+      SetPiece(
+        head.body(), aBuffered.Bytes(), i, aConnection.mParser->is_done());
+      aOutcome.mBytes += head.body().size;
+      // A caller must read at a minimum rate, not the whole in a given time.
+      aExchange.mStream.expires_at(std::max(
+        aAttempt.mDeadline, aBuffered.ReadBy(head.body().size, clock::now())));
+      co_await http::async_write(
+        aExchange.mStream,
+        serializer,
+        asio::redirect_error(asio::use_awaitable, failure));
+      if (failure && failure != http::error::need_buffer) {
+        co_return failure;
+      }
     }
-    aBuffered.clear();
+    aBuffered.Bytes().Clear();
     if (!aConnection.mParser->is_done()) {
       failure = co_await BufferBody(
         aConnection, aBuffered, aAttempt.mDeadline + kLateAnswerTimeout);
@@ -314,6 +352,9 @@
 attempt_ending
 EndOf(error_code aFailure)
 {
+  if (aFailure == http::error::bad_status) {
+    return attempt_ending::Garbled;
+  }
   return aFailure == beast::error::timeout ? attempt_ending::TimedOut
                                            : attempt_ending::Lost;
 }
@@ -365,6 +406,8 @@
       return "errored";
     case attempt_ending::Lost:
       return "lost";
+    case attempt_ending::Garbled:
+      return "garbled";
     case attempt_ending::TimedOut:
       return "timed_out";
     case attempt_ending::CutShort:
@@ -376,13 +419,14 @@
 }
 
 asio::awaitable<attempt_outcome>
-AttemptUpstream(table<connection_pool>& aPool,
+AttemptUpstream(const exchange_tables& aTables,
                 http_exchange& aExchange,
                 const upstream_attempt& aAttempt)
 {
   attempt_outcome outcome;
   upstream_connection connection;
-  error_code failure = co_await Connect(aPool, aAttempt, connection, outcome);
+  error_code failure =
+    co_await Connect(aTables.mPool, aAttempt, connection, outcome);
   if (failure) {
     co_return outcome;
   }
@@ -429,12 +473,12 @@
         connection,
         std::min(aAttempt.mDeadline, clock::now() + kRefusalTimeout));
       if (!failure) {
-        KeepConnection(aPool, aAttempt, connection);
+        KeepConnection(aTables.mPool, aAttempt, connection);
       }
     }
     co_return outcome;
   }
-  std::string buffered;
+  held_response buffered(aTables.mBodies);
   failure = co_await BufferBody(connection, buffered, aAttempt.mDeadline);
   if (failure) {
     outcome.mEnd = EndOf(failure);
@@ -448,7 +492,7 @@
     co_return outcome;
   }
   outcome.mEnd = attempt_ending::Answered;
-  KeepConnection(aPool, aAttempt, connection);
+  KeepConnection(aTables.mPool, aAttempt, connection);
   co_return outcome;
 }
 
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -4,17 +4,18 @@
 // another request is read to its end and discarded. Up to kMaxBufferedAnswer
 // bytes of an answer's body are buffered before the answer to the caller is
 // begun, so that an idempotent request can be retried elsewhere if the answer
-// breaks off.
+// breaks off. Fewer are buffered if the budget of bodies has no room for them.
 //
 // Usage:
 //   attempt_outcome outcome =
-//     co_await AttemptUpstream(pool, exchange, attempt);
+//     co_await AttemptUpstream(tables, exchange, attempt);
 //
 // Errors are reported in attempt_outcome::mEnd; nothing is thrown.
 #pragma once
 
 #include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/plugin/connection_pool.h"
+#include "laburnumdyke/plugin/held_body.h"
 #include "laburnumdyke/plugin/http_forward.h"
 
 #include <functional>
@@ -47,8 +48,8 @@
 struct upstream_attempt
 {
   endpoint mTo;
-  std::string mBody;    // the whole body of the request
-  header_list mHeaders; // set on the forwarded request
+  const block_buffer* mBody = nullptr; // whole; null: the request has none
+  header_list mHeaders;                // set on the forwarded request
   std::function<answer_attributes(const upstream_head&)> mRead;
   // Whether the request may still be sent; asked once the connection is up.
   std::function<bool()> mMaySend;
@@ -67,6 +68,7 @@
   WrongInstance,   // another upstream now has the address
   Errored,         // a server error that was not forwarded
   Lost,            // the connection or the answer broke
+  Garbled,         // the answer's status is not one of HTTP
   TimedOut,
   CutShort, // the answer to the caller was begun and broke off
   CallerGone,
@@ -84,8 +86,14 @@
   std::optional<duration> mConnect; // time to set up a new connection
 };
 
+struct exchange_tables
+{
+  table<connection_pool>& mPool;
+  table<body_table>& mBodies;
+};
+
 asio::awaitable<attempt_outcome>
-AttemptUpstream(table<connection_pool>& aPool,
+AttemptUpstream(const exchange_tables& aTables,
                 http_exchange& aExchange,
                 const upstream_attempt& aAttempt);
 
--- a/laburnumdyke/testing/harness/hosts_deployment.cc
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -43,7 +43,7 @@
 {
 public:
   // For ServeWhole.
-  static constexpr std::uint64_t kMaxBody = 4096;
+  static constexpr std::uint64_t kMaxBody = 2UL * 1024 * 1024;
 
   explicit host_upstream(boost::asio::io_context& aContext)
     : mAddress(FreeEndpoint())
@@ -80,8 +80,11 @@
     if (workMs > 0) {
       co_await SleepFor(std::chrono::milliseconds(workMs));
     }
+    int bytes = std::atoi(std::string(aRequest["X-Answer-Bytes"]).c_str());
+    std::string body =
+      bytes > 0 ? std::string(static_cast<std::size_t>(bytes), 'x') : "{}";
     short_answer answer =
-      MakeAnswer(http::status::ok, "{}", aRequest.keep_alive());
+      MakeAnswer(http::status::ok, std::move(body), aRequest.keep_alive());
     answer.set("X-Request-Id", aRequest["X-Request-Id"]);
     answer.set("X-Server-Stamp", "s");
     co_return answer;
@@ -215,7 +218,7 @@
          "\npeer = " + FreeEndpoint().Text() +
          "\noperator = " + FreeEndpoint().Text() +
          "\n[platform]\naddress = " + mStoreAddress.Text() +
-         "\n[domains]\neast-a = east\n";
+         "\n[domains]\neast-a = east\n" + mExtraSettings;
 }
 
 bool
--- a/laburnumdyke/testing/harness/hosts_deployment.h
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -9,7 +9,8 @@
 //
 // There are one failure domain and one service. Requests under /x/ may be
 // repeated, those under /book/ run once at most. The header X-Work-Ms says how
-// long an upstream works on a request.
+// long an upstream works on a request, X-Answer-Bytes how large its answer's
+// body is.
 #pragma once
 
 #include "laburnumdyke/testing/harness/http_call.h"
@@ -48,6 +49,12 @@
 
   store_standin& Store() { return *mStore; }
 
+  // Lines that end the settings of daemons started from now on.
+  void SetExtraSettings(std::string aLines)
+  {
+    mExtraSettings = std::move(aLines);
+  }
+
   // Starts an upstream and registers it.
   void AddUpstream(const std::string& aId);
 
@@ -79,6 +86,7 @@
                        const hosts_daemon& aDaemon) const;
 
   std::string mFolder;
+  std::string mExtraSettings;
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mGuard;
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -159,10 +159,11 @@
   aSocket.shutdown(tcp::socket::shutdown_send, failure);
 }
 
-one_front::one_front()
+one_front::one_front(client_bounds aLimits)
   : mSettings(FreeSettings("one", "east-a", "east"))
 {
   mSettings.mFront = front_kind::Hosts;
+  mSettings.mLimits = aLimits;
   mSettings.mReady = FreeEndpoint();
   mSettings.mDirectory = FreeEndpoint();
   mSettings.mDomains = { { "east-a", "east" } };
--- a/laburnumdyke/testing/harness/one_front.h
+++ b/laburnumdyke/testing/harness/one_front.h
@@ -69,7 +69,7 @@
 class one_front
 {
 public:
-  one_front();
+  explicit one_front(client_bounds aLimits = {});
   ~one_front() { mKernel->Stop(); }
 
   // Puts the routes in force and registers the first upstream, or both.
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -43,7 +43,13 @@
                                    "[bounds]\n"
                                    "most_shift = 0.25\n"
                                    "drain_timeout = 2500ms\n"
-                                   "grace = 7s\n";
+                                   "grace = 7s\n"
+                                   "[limits]\n"
+                                   "body_memory = 1000000\n"
+                                   "body_rate = 100\n"
+                                   "body_grace = 20s\n"
+                                   "reader_rate = 200\n"
+                                   "reader_grace = 1700ms\n";
 
 std::string
 HostsSettings(const std::string& aOld, const std::string& aNew)
@@ -69,6 +75,11 @@
   DOUBLES_EQUAL(0.25, read.mBounds.mMostShift, 1e-9);
   CHECK(read.mBounds.mDrainTimeout == std::chrono::milliseconds(2500));
   CHECK(read.mBounds.mGrace == std::chrono::seconds(7));
+  LONGS_EQUAL(1000000, read.mLimits.mBodyMemory);
+  LONGS_EQUAL(100, read.mLimits.mBodyRate);
+  CHECK(read.mLimits.mBodyGrace == std::chrono::seconds(20));
+  LONGS_EQUAL(200, read.mLimits.mReaderRate);
+  CHECK(read.mLimits.mReaderGrace == std::chrono::milliseconds(1700));
 }
 
 TEST(Settings, ReportsEachFaultOfHostFrontSettings)
@@ -80,6 +91,12 @@
     { "leinster-a = leinster\nm", "m", "domains" },
     { "munster-a = munster", "munster-a = Munster", "domains.munster-a" },
     { "munster-a = munster", "leinster-a = munster", "domains.leinster-a" },
+    { "= 1000000", "= 0", "limits.body_memory" },
+    { "= 1000000", "= 64MB", "limits.body_memory" },
+    { "= 100\n", "= -1\n", "limits.body_rate" },
+    { "= 20s", "= 20", "limits.body_grace" },
+    { "= 200\n", "= 0\n", "limits.reader_rate" },
+    { "= 1700ms\n", "= x\n", "limits.reader_grace" },
     { "0.25", "-1", "bounds.most_shift" },
     { "0.25", "0.25x", "bounds.most_shift" },
     { "2500ms", "2500", "bounds.drain_timeout" },
