An exhausted budget prefers bodies that arrive quickly; forwarding has status tests

Cause: clients that send a little more than the minimum rate never lag, so that they could keep the whole budget for hours. Change: the body to drop is chosen by the lag at sixteen times the minimum rate. Tests of forwarding between instances with invalid and interim statuses, and of the largest body under the default budget of a machine of 112 MB.

--- a/laburnumdyke/decision/body_budget.cc
+++ b/laburnumdyke/decision/body_budget.cc
@@ -14,6 +14,7 @@
 {
   body opened;
   opened.mPaidUntil = aNow;
+  opened.mQuickUntil = aNow;
   mBodies.emplace(mNext, opened);
   return mNext++;
 }
@@ -50,7 +51,7 @@
 body_budget::MayDrop(const body& aBody, instant aNow) const
 {
   return !aBody.mWorkBegun && !aBody.mDropped && aBody.mBytes > 0 &&
-         aNow - aBody.mPaidUntil >= kMinLag;
+         aNow - aBody.mQuickUntil >= kMinLag;
 }
 
 bool
@@ -73,7 +74,7 @@
 {
   std::vector<body_map::iterator> found;
   for (body_map::iterator one = mBodies.begin(); one != mBodies.end(); ++one) {
-    if (one->second.mPaidUntil < aTaker.mPaidUntil &&
+    if (one->second.mQuickUntil < aTaker.mQuickUntil &&
         MayDrop(one->second, aNow)) {
       found.push_back(one);
     }
@@ -81,7 +82,7 @@
   std::sort(found.begin(),
             found.end(),
             [](const body_map::iterator& aOne, const body_map::iterator& aTwo) {
-              return aOne->second.mPaidUntil < aTwo->second.mPaidUntil;
+              return aOne->second.mQuickUntil < aTwo->second.mQuickUntil;
             });
   return found;
 }
@@ -125,6 +126,8 @@
   body& progressed = mBodies.at(aBody);
   std::chrono::microseconds paid(aBytes * 1000000 / mOptions.mMinRate);
   progressed.mPaidUntil = std::min(aNow, progressed.mPaidUntil + paid);
+  progressed.mQuickUntil =
+    std::min(aNow, progressed.mQuickUntil + paid / kPressure);
 }
 
 bool
--- a/laburnumdyke/decision/body_budget.h
+++ b/laburnumdyke/decision/body_budget.h
@@ -9,7 +9,9 @@
 // Progress is measured as a rate: each received byte pays for the time in which
 // it is due at the minimum rate. The lag of a body is the time not paid for, so
 // that a body that receives a byte now and then lags as one that receives
-// nothing. No credit is gained in advance.
+// nothing. No credit is gained in advance. If the budget is exhausted, the lag
+// counts at kPressure times the minimum rate: bodies that barely meet the
+// minimum must not keep the budget from those that arrive quickly.
 //
 // Usage:
 //   holding_id body = budget.Open(now);
@@ -60,6 +62,7 @@
   static constexpr std::size_t kReserveParts = 16;
   // Responses may take one part of kResponseParts.
   static constexpr std::size_t kResponseParts = 4;
+  static constexpr int kPressure = 16;
   // A body that lags less is not dropped for another one: it may only wait for
   // a round trip.
   static constexpr std::chrono::milliseconds kMinLag{ 500 };
@@ -109,7 +112,8 @@
   struct body
   {
     std::size_t mBytes = 0;
-    instant mPaidUntil{}; // the minimum rate is met up to here
+    instant mPaidUntil{};  // the minimum rate is met up to here
+    instant mQuickUntil{}; // as above, at kPressure times the rate
     bool mWorkBegun = false;
     bool mDropped = false;
   };
--- a/laburnumdyke/testing/answer_status_test.cc
+++ b/laburnumdyke/testing/answer_status_test.cc
@@ -2,12 +2,15 @@
 // bytes from an upstream, from the store or from another instance. Guards
 // against statuses that reach a client although no server may send them.
 #include "laburnumdyke/plugin/http_client.h"
+#include "laburnumdyke/plugin/http_forward.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_front.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 
 #include <string>
 #include <vector>
@@ -60,6 +63,47 @@
   return answer.get();
 }
 
+struct forwarded
+{
+  forward_result mResult;
+  std::string mReceived; // by the caller
+};
+
+// Forwards a request as between instances.
+forwarded
+ForwardTo(scripted_upstream& aServer)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  tcp::socket caller(context);
+  caller.connect(acceptor.local_endpoint());
+  tcp_stream stream(acceptor.accept());
+  asio::write(caller,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  beast::flat_buffer buffer;
+  request_parser parser;
+  http::read_header(stream, buffer, parser);
+  instant now = std::chrono::steady_clock::now();
+  http_exchange exchange{ stream, buffer, parser, now, true };
+  table<connection_pool> pool;
+  forward_request request;
+  request.mTo = aServer.mAddress;
+  request.mTarget = "/";
+  request.mDeadline = now + 2s;
+  request.mReuse = false;
+  request.mCancel = false;
+  body_prefix prefix{ "", true };
+  std::future<forward_result> result = asio::co_spawn(
+    context, Forward(pool, exchange, prefix, request), asio::use_future);
+  context.run();
+  forwarded end{ result.get(), "" };
+  error_code ignored;
+  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  asio::read(caller, asio::dynamic_buffer(end.mReceived), ignored);
+  return end;
+}
+
 } // namespace
 
 TEST_GROUP(AnswerStatus){};
@@ -154,3 +198,29 @@
   server.FollowWith(Interim("102 Processing"));
   CHECK(!ExchangeWith(server));
 }
+
+TEST(AnswerStatus, ForwardingTakesNoInvalidStatus)
+{
+  for (const std::string& status : kInvalid) {
+    scripted_upstream server;
+    server.Script({ "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok" });
+    forwarded end = ForwardTo(server);
+    CHECK_TEXT(end.mResult.mOutcome == outcome_kind::Unknown, status.c_str());
+    STRCMP_EQUAL_TEXT("", end.mReceived.c_str(), status.c_str());
+  }
+}
+
+TEST(AnswerStatus, ForwardingWaitsForTheFinalResponse)
+{
+  for (const std::string& status : kInterim) {
+    scripted_upstream server;
+    server.Script(
+      { Interim(status) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" });
+    forwarded end = ForwardTo(server);
+    CHECK_TEXT(end.mResult.mOutcome == outcome_kind::Answered, status.c_str());
+    STRCMP_EQUAL_TEXT(
+      "HTTP/1.1 200", end.mReceived.substr(0, 12).c_str(), status.c_str());
+    CHECK_TEXT(end.mReceived.find("early") == std::string::npos,
+               status.c_str());
+  }
+}
--- a/laburnumdyke/testing/body_budget_test.cc
+++ b/laburnumdyke/testing/body_budget_test.cc
@@ -130,6 +130,39 @@
   CHECK(mBudget.TakeDropped().empty());
 }
 
+// Guards against clients that hold the budget at little more than the minimum
+// rate, which never end as too slow.
+TEST(BodyBudget, ABodyThatBarelyProgressesYieldsToAQuickOne)
+{
+  std::vector<holding_id> slow;
+  for (int i = 0; i < 15; ++i) {
+    slow.push_back(Receive(kUnit));
+  }
+  for (int second = 0; second < 60; ++second) {
+    mNow += 1s;
+    for (holding_id body : slow) {
+      mBudget.CountProgress(body, 2000, mNow); // twice the minimum
+      CHECK(!mBudget.IsTooSlow(body, mNow));
+    }
+  }
+  holding_id quick = Receive(kUnit);
+  mNow += 100ms;
+  mBudget.CountProgress(quick, kUnit, mNow);
+  CHECK(mBudget.Take(quick, kUnit, mNow) == room_answer::Later);
+  LONGS_EQUAL(2, mBudget.TakeDropped().size());
+}
+
+// The defaults on the smallest machine of the deployments, with their
+// max-body-bytes.
+TEST(BodyBudget, TheLargestBodyFitsTheSmallestMachine)
+{
+  body_budget_options options;
+  options.mTotal = 112000000UL * 2 / 3;
+  body_budget budget(options);
+  CHECK(budget.Fits(67108864));
+  CHECK(budget.HasRoomFor(67108864, mNow));
+}
+
 // A body that would find no room even so is no reason to drop others.
 TEST(BodyBudget, NothingIsDroppedInVain)
 {
