--- a/laburnumdyke/decision/types.cc
+++ b/laburnumdyke/decision/types.cc
@@ -49,6 +49,9 @@
     "unknown_customer",
     "stale_customers",
     "quota_exceeded",
+    "body_too_large",
+    "body_too_slow",
+    "no_body_room",
   };
 
 constexpr std::array<std::string_view,
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -86,6 +86,9 @@
   UnknownCustomer, // no customer holds the request's key
   StaleCustomers,  // the key may have been revoked since the last reading
   QuotaExceeded,   // of the customer, over all instances
+  BodyTooLarge,
+  BodyTooSlow, // the caller sent less than the minimum rate
+  NoBodyRoom,  // the memory for request bodies is exhausted
   Count,
 };
 
--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -35,20 +35,29 @@
     co_return std::nullopt;
   }
   beast::flat_buffer buffer(kUnparsedLimit);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(aRequest.mLimit);
-  co_await http::async_read(
-    stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failure));
-  if (failure) {
-    co_return std::nullopt;
-  }
-  std::string header;
-  if (!aRequest.mWantedHeader.empty()) {
-    header = FromBeast(parser.get()[aRequest.mWantedHeader]);
+  for (int read = 0; read <= kMaxInterimAnswers; ++read) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(aRequest.mLimit);
+    co_await http::async_read(
+      stream,
+      buffer,
+      parser,
+      asio::redirect_error(asio::use_awaitable, failure));
+    status_kind kind = KindOfStatus(parser.get().result_int());
+    if (failure || kind == status_kind::Invalid) {
+      co_return std::nullopt;
+    }
+    if (kind == status_kind::Final) {
+      std::string header;
+      if (!aRequest.mWantedHeader.empty()) {
+        header = FromBeast(parser.get()[aRequest.mWantedHeader]);
+      }
+      co_return client_answer{ parser.get().result_int(),
+                               std::move(parser.get().body()),
+                               std::move(header) };
+    }
   }
-  co_return client_answer{ parser.get().result_int(),
-                           std::move(parser.get().body()),
-                           std::move(header) };
+  co_return std::nullopt;
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/http_client.h
+++ b/laburnumdyke/plugin/http_client.h
@@ -33,8 +33,8 @@
   std::string mHeader = {}; // value of the wanted header; empty: absent
 };
 
-// Returns nullopt if no complete answer arrived within mTimeout; the request
-// may have taken effect nevertheless.
+// Returns nullopt if no complete answer with a valid final status arrived
+// within mTimeout; the request may have taken effect nevertheless.
 asio::awaitable<std::optional<client_answer>>
 Exchange(client_request aRequest);
 
--- a/laburnumdyke/testing/store_era_test.cc
+++ b/laburnumdyke/testing/store_era_test.cc
@@ -540,12 +540,12 @@
   LONGS_EQUAL(unknown.size() + 4, known.size());
   fleet_message message = DecodeFleetMessage(known);
   fleet_heartbeat* read = std::get_if<fleet_heartbeat>(&message);
-  CHECK(read && read->mControlVersion == store_version(2, 100));
+  CHECK(read != nullptr);
+  CHECK(read->mControlVersion == store_version(2, 100));
   LONGS_EQUAL(6, read->mDocumentVersion);
   upstream_update update;
   update.mAfter = { 1, 90 };
   update.mVersion = { 2, 40 };
-  read.reset();
   std::optional<upstream_update> decoded = DecodeUpdate(EncodeUpdate(update));
   CHECK(decoded && decoded->mVersion == update.mVersion);
   CHECK(decoded->mAfter == update.mAfter);
