Let the store stand-in stamp its answers and turn away one instance

The hosts deployment writes configurations with customers, has a public route, takes further settings, and notes which customer each run was for.

--- a/laburnumdyke/testing/harness/hosts_deployment.cc
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -22,8 +22,9 @@
 constexpr std::chrono::seconds kStartLimit{ 20 };
 constexpr std::chrono::seconds kStopLimit{ 15 };
 
+// What follows the version.
 constexpr std::string_view kConfig =
-  R"({"version":1,"base-version":0,"limits":{"max-header-bytes":16384,)"
+  R"("base-version":0,"limits":{"max-header-bytes":16384,)"
   R"("max-body-bytes":1048576,"header-timeout-ms":3000,)"
   R"("idle-timeout-ms":15000},"listeners":[{"host":"a.example","rules":[)"
   R"({"name":"r","kind":"idempotent","target-latency-ms":1000,"priority":0,)"
@@ -32,10 +33,23 @@
   R"({"name":"b","kind":"non_idempotent","target-latency-ms":1200,)"
   R"("priority":0,"session-affinity":false,"match":{"prefix":"/book/"},)"
   R"("action":{"service":"s","timeout-ms":4000,"max-attempts":2,)"
+  R"("home-regions":[]}},)"
+  R"({"name":"p","kind":"idempotent","target-latency-ms":1000,"priority":0,)"
+  R"("session-affinity":false,"public":true,"match":{"prefix":"/open/"},)"
+  R"("action":{"service":"s","timeout-ms":3000,"max-attempts":2,)"
   R"("home-regions":[]}}]}],)"
   R"("clusters":[{"name":"s","health-path":"/healthz",)"
   R"("max-connections":100,"protocol":"h1","tls":false,)"
-  R"("cold-start-s":0,"cold-per-s":0}]})";
+  R"("cold-start-s":0,"cold-per-s":0}])";
+
+std::string
+Config(std::uint64_t aVersion, const std::string& aCustomers)
+{
+  std::string customers =
+    aCustomers.empty() ? "" : R"("tenants":)" + aCustomers + ",";
+  return R"({"version":)" + std::to_string(aVersion) + "," + customers +
+         std::string(kConfig) + "}";
+}
 
 } // namespace
 
@@ -73,7 +87,10 @@
   {
     {
       std::scoped_lock lock(mMutex);
-      mRuns.push_back(std::chrono::steady_clock::now());
+      mRuns.push_back({ std::chrono::steady_clock::now(),
+                        std::string(aRequest["X-Request-Id"]),
+                        std::string(aRequest["X-Tenant"]),
+                        aRequest.count("X-Key") > 0 });
       mRequests.insert(std::string(aRequest["X-Request-Id"]));
     }
     int workMs = std::atoi(std::string(aRequest["X-Work-Ms"]).c_str());
@@ -89,7 +106,7 @@
 
   void Malformed() {}
 
-  std::vector<std::chrono::steady_clock::time_point> Runs()
+  std::vector<host_run> Runs()
   {
     std::scoped_lock lock(mMutex);
     return mRuns;
@@ -115,7 +132,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   connection_set mConnections;
   std::mutex mMutex;
-  std::vector<std::chrono::steady_clock::time_point> mRuns;
+  std::vector<host_run> mRuns;
   std::set<std::string> mRequests;
 };
 
@@ -130,11 +147,11 @@
 
 } // namespace
 
-hosts_deployment::hosts_deployment()
-  : mContext(1)
+hosts_deployment::hosts_deployment(std::string aSettings)
+  : mExtraSettings(std::move(aSettings))
+  , mContext(1)
   , mGuard(mContext.get_executor())
-  , mStoreAddress(FreeEndpoint())
-  , mStore(std::make_shared<store_standin>(mContext, mStoreAddress))
+  , mStore(std::make_shared<store_standin>(mContext, FreeEndpoint()))
 {
   std::string pattern = "/tmp/laburnumdyke-hosts-XXXXXX";
   if (::mkdtemp(pattern.data()) == nullptr) {
@@ -145,9 +162,7 @@
   if (failure) {
     StopTest("store", *failure);
   }
-  mStore->With([](store_model& aRows) {
-    aRows.Put("op", "config", std::string(kConfig));
-  });
+  Configure(1, {});
   mThread = std::thread([this]() { mContext.run(); });
 }
 
@@ -161,6 +176,15 @@
   std::filesystem::remove_all(mFolder, ignored);
 }
 
+void
+hosts_deployment::Configure(std::uint64_t aVersion,
+                            const std::string& aCustomers)
+{
+  mStore->With([&](store_model& aRows) {
+    aRows.Put("op", "config", Config(aVersion, aCustomers));
+  });
+}
+
 void
 hosts_deployment::AddUpstream(const std::string& aId)
 {
@@ -189,7 +213,27 @@
 std::vector<std::chrono::steady_clock::time_point>
 hosts_deployment::Runs(const std::string& aId) const
 {
-  return mUpstreams.at(aId)->Runs();
+  std::vector<std::chrono::steady_clock::time_point> begun;
+  for (const host_run& run : mUpstreams.at(aId)->Runs()) {
+    begun.push_back(run.mBegun);
+  }
+  return begun;
+}
+
+std::vector<host_run>
+hosts_deployment::AllRuns() const
+{
+  std::vector<host_run> all;
+  for (const std::pair<const std::string, std::shared_ptr<host_upstream>>& one :
+       mUpstreams) {
+    std::vector<host_run> runs = one.second->Runs();
+    all.insert(all.end(), runs.begin(), runs.end());
+  }
+  std::sort(
+    all.begin(), all.end(), [](const host_run& aOne, const host_run& aOther) {
+      return aOne.mBegun < aOther.mBegun;
+    });
+  return all;
 }
 
 bool
@@ -214,8 +258,8 @@
          "\nrelay = " + FreeEndpoint().Text() +
          "\npeer = " + FreeEndpoint().Text() +
          "\noperator = " + FreeEndpoint().Text() +
-         "\n[platform]\naddress = " + mStoreAddress.Text() +
-         "\n[domains]\neast-a = east\n";
+         "\n[platform]\naddress = " + aDaemon.mStoreAddress.Text() +
+         "\n[domains]\neast-a = east\n" + mExtraSettings;
 }
 
 bool
@@ -224,6 +268,13 @@
   hosts_daemon& started = mDaemons[aName];
   started.mCaller = FreeEndpoint();
   started.mReady = FreeEndpoint();
+  started.mStoreAddress = FreeEndpoint();
+  started.mStore =
+    std::make_shared<store_entrance>(mContext, started.mStoreAddress, mStore);
+  std::optional<std::string> failure = started.mStore->Start();
+  if (failure) {
+    StopTest("store of " + aName, *failure);
+  }
   started.mLog = mFolder + "/" + aName + ".log";
   std::string file = mFolder + "/" + aName + ".ini";
   std::ofstream(file) << Settings(aName, started);
@@ -247,13 +298,22 @@
 
 call_result
 hosts_deployment::Send(const std::string& aName, const std::string& aRequest)
+{
+  return SendRequest(aName, { aRequest });
+}
+
+call_result
+hosts_deployment::SendRequest(const std::string& aName,
+                              const hosts_request& aRequest) const
 {
   call_request request;
   request.mTo = mDaemons.at(aName).mCaller;
-  request.mTarget = "/x/1";
+  request.mTarget = aRequest.mTarget;
   request.mHeaders = { { "Host", "a.example" },
-                       { "X-Request-Id", aRequest },
+                       { "X-Request-Id", aRequest.mId },
                        { "X-Deadline-Ms", "3000" } };
+  request.mHeaders.insert(
+    request.mHeaders.end(), aRequest.mHeaders.begin(), aRequest.mHeaders.end());
   return CallNow(request);
 }
 
--- a/laburnumdyke/testing/harness/hosts_deployment.h
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -9,7 +9,12 @@
 //
 // There are one failure domain and one service. Requests under /x/ may be
 // repeated, those under /book/ run once at most. The header X-Work-Ms says how
-// long an upstream works on a request.
+// long an upstream works on a request. Requests under /open/ need no key.
+//
+// Customers and settings beyond the harness's own:
+//   hosts_deployment deployed("[bounds]\nrevoke_timeout = 2s\n");
+//   deployed.Configure(2, R"([{"name":"alpha","api-keys":["k"]}])");
+//   deployed.SendRequest("one", { "request-1", "/x/1", { { "X-Key", "k" } } });
 #pragma once
 
 #include "laburnumdyke/testing/harness/http_call.h"
@@ -30,10 +35,28 @@
 // Answers every request, and notes when each began.
 class host_upstream;
 
+// A request as it reached an upstream.
+struct host_run
+{
+  std::chrono::steady_clock::time_point mBegun;
+  std::string mRequest;
+  std::string mCustomer; // as named to the upstream
+  bool mHasKey = false;  // the key of the customer arrived as well
+};
+
+struct hosts_request
+{
+  std::string mId;
+  std::string mTarget = "/x/1";
+  std::vector<std::pair<std::string, std::string>> mHeaders{};
+};
+
 struct hosts_daemon
 {
   endpoint mCaller;
   endpoint mReady;
+  endpoint mStoreAddress;
+  std::shared_ptr<store_entrance> mStore;
   std::unique_ptr<process> mProcess;
   std::string mLog; // its file
 };
@@ -41,13 +64,18 @@
 class hosts_deployment
 {
 public:
-  hosts_deployment();
+  // aSettings is added to the settings of each daemon.
+  explicit hosts_deployment(std::string aSettings = {});
   ~hosts_deployment();
   hosts_deployment(const hosts_deployment&) = delete;
   hosts_deployment& operator=(const hosts_deployment&) = delete;
 
   store_standin& Store() { return *mStore; }
 
+  // Writes a version of the configuration with customers: a JSON list, or
+  // nothing for a configuration without them.
+  void Configure(std::uint64_t aVersion, const std::string& aCustomers);
+
   // Starts an upstream and registers it.
   void AddUpstream(const std::string& aId);
 
@@ -57,6 +85,9 @@
   std::vector<std::chrono::steady_clock::time_point> Runs(
     const std::string& aId) const;
 
+  // Of all upstreams, in order of time.
+  std::vector<host_run> AllRuns() const;
+
   // Whether an upstream has begun to run the request.
   bool HasRun(const std::string& aRequest) const;
 
@@ -70,6 +101,8 @@
   std::string ReadLog(const std::string& aName) const;
 
   call_result Send(const std::string& aName, const std::string& aRequest);
+  call_result SendRequest(const std::string& aName,
+                          const hosts_request& aRequest) const;
 
   // Whether every daemon ends with status 0 after SIGTERM.
   bool StopDaemons();
@@ -78,11 +111,11 @@
   std::string Settings(const std::string& aName,
                        const hosts_daemon& aDaemon) const;
 
+  const std::string mExtraSettings;
   std::string mFolder;
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mGuard;
-  endpoint mStoreAddress;
   std::shared_ptr<store_standin> mStore;
   std::map<std::string, std::shared_ptr<host_upstream>> mUpstreams;
   std::map<std::string, std::uint64_t> mSequences;
--- a/laburnumdyke/testing/standin/store_standin.cc
+++ b/laburnumdyke/testing/standin/store_standin.cc
@@ -29,6 +29,8 @@
   return {};
 }
 
+// Must run while the rows are locked, so that the stamp is no later than the
+// next change.
 std::string
 Encode(const std::vector<model_row>& aRows, std::uint64_t aVersion)
 {
@@ -50,6 +52,9 @@
   answer["rows"] = std::move(rows);
   answer["truncated"] = false;
   answer["ver"] = aVersion;
+  answer["now-ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::steady_clock::now().time_since_epoch())
+                       .count();
   return boost::json::serialize(answer);
 }
 
@@ -174,4 +179,53 @@
   return true;
 }
 
+std::optional<std::string>
+store_entrance::Start()
+{
+  std::optional<std::string> failure = Listen(mAcceptor, mListen);
+  if (!failure) {
+    std::shared_ptr<store_entrance> self = shared_from_this();
+    asio::co_spawn(mAcceptor.get_executor(),
+                   AcceptLoop(self,
+                              mAcceptor,
+                              [self](asio::ip::tcp::socket aSocket) {
+                                return Accepted(self, std::move(aSocket));
+                              }),
+                   asio::detached);
+  }
+  return failure;
+}
+
+asio::awaitable<void>
+store_entrance::Accepted(std::shared_ptr<store_entrance> aSelf,
+                         asio::ip::tcp::socket aSocket)
+{
+  co_await ServeWhole(*aSelf, aSelf->mConnections, std::move(aSocket));
+}
+
+asio::awaitable<std::optional<short_answer>>
+store_entrance::Perform(whole_request aRequest)
+{
+  if (mTurnsAway) {
+    co_return std::nullopt;
+  }
+  std::optional<short_answer> answer =
+    co_await mStore->Perform(std::move(aRequest));
+  if (mTurnsAway) {
+    co_return std::nullopt;
+  }
+  co_return answer;
+}
+
+void
+store_entrance::TurnAway(bool aTurnAway)
+{
+  mTurnsAway = aTurnAway;
+  if (aTurnAway) {
+    std::shared_ptr<store_entrance> self = shared_from_this();
+    asio::post(mAcceptor.get_executor(),
+               [self]() { self->mConnections.CloseAll(); });
+  }
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/standin/store_standin.h
+++ b/laburnumdyke/testing/standin/store_standin.h
@@ -8,9 +8,13 @@
 //   store.SetOutage(true);
 //
 // It serves what the product calls: rows-get (as one page), rows-feed with its
-// wait, and rows-tx without conditions. In an outage connections are closed
-// unanswered. The context must outlive it; With and SetOutage may be called
-// from any thread.
+// wait, and rows-tx without conditions. Answers that show rows are stamped with
+// the time of a steady clock. In an outage connections are closed unanswered.
+// The context must outlive it; With and SetOutage may be called from any
+// thread.
+//
+// A store_entrance is a further address of the same store, for one instance,
+// which can be turned away there while the store serves others.
 #pragma once
 
 #include "laburnumdyke/kernel/endpoint.h"
@@ -74,4 +78,42 @@
   std::atomic<bool> mOutage{ false };
 };
 
+class store_entrance : public std::enable_shared_from_this<store_entrance>
+{
+public:
+  // For ServeWhole.
+  static constexpr std::uint64_t kMaxBody = store_standin::kMaxBody;
+
+  store_entrance(boost::asio::io_context& aContext,
+                 endpoint aListen,
+                 std::shared_ptr<store_standin> aStore)
+    : mListen(std::move(aListen))
+    , mAcceptor(aContext)
+    , mStore(std::move(aStore))
+  {
+  }
+
+  std::optional<std::string> Start();
+
+  // Closes connections unanswered from now on, or serves again. May be called
+  // from any thread.
+  void TurnAway(bool aTurnAway);
+
+  // For ServeWhole.
+  boost::asio::awaitable<std::optional<short_answer>> Perform(
+    whole_request aRequest);
+  void Malformed() {}
+
+private:
+  static boost::asio::awaitable<void> Accepted(
+    std::shared_ptr<store_entrance> aSelf,
+    boost::asio::ip::tcp::socket aSocket);
+
+  endpoint mListen;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  connection_set mConnections;
+  std::shared_ptr<store_standin> mStore;
+  std::atomic<bool> mTurnsAway{ false };
+};
+
 } // namespace laburnumdyke
