--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -48,7 +48,7 @@
     }
     one.mQuota = customer.mQuota;
     if (known == mAccounts.end()) {
-      one.mTokens = BurstOf(one);
+      // No burst at first: each instance that starts would grant one.
       one.mCredit = anyCredit(mRandom);
     }
     one.mTokens = std::min(one.mTokens, BurstOf(one));
--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -77,7 +77,7 @@
   // Takes over the quotas of a version; usage so far is kept.
   void SetCustomers(const std::vector<customer_spec>& aCustomers);
 
-  // The number of instances of the fleet; 0: unknown.
+  // The number of instances of the fleet that are known so far; 0: none is.
   void SetFleetSize(std::size_t aInstances) { mFleetSize = aInstances; }
 
   // Takes the totals of the fleet, this instance included.
--- a/laburnumdyke/decision/fleet_view.h
+++ b/laburnumdyke/decision/fleet_view.h
@@ -183,6 +183,9 @@
                                const region_id& aRegion,
                                instant aNow) const;
 
+  // Instances known so far, this one included. Others may yet register.
+  std::size_t KnownInstanceCount() const { return mMembers.size() + 1; }
+
   // All registered instances with their regions, including this one. Empty
   // until they are known, so that no instance takes itself for the whole fleet:
   // after a restart at the first reading, otherwise once those that started at
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -134,12 +134,16 @@
 void
 steering_tables::PublishFleet()
 {
+  std::size_t knownCount = 0;
   std::vector<instance_location> locations =
-    mFleet.With([](fleet_state& aFleet) { return aFleet.InstanceLocations(); });
+    mFleet.With([&](fleet_state& aFleet) {
+      knownCount = aFleet.KnownInstanceCount();
+      return aFleet.InstanceLocations();
+    });
   mBudget.With(
     [&](budget_state& aBudget) { aBudget.SetFleetSize(locations.size()); });
-  mQuota.With(
-    [&](quota_state& aQuota) { aQuota.SetFleetSize(locations.size()); });
+  // The locations are empty for the first seconds, in which quotas bind too.
+  mQuota.With([&](quota_state& aQuota) { aQuota.SetFleetSize(knownCount); });
   mSteering.With([&](steering_state& aSteering) {
     aSteering.SetFleet(std::move(locations));
   });
--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -27,8 +27,16 @@
   if (!isActive) {
     return {};
   }
-  std::optional<endpoint> collector = mTables.Fleet().With(
-    [&](fleet_state& aFleet) { return aFleet.Collector(aNow); });
+  bool isFleetKnown = false;
+  std::optional<endpoint> collector =
+    mTables.Fleet().With([&](fleet_state& aFleet) {
+      isFleetKnown = !aFleet.InstanceLocations().empty();
+      return aFleet.Collector(aNow);
+    });
+  if (!collector && !isFleetKnown) {
+    // Totals of its own usage alone would grant the whole quota once more.
+    return {};
+  }
   if (collector) {
     mCollectorSince.reset();
     return ReportTo(*collector, std::move(own));
--- a/laburnumdyke/testing/harness/hosts_deployment.h
+++ b/laburnumdyke/testing/harness/hosts_deployment.h
@@ -10,7 +10,12 @@
 // There are one failure domain and one service. Requests under /x/ may be
 // repeated, those under /book/ run once at most. The header X-Work-Ms says how
 // long an upstream works on a request, X-Answer-Bytes how large its answer's
-// body is.
+// body is. Requests under /open/ need no key.
+//
+// Customers and settings beyond the harness's own:
+//   hosts_deployment deployed("[bounds]\nrevoke_timeout = 2s\n");
+//   deployed.Configure(2, R"([{"name":"alpha","api-keys":["k"]}])");
+//   deployed.SendRequest("one", { "request-1", "/x/1", { { "X-Key", "k" } } });
 #pragma once
 
 #include "laburnumdyke/testing/harness/http_call.h"
@@ -31,10 +36,28 @@
 // Answers every request, and notes when each began.
 class host_upstream;
 
+// A request as it reached an upstream.
+struct host_run
+{
+  std::chrono::steady_clock::time_point mBegun;
+  std::string mRequest;
+  std::string mCustomer; // as named to the upstream
+  bool mHasKey = false;  // the key of the customer arrived as well
+};
+
+struct hosts_request
+{
+  std::string mId;
+  std::string mTarget = "/x/1";
+  std::vector<std::pair<std::string, std::string>> mHeaders{};
+};
+
 struct hosts_daemon
 {
   endpoint mCaller;
   endpoint mReady;
+  endpoint mStoreAddress;
+  std::shared_ptr<store_entrance> mStore;
   std::unique_ptr<process> mProcess;
   std::string mLog; // its file
 };
@@ -42,20 +65,22 @@
 class hosts_deployment
 {
 public:
-  hosts_deployment();
+  // aSettings is added to the settings of each daemon.
+  explicit hosts_deployment(std::string aSettings = {});
   ~hosts_deployment();
   hosts_deployment(const hosts_deployment&) = delete;
   hosts_deployment& operator=(const hosts_deployment&) = delete;
 
   store_standin& Store() { return *mStore; }
 
-  // Writes the operator's configuration with this version.
-  void WriteConfiguration(std::uint64_t aVersion);
   // Lines that end the settings of daemons started from now on.
   void SetExtraSettings(std::string aLines)
   {
     mExtraSettings = std::move(aLines);
   }
+  // Writes a version of the configuration with customers: a JSON list, or
+  // nothing for a configuration without them.
+  void Configure(std::uint64_t aVersion, const std::string& aCustomers);
 
   // Starts an upstream and registers it.
   void AddUpstream(const std::string& aId);
@@ -66,6 +91,9 @@
   std::vector<std::chrono::steady_clock::time_point> Runs(
     const std::string& aId) const;
 
+  // Of all upstreams, in order of time.
+  std::vector<host_run> AllRuns() const;
+
   // Whether an upstream has begun to run the request.
   bool HasRun(const std::string& aRequest) const;
 
@@ -79,6 +107,8 @@
   std::string ReadLog(const std::string& aName) const;
 
   call_result Send(const std::string& aName, const std::string& aRequest);
+  call_result SendRequest(const std::string& aName,
+                          const hosts_request& aRequest) const;
 
   // Whether every daemon ends with status 0 after SIGTERM.
   bool StopDaemons();
@@ -92,7 +122,6 @@
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     mGuard;
-  endpoint mStoreAddress;
   std::shared_ptr<store_standin> mStore;
   std::map<std::string, std::shared_ptr<host_upstream>> mUpstreams;
   std::map<std::string, std::uint64_t> mSequences;
--- a/laburnumdyke/testing/process_era_test.cc
+++ b/laburnumdyke/testing/process_era_test.cc
@@ -131,7 +131,7 @@
     std::chrono::steady_clock::now();
   std::this_thread::sleep_for(100ms);
   mDeployed.AddUpstream("i-2");
-  mDeployed.WriteConfiguration(2);
+  mDeployed.Configure(2, {});
   CHECK(mDeployed.StartDaemon("three"));
   mDeployed.Register("i-1", true);
   mDeployed.Store().With(
@@ -157,7 +157,7 @@
     SendFor(drill == 0 ? 2000ms : 6000ms);
   }
   // The operator is slow: the configuration of the backup is still the older.
-  mDeployed.WriteConfiguration(3);
+  mDeployed.Configure(3, {});
   CHECK(AllHave(3));
   for (const std::string& name : mNames) {
     std::vector<int> versions = Configurations(name);
