Explain the choice of an upstream without an effect on later choices

Choose() and Explain() share the selection, evaluation and choice of candidates. Spillover, quotas and rotations get previews that run the same code on a copy of their state.

--- a/laburnumdyke/decision/customer_gate.cc
+++ b/laburnumdyke/decision/customer_gate.cc
@@ -12,21 +12,34 @@
          std::chrono::milliseconds aMaxAge)
 {
   const customer_table* customers = aRoutes.Customers();
-  if (customers == nullptr) {
+  return CheckCustomer(aRoutes,
+                       aRoute,
+                       customers == nullptr ? nullptr : customers->Find(aKey),
+                       aAge,
+                       aMaxAge);
+}
+
+gate_decision
+CheckCustomer(const route_table& aRoutes,
+              const route_spec& aRoute,
+              const customer_spec* aCustomer,
+              std::optional<std::chrono::milliseconds> aAge,
+              std::chrono::milliseconds aMaxAge)
+{
+  if (aRoutes.Customers() == nullptr) {
     return {};
   }
-  const customer_spec* customer = customers->Find(aKey);
   if (aRoute.mPublic) {
-    return { refusal_reason::None, customer };
+    return { refusal_reason::None, aCustomer };
   }
   bool isLimited = aMaxAge > std::chrono::milliseconds(0);
   if (isLimited && (!aAge || *aAge > aMaxAge)) {
     return { refusal_reason::StaleCustomers, nullptr };
   }
-  if (customer == nullptr) {
+  if (aCustomer == nullptr) {
     return { refusal_reason::UnknownCustomer, nullptr };
   }
-  return { refusal_reason::None, customer };
+  return { refusal_reason::None, aCustomer };
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/customer_gate.h
+++ b/laburnumdyke/decision/customer_gate.h
@@ -36,4 +36,13 @@
          std::optional<std::chrono::milliseconds> aAge,
          std::chrono::milliseconds aMaxAge);
 
+// The same for a request of a known customer, null if there is none, whose key
+// isn't at hand.
+gate_decision
+CheckCustomer(const route_table& aRoutes,
+              const route_spec& aRoute,
+              const customer_spec* aCustomer,
+              std::optional<std::chrono::milliseconds> aAge,
+              std::chrono::milliseconds aMaxAge);
+
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -28,6 +28,19 @@
 // Silent demand must be less than the usual total by this factor to be taken as
 // a part of it.
 constexpr double kUsualMargin = 1.2;
+// Factors of the retry delay.
+constexpr double kLeastSpread = 0.5;
+constexpr double kMostSpread = 1.5;
+
+// Requests refused in one time constant come back spread over the time in which
+// the rate admits them.
+std::chrono::milliseconds
+RetryAfter(double aExcess, double aSpread)
+{
+  double after = std::clamp(aExcess * aSpread, kMinRetryAfter, kMaxRetryAfter);
+  return std::chrono::milliseconds(
+    static_cast<std::int64_t>(std::lround(after * 1000)));
+}
 
 } // namespace
 
@@ -144,7 +157,7 @@
 void
 fleet_quota::Advance(account& aAccount,
                      const reachable_load& aLoad,
-                     instant aNow)
+                     instant aNow) const
 {
   std::chrono::duration<double> elapsed =
     std::max(duration(0), duration(aNow - aAccount.mUpdated));
@@ -179,6 +192,30 @@
   mTotalsAt = aNow;
 }
 
+fleet_quota::quota_verdict
+fleet_quota::Count(account& aAccount, instant aNow) const
+{
+  aAccount.mDemand.Add(aNow);
+  reachable_load load = ReachableLoad(aAccount, aNow);
+  Advance(aAccount, load, aNow);
+  quota_verdict verdict;
+  quota_decision& decision = verdict.mDecision;
+  decision.mDemand = load.mDemand;
+  double rate = RateOf(aAccount) * load.mShare;
+  double unreported = std::max(0.0, load.mAdmitted - rate) * kTotalsDelay;
+  decision.mLimit =
+    std::max(0.0, rate + (aAccount.mTokens - unreported) / kPayBackTime);
+  double fraction = std::min(1.0, decision.mLimit / load.mDemand);
+  aAccount.mCredit = std::min(aAccount.mCredit + fraction, 2.0);
+  decision.mAdmitted = aAccount.mCredit >= 1 || fraction >= 1;
+  if (decision.mAdmitted) {
+    aAccount.mCredit = std::max(0.0, aAccount.mCredit - 1);
+    aAccount.mAdmitted.Add(aNow);
+  }
+  verdict.mExcess = std::max(load.mDemand / rate - 1, 0.0);
+  return verdict;
+}
+
 quota_decision
 fleet_quota::Admit(const customer_id& aCustomer, instant aNow)
 {
@@ -186,33 +223,33 @@
   if (found == mAccounts.end()) {
     return {};
   }
-  account& known = found->second;
-  known.mDemand.Add(aNow);
-  reachable_load load = ReachableLoad(known, aNow);
-  Advance(known, load, aNow);
-  quota_decision decision;
-  decision.mDemand = load.mDemand;
-  double rate = RateOf(known) * load.mShare;
-  double unreported = std::max(0.0, load.mAdmitted - rate) * kTotalsDelay;
-  decision.mLimit =
-    std::max(0.0, rate + (known.mTokens - unreported) / kPayBackTime);
-  double fraction = std::min(1.0, decision.mLimit / load.mDemand);
-  known.mCredit = std::min(known.mCredit + fraction, 2.0);
-  decision.mAdmitted = known.mCredit >= 1 || fraction >= 1;
-  if (decision.mAdmitted) {
-    known.mCredit = std::max(0.0, known.mCredit - 1);
-    known.mAdmitted.Add(aNow);
-    return decision;
+  quota_verdict verdict = Count(found->second, aNow);
+  if (!verdict.mDecision.mAdmitted) {
+    std::uniform_real_distribution<double> spread(kLeastSpread, kMostSpread);
+    verdict.mDecision.mRetryAfter =
+      RetryAfter(verdict.mExcess, spread(mRandom));
   }
-  // Those refused in one time constant come back spread over the time in which
-  // the rate admits them.
-  double excess = load.mDemand / rate - 1;
-  std::uniform_real_distribution<double> spread(0.5, 1.5);
-  double after = std::clamp(
-    std::max(excess, 0.0) * spread(mRandom), kMinRetryAfter, kMaxRetryAfter);
-  decision.mRetryAfter = std::chrono::milliseconds(
-    static_cast<std::int64_t>(std::lround(after * 1000)));
-  return decision;
+  return verdict.mDecision;
+}
+
+quota_preview
+fleet_quota::Preview(const customer_id& aCustomer, instant aNow) const
+{
+  auto found = mAccounts.find(KeyOf(aCustomer));
+  if (found == mAccounts.end()) {
+    return {};
+  }
+  account copy = found->second;
+  quota_verdict verdict = Count(copy, aNow);
+  const quota_decision& decision = verdict.mDecision;
+  quota_preview preview{
+    true, decision.mAdmitted, decision.mDemand, decision.mLimit, {}, {}
+  };
+  if (!decision.mAdmitted) {
+    preview.mLeastRetryAfter = RetryAfter(verdict.mExcess, kLeastSpread);
+    preview.mMostRetryAfter = RetryAfter(verdict.mExcess, kMostSpread);
+  }
+  return preview;
 }
 
 void
--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -18,6 +18,7 @@
 //   quota.SetTotals(totals, now);           // from the collector
 //   quota_decision decision = quota.Admit(customer, now);
 //   quota.Refund(customer, now);            // admitted, but not run after all
+//   quota_preview next = quota.Preview(customer, now); // without an effect
 //   usage_list own = quota.Report(now);     // for the collector
 #pragma once
 
@@ -55,6 +56,18 @@
   double mLimit = 0;
 };
 
+// What Admit() would return.
+struct quota_preview
+{
+  bool mIsLimited = false; // the customer has a quota
+  bool mAdmitted = true;
+  double mDemand = 0; // as in quota_decision
+  double mLimit = 0;
+  // Bounds of the retry delay, which is spread at random; 0 if admitted.
+  std::chrono::milliseconds mLeastRetryAfter{ 0 };
+  std::chrono::milliseconds mMostRetryAfter{ 0 };
+};
+
 class fleet_quota
 {
 public:
@@ -85,6 +98,8 @@
 
   quota_decision Admit(const customer_id& aCustomer, instant aNow);
 
+  quota_preview Preview(const customer_id& aCustomer, instant aNow) const;
+
   // Takes back an admission that did not run.
   void Refund(const customer_id& aCustomer, instant aNow);
 
@@ -123,12 +138,24 @@
     double mShare = 1; // of the quota
   };
 
+  // The outcome for a request, and demand beyond the rate, as a fraction of the
+  // rate.
+  struct quota_verdict
+  {
+    quota_decision mDecision;
+    double mExcess = 0;
+  };
+
   reachable_load ReachableLoad(const account& aAccount, instant aNow) const;
   // The part of the quota for what is within reach.
   double ShareWithSilent(const account& aAccount) const;
   static double ShareAlone(const account& aAccount);
   void LearnUsualDemand(account& aAccount, instant aNow) const;
-  void Advance(account& aAccount, const reachable_load& aLoad, instant aNow);
+  void Advance(account& aAccount,
+               const reachable_load& aLoad,
+               instant aNow) const;
+  // Counts a request and decides whether it is admitted.
+  quota_verdict Count(account& aAccount, instant aNow) const;
   double RateOf(const account& aAccount) const;
   double BurstOf(const account& aAccount) const;
   bool HasFreshTotals(instant aNow) const;
--- a/laburnumdyke/decision/region_spillover.cc
+++ b/laburnumdyke/decision/region_spillover.cc
@@ -26,46 +26,69 @@
 } // namespace
 
 void
-region_spillover::Advance(bool aPrefersRemote, instant aNow)
+region_spillover::Advance(spillover_state& aState,
+                          bool aPrefersRemote,
+                          instant aNow) const
 {
   std::chrono::duration<double> window = mOptions.mWindow;
   double windows = 0;
-  if (mStarted) {
-    windows = std::chrono::duration<double>(aNow - mLast) / window;
+  if (aState.mStarted) {
+    windows = std::chrono::duration<double>(aNow - aState.mLast) / window;
     windows = std::clamp(windows, 0.0, 1.0);
   }
-  mStarted = true;
-  mLast = aNow;
+  aState.mStarted = true;
+  aState.mLast = aNow;
   double decay = std::exp(-windows / kSmoothingWindows);
-  mDesiredShare = mDesiredShare * decay + (aPrefersRemote ? 1 - decay : 0);
+  aState.mDesiredShare =
+    aState.mDesiredShare * decay + (aPrefersRemote ? 1 - decay : 0);
   double step = mOptions.mMostShift * kShiftFraction * windows;
-  double desired = std::max(mDesiredShare, mMinShare);
-  mShare += std::clamp(desired - mShare, -step, step);
+  double desired = std::max(aState.mDesiredShare, mMinShare);
+  aState.mShare += std::clamp(desired - aState.mShare, -step, step);
 }
 
 spillover_decision
-region_spillover::Decide(bool aPrefersRemote,
-                         bool aLocalAdmits,
-                         instant aNow,
-                         bool aRemoteAdmits)
+region_spillover::DecideFrom(spillover_state& aState,
+                             bool aPrefersRemote,
+                             bool aLocalAdmits,
+                             instant aNow,
+                             bool aRemoteAdmits) const
 {
-  Advance(aPrefersRemote, aNow);
-  double credit = std::min(mCredit + mShare, kMaxCredit);
+  Advance(aState, aPrefersRemote, aNow);
+  double credit = std::min(aState.mCredit + aState.mShare, kMaxCredit);
   bool wantsRemote = aPrefersRemote || !aLocalAdmits;
   double threshold = wantsRemote ? kPreferredThreshold : kForcedThreshold;
   if (aRemoteAdmits && credit >= threshold) {
-    mCredit = credit - 1;
+    aState.mCredit = credit - 1;
     return spillover_decision::Remote;
   }
   if (aLocalAdmits) {
-    mCredit = credit;
-    mServesLocallyUntil = aNow + mOptions.mWindow;
+    aState.mCredit = credit;
+    aState.mServesLocallyUntil = aNow + mOptions.mWindow;
     return spillover_decision::Local;
   }
-  if (aNow >= mServesLocallyUntil) {
-    mCredit = credit;
+  if (aNow >= aState.mServesLocallyUntil) {
+    aState.mCredit = credit;
   }
   return spillover_decision::Refuse;
 }
 
+spillover_decision
+region_spillover::Decide(bool aPrefersRemote,
+                         bool aLocalAdmits,
+                         instant aNow,
+                         bool aRemoteAdmits)
+{
+  return DecideFrom(mState, aPrefersRemote, aLocalAdmits, aNow, aRemoteAdmits);
+}
+
+spillover_decision
+region_spillover::Preview(bool aPrefersRemote,
+                          bool aLocalAdmits,
+                          instant aNow,
+                          bool aRemoteAdmits) const
+{
+  spillover_state state = mState;
+  return DecideFrom(state, aPrefersRemote, aLocalAdmits, aNow, aRemoteAdmits);
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/region_spillover.h
+++ b/laburnumdyke/decision/region_spillover.h
@@ -15,6 +15,8 @@
 //   spillover.SetMinShare(balance.RemoteShare());
 //   spillover_decision decision =
 //     spillover.Decide(prefersRemote, localAdmits, now, remoteAdmits);
+// Preview() takes the same arguments and returns what Decide() would return,
+// without an effect on later decisions.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -44,8 +46,7 @@
 public:
   explicit region_spillover(region_spillover_options aOptions = {})
     : mOptions(aOptions)
-    , mDesiredShare(aOptions.mInitialShare)
-    , mShare(aOptions.mInitialShare)
+    , mState{ aOptions.mInitialShare, aOptions.mInitialShare }
   {
   }
 
@@ -61,20 +62,39 @@
                             instant aNow,
                             bool aRemoteAdmits = true);
 
-  double Share() const { return mShare; }
+  // What Decide() would return.
+  spillover_decision Preview(bool aPrefersRemote,
+                             bool aLocalAdmits,
+                             instant aNow,
+                             bool aRemoteAdmits = true) const;
+
+  double Share() const { return mState.mShare; }
 
 private:
+  // What decisions change.
+  struct spillover_state
+  {
+    double mDesiredShare = 0; // smoothed share of requests that prefer remote
+    double mShare = 0;        // share sent to other regions
+    double mCredit = 0;       // requests that may be sent to other regions
+    instant mServesLocallyUntil{};
+    instant mLast{};
+    bool mStarted = false;
+  };
+
   // Moves the share towards the desired one.
-  void Advance(bool aPrefersRemote, instant aNow);
+  void Advance(spillover_state& aState,
+               bool aPrefersRemote,
+               instant aNow) const;
+  spillover_decision DecideFrom(spillover_state& aState,
+                                bool aPrefersRemote,
+                                bool aLocalAdmits,
+                                instant aNow,
+                                bool aRemoteAdmits) const;
 
   region_spillover_options mOptions;
   double mMinShare = 0;
-  double mDesiredShare; // smoothed share of requests that prefer remote
-  double mShare;        // share sent to other regions
-  double mCredit = 0;   // requests that may be sent to other regions
-  instant mServesLocallyUntil{};
-  instant mLast{};
-  bool mStarted = false;
+  spillover_state mState;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/service_rotation.cc
+++ b/laburnumdyke/decision/service_rotation.cc
@@ -57,18 +57,34 @@
   }
 }
 
+service_id
+service_rotation::Turn(rotation& aRotation, const route_spec& aRoute) const
+{
+  if (!SameServices(aRotation.mServices, aRoute.mServices)) {
+    Restart(aRotation, aRoute);
+  }
+  std::size_t next = Advance(aRotation.mServices, aRotation.mCredit);
+  return aRotation.mServices[next].mService;
+}
+
 service_id
 service_rotation::Next(const route_spec& aRoute)
 {
   if (aRoute.mServices.size() == 1) {
     return aRoute.mServices.front().mService;
   }
-  rotation& rotation = mRotations[aRoute.mName];
-  if (!SameServices(rotation.mServices, aRoute.mServices)) {
-    Restart(rotation, aRoute);
+  return Turn(mRotations[aRoute.mName], aRoute);
+}
+
+service_id
+service_rotation::Preview(const route_spec& aRoute) const
+{
+  if (aRoute.mServices.size() == 1) {
+    return aRoute.mServices.front().mService;
   }
-  std::size_t next = Advance(rotation.mServices, rotation.mCredit);
-  return rotation.mServices[next].mService;
+  auto found = mRotations.find(aRoute.mName);
+  rotation copy = found == mRotations.end() ? rotation() : found->second;
+  return Turn(copy, aRoute);
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/service_rotation.h
+++ b/laburnumdyke/decision/service_rotation.h
@@ -28,6 +28,9 @@
   // zero get no requests unless all weights are zero.
   service_id Next(const route_spec& aRoute);
 
+  // What Next() would return, without taking the turn.
+  service_id Preview(const route_spec& aRoute) const;
+
 private:
   struct rotation
   {
@@ -35,6 +38,7 @@
     std::vector<std::int64_t> mCredit;
   };
 
+  service_id Turn(rotation& aRotation, const route_spec& aRoute) const;
   void Restart(rotation& aRotation, const route_spec& aRoute) const;
 
   std::uint64_t mSeed;
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -21,8 +21,12 @@
 //     if (steering.MaySend(*choice.mTarget)) ...
 //     steering.End(*choice.mTarget, report, now);
 //   }
+//   choice_explanation next = steering.Explain(request, limits, now);
+//
+// Explain() runs the code of Choose() without an effect on later choices.
 #pragma once
 
+#include "laburnumdyke/decision/choice_explanation.h"
 #include "laburnumdyke/decision/cold_start_limiter.h"
 #include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/decision/recent_objects.h"
@@ -142,6 +146,10 @@
   void SetFleet(std::vector<instance_location> aFleet);
 
   steering_choice Choose(const steering_request& aRequest, instant aNow);
+  // What Choose() would return at this instant, and why.
+  choice_explanation Explain(const steering_request& aRequest,
+                             explanation_limits aLimits,
+                             instant aNow) const;
   // Whether a request may still be sent to the chosen upstream. Ask right
   // before the send: the upstream may have begun to leave since the choice.
   bool MaySend(const steering_target& aTarget);
@@ -155,6 +163,10 @@
   std::size_t Size() const { return mUpstreams.size(); }
 
 private:
+  // Retry delays are this many times the shortest expected wait, at random, so
+  // that requests refused together do not retry together.
+  static constexpr double kLeastRetrySpread = 1;
+  static constexpr double kMostRetrySpread = 2;
   // An upstream refuses requests beyond this many queued ones per slot.
   static constexpr double kMaxQueuedPerSlot = 2;
 
@@ -174,8 +186,11 @@
 
   struct candidate
   {
-    upstream* mUpstream = nullptr;
+    const upstream* mUpstream = nullptr;
     bool mRemote = false; // in another region
+    double mLoad = 0;     // estimated requests there
+    double mSlots = 0;    // that its health allows
+    double mSlowness = 1; // expected service time, relative to the usual one
     duration mWait{};
     duration mTotal{}; // expected response time
     double mCost = 0;  // seconds; mTotal plus the cost of cross-domain bytes
@@ -194,17 +209,43 @@
   // An upstream and its rank for an object within its locality.
   struct ranked_upstream
   {
-    upstream* mUpstream = nullptr;
+    const upstream* mUpstream = nullptr;
     locality mLocality = locality::Local;
     std::size_t mRank = 0;
   };
 
-  // What a request's candidates are evaluated with.
+  // What a request's candidates are selected and evaluated with.
   struct request_view
   {
     const steering_request& mRequest;
+    const std::vector<const upstream*>& mUpstreams; // of the service
     const work_estimate& mWork;
-    bool mIsAssignedRemotely = false; // by the service's region_balance
+    const region_balance& mBalance; // of the service
+
+    bool IsAssignedRemotely() const
+    {
+      return mBalance.IsAssignedRemotely(mRequest.mObject);
+    }
+  };
+
+  struct selection
+  {
+    std::vector<candidate> mCandidates;
+    bool mTrustsHealth = true;
+  };
+
+  // The best candidates that admit a request.
+  struct best_candidates
+  {
+    const candidate* mLocal = nullptr;
+    const candidate* mRemote = nullptr;
+    bool mHasLocal = false; // whether there are any, admitting or not
+
+    bool PrefersRemote() const
+    {
+      return mRemote != nullptr &&
+             (mLocal == nullptr || mRemote->mCost < mLocal->mCost);
+    }
   };
 
   static duration ToDuration(std::chrono::duration<double> aTime)
@@ -212,13 +253,18 @@
     return std::chrono::duration_cast<duration>(aTime);
   }
   region_id RegionOf(const domain_id& aDomain) const;
+  region_spillover MakeSpillover(double aShare) const;
   region_spillover& SpilloverOf(const service_id& aService);
+  region_balance MakeBalance(
+    const std::vector<const upstream*>& aUpstreams) const;
   const region_balance& BalanceOf(const service_id& aService);
+  std::optional<exclusion_rule> ClosedBy(const upstream& aUpstream) const;
+  // Returns why the upstream can't get the request; nullopt if it can.
+  std::optional<exclusion_rule> ExclusionOf(const upstream& aUpstream,
+                                            const steering_request& aRequest,
+                                            bool aTrustHealth,
+                                            instant aNow) const;
   bool IsCold(const upstream& aUpstream, instant aNow) const;
-  bool IsEligible(const upstream& aUpstream,
-                  const steering_request& aRequest,
-                  bool aTrustHealth,
-                  instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
   bool UsesSpeed(const upstream& aUpstream, instant aNow) const;
   double SpreadOf(const upstream_id& aUpstream) const;
@@ -242,12 +288,10 @@
                     instant aNow);
   std::optional<speed_notice> TakeNotice(upstream& aUpstream, instant aNow);
   locality LocalityOf(const upstream& aUpstream, bool aStaysInDomain) const;
-  const std::vector<upstream*>& UpstreamsOf(const service_id& aService);
-  std::vector<ranked_upstream> PreferredUpstreams(
-    const steering_request& aRequest,
-    bool aStaysInDomain,
-    bool aTrustHealth,
-    instant aNow);
+  const std::vector<const upstream*>& UpstreamsOf(const service_id& aService);
+  std::vector<ranked_upstream> PreferredUpstreams(const request_view& aView,
+                                                  bool aTrustHealth,
+                                                  instant aNow) const;
   static bool IsPrimary(const ranked_upstream& aRanked,
                         const request_view& aView);
   bool IsCached(const ranked_upstream& aRanked,
@@ -255,15 +299,54 @@
   candidate Evaluate(const ranked_upstream& aRanked,
                      const request_view& aView,
                      instant aNow) const;
-  std::vector<candidate> Candidates(const steering_request& aRequest,
+  std::vector<candidate> Candidates(const request_view& aView,
                                     bool aTrustHealth,
-                                    instant aNow);
-  const candidate* Pick(const std::vector<candidate>& aCandidates,
-                        const steering_request& aRequest,
-                        instant aNow);
+                                    instant aNow) const;
+  selection Select(const request_view& aView, instant aNow) const;
+  static best_candidates Compare(const std::vector<candidate>& aCandidates);
+
+  // Returns the best candidate, or null. aDecide gets the best candidates and
+  // decides whether one of the region or one of another region is used; it is
+  // called only if there is a choice between them to be limited.
+  template<class Decide>
+  static const candidate* Pick(const std::vector<candidate>& aCandidates,
+                               Decide&& aDecide)
+  {
+    best_candidates best = Compare(aCandidates);
+    if (!best.mHasLocal) {
+      return best.mRemote;
+    }
+    if (best.mLocal == nullptr && best.mRemote == nullptr) {
+      return nullptr;
+    }
+    switch (aDecide(best)) {
+      case spillover_decision::Local:
+        return best.mLocal;
+      case spillover_decision::Remote:
+        return best.mRemote;
+      case spillover_decision::Refuse:
+        break;
+    }
+    return nullptr;
+  }
+
+  static refusal_reason RefusalOf(const std::vector<candidate>& aCandidates);
+  static std::chrono::milliseconds RetryAfter(
+    const std::vector<candidate>& aCandidates,
+    const steering_request& aRequest,
+    double aSpread,
+    instant aNow);
   steering_choice Refuse(const std::vector<candidate>& aCandidates,
                          const steering_request& aRequest,
                          instant aNow);
+  choice_explanation Explain(const request_view& aView,
+                             const region_spillover& aSpillover,
+                             explanation_limits aLimits,
+                             instant aNow) const;
+  void ExplainExclusions(const request_view& aView,
+                         const selection& aSelected,
+                         explanation_builder& aBuilder,
+                         instant aNow) const;
   work_estimate& WorkOf(const route_spec& aRoute);
   void AddSample(upstream& aUpstream,
                  const steering_target& aTarget,
@@ -281,7 +364,8 @@
   std::size_t mFleetSize = 1;              // in all regions
   std::shared_ptr<const route_table> mRoutes;
   std::map<upstream_id, upstream> mUpstreams;
-  std::map<service_id, std::vector<upstream*>> mByService; // made when needed
+  std::map<service_id, std::vector<const upstream*>>
+    mByService; // made when needed
   std::set<domain_id> mEvacuated;
   std::map<std::string, work_estimate> mWork;     // by route name
   std::map<service_id, region_balance> mBalances; // computed when needed
