--- a/laburnumdyke/plugin/http_client.cc
+++ b/laburnumdyke/plugin/http_client.cc
@@ -26,6 +26,9 @@
   if (!aRequest.mIfMatch.empty()) {
     request.set(http::field::if_match, aRequest.mIfMatch);
   }
+  for (const std::pair<std::string, std::string>& header : aRequest.mHeaders) {
+    request.set(header.first, header.second);
+  }
   request.keep_alive(false);
   request.body() = std::move(aRequest.mBody);
   request.prepare_payload();
--- a/laburnumdyke/plugin/http_client.h
+++ b/laburnumdyke/plugin/http_client.h
@@ -10,6 +10,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -19,6 +21,7 @@
   http::verb mMethod = http::verb::get;
   std::string mTarget;
   std::string mIfMatch; // the If-Match header; empty: not sent
+  std::vector<std::pair<std::string, std::string>> mHeaders; // further ones
   std::string mBody;
   std::chrono::milliseconds mTimeout{ 2000 };
   std::size_t mLimit = 256UL * 1024 * 1024; // bytes of the answer's body
--- a/laburnumdyke/plugin/http_types.h
+++ b/laburnumdyke/plugin/http_types.h
@@ -30,6 +30,8 @@
 inline constexpr std::string_view kOutcomeHeader = "Laburnumdyke-Outcome";
 inline constexpr std::string_view kReasonHeader = "Laburnumdyke-Reason";
 inline constexpr std::string_view kInstanceHeader = "Laburnumdyke-Instance";
+// Sent by operators: the customer's key of a request that is to be explained.
+inline constexpr std::string_view kExplainKeyHeader = "Laburnumdyke-Key";
 // Sent to upstreams: the identity of a request that runs at most once.
 inline constexpr std::string_view kRequestIdHeader = "Laburnumdyke-Request-Id";
 // Sent by upstreams: why a request was refused before any work was done on it.
--- a/laburnumdyke/plugin/metrics_http.cc
+++ b/laburnumdyke/plugin/metrics_http.cc
@@ -1,16 +1,19 @@
-// Serves metrics of an instance that routes by host and path, at the operators'
-// address and, if the settings give one, at an additional address for
-// monitoring. If it can't listen at the latter, such as when the port is in
-// use, the instance logs a warning and starts without it.
+// Serves metrics and explanations of an instance that routes by host and path,
+// at the operators' address and, if the settings give one, at an additional
+// address for monitoring. If it can't listen at the latter, such as when the
+// port is in use, the instance logs a warning and starts without it.
 //
 // Paths:
-//   GET /metrics   counters and latency histograms
+//   GET /metrics      counters and latency histograms
+//   GET /v1/explain   where a request would go (route_explanation.h); at the
+//                     operators' address only
 //
 // The platform holds the configuration of such instances, so there is no
 // console.
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/plugin/exposition.h"
 #include "laburnumdyke/plugin/http_server.h"
+#include "laburnumdyke/plugin/route_explanation.h"
 
 namespace laburnumdyke {
 
@@ -25,7 +28,9 @@
 
   explicit metrics_http(kernel& aKernel)
     : mKernel(aKernel)
-    , mOperatorServer(aKernel, *this)
+    , mExplainer(aKernel)
+    , mOperatorHandler{ *this }
+    , mOperatorServer(aKernel, mOperatorHandler)
     , mMetricsServer(aKernel, *this)
   {
   }
@@ -61,8 +66,30 @@
   }
 
 private:
+  struct operator_handler
+  {
+    metrics_http& mOwner;
+
+    asio::awaitable<void> Handle(http_exchange& aExchange)
+    {
+      return mOwner.HandleOperator(aExchange);
+    }
+  };
+
+  asio::awaitable<void> HandleOperator(http_exchange& aExchange)
+  {
+    if (route_explainer::IsPath(FromBeast(aExchange.Head().target()))) {
+      return WriteAnswer(
+        aExchange,
+        mExplainer.Answer(aExchange.Head(), std::chrono::steady_clock::now()));
+    }
+    return Handle(aExchange);
+  }
+
   kernel& mKernel;
-  http_server<metrics_http> mOperatorServer;
+  route_explainer mExplainer;
+  operator_handler mOperatorHandler;
+  http_server<operator_handler> mOperatorServer;
   http_server<metrics_http> mMetricsServer;
 };
 
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -34,6 +34,19 @@
 
 namespace laburnumdyke {
 
+// Limits that every request meets, and that its explanation (see
+// route_explanation.h) has to meet too.
+struct steered_limits
+{
+  static constexpr std::chrono::milliseconds kNoDocumentRetry{ 500 };
+  // The caller may find an instance that reads the platform; if all wait for
+  // it, they retry in no more than this.
+  static constexpr std::chrono::milliseconds kStaleCustomersRetry{ 500 };
+  // With less time left, no attempt is made: it could not be answered in time.
+  static constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
+  static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
+};
+
 // Fields that the dialect reads from a caller's header.
 struct caller_request
 {
@@ -164,7 +177,7 @@
                       request,
                       http::status::service_unavailable,
                       refusal_reason::NoDocument,
-                      kNoDocumentRetry);
+                      steered_limits::kNoDocumentRetry);
       co_return;
     }
     request.mRoute =
@@ -223,12 +236,6 @@
   }
 
 private:
-  static constexpr std::chrono::milliseconds kNoDocumentRetry{ 500 };
-  // The caller may find an instance that reads the platform; if all wait for
-  // it, they retry in no more than this.
-  static constexpr std::chrono::milliseconds kStaleCustomersRetry{ 500 };
-  // With less time left, no attempt is made: it could not be answered in time.
-  static constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
   // Sends per request, including those that upstreams refuse.
   static constexpr std::uint32_t kMaxSends = 4;
 
@@ -279,7 +286,7 @@
                   aReason,
                   isUnknown ? std::nullopt
                             : std::optional<std::chrono::milliseconds>(
-                                kStaleCustomersRetry));
+                                steered_limits::kStaleCustomersRetry));
   }
 
   // Counts the request against its customer's quota. Returns when to come back
@@ -336,7 +343,7 @@
                   aRequest,
                   http::status::service_unavailable,
                   refusal_reason::Leaving,
-                  kMinRetryAfter);
+                  steered_limits::kMinRetryAfter);
   }
 
   asio::awaitable<void> Run(http_exchange& aExchange, steered_request& aRequest)
@@ -347,7 +354,7 @@
         co_return;
       }
       instant now = Now();
-      if (aRequest.mDeadline - now < kMinAttemptTime) {
+      if (aRequest.mDeadline - now < steered_limits::kMinAttemptTime) {
         aRequest.mTimedOut = true;
         break;
       }
@@ -534,11 +541,12 @@
       reason = aRequest.mTimedOut ? refusal_reason::DeadlineTooClose
                                   : refusal_reason::UpstreamRefused;
     }
-    co_await Refuse(aExchange,
-                    aRequest,
-                    http::status::service_unavailable,
-                    reason,
-                    std::max(aChoice.mRetryAfter, kMinRetryAfter));
+    co_await Refuse(
+      aExchange,
+      aRequest,
+      http::status::service_unavailable,
+      reason,
+      std::max(aChoice.mRetryAfter, steered_limits::kMinRetryAfter));
   }
 
   asio::awaitable<void> Refuse(
@@ -611,8 +619,6 @@
         { "handled_slots", DecimalText(aNotice.mHandledSlots) } });
   }
 
-  static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
-
   kernel& mKernel;
   steering_tables mTables;
   Transport& mTransport;
