--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -11,11 +11,13 @@
 
 #include "ctl/explain.h"
 #include "ctl/report.h"
+#include "ctl/route_query.h"
 #include "ctl/run_to_completion.h"
 #include "laburnumdyke/plugin/submission_driver.h"
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <iostream>
@@ -61,6 +63,8 @@
                        "&client=" + mOptions.mClient);
       case command_kind::Explain:
         return Explain();
+      case command_kind::Route:
+        return Route();
       case command_kind::Help:
       case command_kind::Version:
         break;
@@ -70,7 +74,8 @@
   }
 
 private:
-  static constexpr std::size_t kReadSize = 64UL * 1024; // bytes
+  static constexpr std::size_t kRouteAnswerLimit = 1024UL * 1024; // bytes
+  static constexpr std::size_t kReadSize = 64UL * 1024;           // bytes
   // Long, because an operator may be on a slow link.
   static constexpr std::chrono::milliseconds kObjectTimeout{ 20000 };
 
@@ -201,6 +206,53 @@
                                  : exit_status::Unavailable;
   }
 
+  // Asks each instance in turn. The status is the worst one.
+  exit_status Route()
+  {
+    std::string key;
+    if (!mOptions.mKeyFile.empty()) {
+      key_result read = ReadKeyFile(mOptions.mKeyFile);
+      if (!read.mKey) {
+        mErrors << "laburnumctl: " << mOptions.mKeyFile << ": " << read.mReason
+                << "\n";
+        return exit_status::Usage;
+      }
+      key = std::move(*read.mKey);
+    }
+    exit_status worst = exit_status::Ok;
+    std::vector<instance_answer> answers;
+    for (const endpoint& address : mOptions.mOperators) {
+      answers.push_back(AskRoute(address, key));
+      worst = std::max(worst, RouteStatus(answers.back().mStatus));
+    }
+    ReportRoutes(mOut, mOptions, answers);
+    return worst;
+  }
+
+  instance_answer AskRoute(const endpoint& aAddress, const std::string& aKey)
+  {
+    client_request request;
+    request.mTo = aAddress;
+    request.mTarget = RouteTarget(mOptions);
+    request.mLimit = kRouteAnswerLimit;
+    if (!aKey.empty()) {
+      request.mHeaders.emplace_back(kExplainKeyHeader, aKey);
+    }
+    std::optional<client_answer> answer =
+      RunToCompletion(mHttp.Exchange(std::move(request)));
+    instance_answer parsed{ aAddress, 0, nullptr };
+    boost::system::error_code failure;
+    if (answer) {
+      parsed.mBody = boost::json::parse(answer->mBody, failure);
+    }
+    if (answer && !failure && parsed.mBody.is_object()) {
+      parsed.mStatus = answer->mStatus;
+    } else {
+      parsed.mBody = nullptr;
+    }
+    return parsed;
+  }
+
   std::optional<config_row> ReadCurrentRow(platform_client<Http>& aPlatform)
   {
     row_answer answer = RunToCompletion(aPlatform.ReadRow());
--- a/ctl/options.cc
+++ b/ctl/options.cc
@@ -2,7 +2,9 @@
 // each command, MissingOption() its required options.
 #include "ctl/options.h"
 
+#include "ctl/route_query.h"
 #include "laburnumdyke/decision/config_row.h"
+#include "laburnumdyke/decision/document_values.h"
 #include "laburnumdyke/decision/prefix.h"
 #include "laburnumdyke/kernel/settings.h"
 
@@ -31,11 +33,19 @@
   "  explain ID [LOG...]                   shows how instances handled a\n"
   "                                        request and why, from their logs\n"
   "                                        (default: standard input)\n"
+  "  route --host H --path P [--object O] [--deadline DURATION]\n"
+  "        [--customer NAME | --key-file FILE] --operator ADDR [...]\n"
+  "                                        shows where instances would send a\n"
+  "                                        request now, and why\n"
   "\n"
   "Options:\n"
   "  --platform ADDR    the platform's IP address and port\n"
   "  --operator ADDR    an instance's address for operators\n"
+  "                     (route: any number of them)\n"
   "  --caller ADDR      an instance's address for callers\n"
+  "  --key-file FILE    holds the caller's key; \"-\": standard input\n"
+  "  --deadline DURATION\n"
+  "                     how long the caller waits, such as 800ms or 2s\n"
   "  --submitter NAME   name of the submitter; default: the login name\n"
   "  --change-id ID     repeats a submission without applying it twice;\n"
   "                     default: a new one, which submit prints\n"
@@ -45,7 +55,9 @@
   "  --help, --version\n"
   "\n"
   "Exit status: 0 success; 1 the document or query was refused, another\n"
-  "change was accepted first, or no log has a line for the request; 2 invalid\n"
+  "change was accepted first, no log has a line for the request, or an "
+  "instance\n"
+  "refused to explain it (a rejected request can be explained); 2 invalid\n"
   "command line or unreadable file; 3 no usable response, or the outcome is\n"
   "unknown.\n";
 
@@ -59,12 +71,18 @@
   OptionBase,
   OptionService,
   OptionClient,
+  OptionHost,
+  OptionPath,
+  OptionObject,
+  OptionCustomer,
+  OptionKeyFile,
+  OptionDeadline,
   OptionJson,
   OptionHelp,
   OptionVersion,
 };
 
-const std::array<option, 12> kOptions = { {
+const std::array<option, 18> kOptions = { {
   { "platform", required_argument, nullptr, OptionPlatform },
   { "operator", required_argument, nullptr, OptionOperator },
   { "caller", required_argument, nullptr, OptionCaller },
@@ -73,6 +91,12 @@
   { "base", required_argument, nullptr, OptionBase },
   { "service", required_argument, nullptr, OptionService },
   { "client", required_argument, nullptr, OptionClient },
+  { "host", required_argument, nullptr, OptionHost },
+  { "path", required_argument, nullptr, OptionPath },
+  { "object", required_argument, nullptr, OptionObject },
+  { "customer", required_argument, nullptr, OptionCustomer },
+  { "key-file", required_argument, nullptr, OptionKeyFile },
+  { "deadline", required_argument, nullptr, OptionDeadline },
   { "json", no_argument, nullptr, OptionJson },
   { "help", no_argument, nullptr, OptionHelp },
   { "version", no_argument, nullptr, OptionVersion },
@@ -94,7 +118,7 @@
   command_operands mOperands;
 };
 
-constexpr std::array<command_rule, 7> kCommands = { {
+constexpr std::array<command_rule, 8> kCommands = { {
   { "check", command_kind::Check, command_operands::File },
   { "submit", command_kind::Submit, command_operands::File },
   { "show", command_kind::Show, command_operands::None },
@@ -102,6 +126,7 @@
   { "status", command_kind::Status, command_operands::None },
   { "lookup", command_kind::Lookup, command_operands::None },
   { "explain", command_kind::Explain, command_operands::RequestAndFiles },
+  { "route", command_kind::Route, command_operands::None },
 } };
 
 bool
@@ -121,6 +146,16 @@
   return parsed.ec == std::errc() && parsed.ptr == end;
 }
 
+bool
+AddOperator(ctl_options& aOptions, std::string_view aText)
+{
+  if (!SetAddress(aOptions.mOperator, aText)) {
+    return false;
+  }
+  aOptions.mOperators.push_back(*aOptions.mOperator);
+  return true;
+}
+
 bool
 SetText(std::string& aTarget, std::string_view aText)
 {
@@ -136,7 +171,7 @@
     case OptionPlatform:
       return SetAddress(aOptions.mPlatform, aValue);
     case OptionOperator:
-      return SetAddress(aOptions.mOperator, aValue);
+      return AddOperator(aOptions, aValue);
     case OptionCaller:
       return SetAddress(aOptions.mCaller, aValue);
     case OptionSubmitter:
@@ -149,6 +184,20 @@
       return SetText(aOptions.mService, aValue) && IsName(aValue);
     case OptionClient:
       return SetText(aOptions.mClient, aValue) && ParseAddress(aValue);
+    case OptionHost:
+      return SetText(aOptions.mHost, aValue) && IsQueryText(aValue);
+    case OptionPath:
+      return SetText(aOptions.mPath, aValue) && IsQueryText(aValue) &&
+             aValue.front() == '/';
+    case OptionObject:
+      return SetText(aOptions.mObject, aValue) && IsQueryText(aValue);
+    case OptionCustomer:
+      return SetText(aOptions.mCustomer, aValue) && IsQueryText(aValue);
+    case OptionKeyFile:
+      return SetText(aOptions.mKeyFile, aValue);
+    case OptionDeadline:
+      return ParseDuration(
+        aOptions.mDeadline.emplace(), aValue, std::chrono::milliseconds(1));
     case OptionJson:
       aOptions.mJson = true;
       return true;
@@ -173,6 +222,14 @@
                  !aOptions.mClient.empty()
                ? ""
                : "--caller ADDR, --service S and --client IP";
+    case command_kind::Route:
+      if (!aOptions.mCustomer.empty() && !aOptions.mKeyFile.empty()) {
+        return "--customer NAME or --key-file FILE, not both";
+      }
+      return aOptions.mOperator && !aOptions.mHost.empty() &&
+                 !aOptions.mPath.empty()
+               ? ""
+               : "--host H, --path P and --operator ADDR";
     case command_kind::Check:
     case command_kind::Explain:
     case command_kind::Help:
--- a/ctl/options.h
+++ b/ctl/options.h
@@ -7,6 +7,7 @@
 
 #include "laburnumdyke/kernel/endpoint.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,7 @@
   Status,
   Lookup,
   Explain,
+  Route,
   Help,
   Version,
 };
@@ -44,12 +46,20 @@
   std::vector<std::string> mFiles; // logs; none: standard input
   std::optional<endpoint> mPlatform;
   std::optional<endpoint> mOperator;
+  std::vector<endpoint> mOperators; // each one given; mOperator is the last
   std::optional<endpoint> mCaller;
   std::string mSubmitter;
   std::string mChangeId;
   std::optional<std::uint64_t> mBase;
   std::string mService;
   std::string mClient;
+  // The request whose route is asked for.
+  std::string mHost;
+  std::string mPath;
+  std::string mObject;
+  std::string mCustomer;
+  std::string mKeyFile; // "-": standard input
+  std::optional<std::chrono::milliseconds> mDeadline;
   bool mJson = false;
 };
 
--- a/ctl/report.cc
+++ b/ctl/report.cc
@@ -3,6 +3,8 @@
 #include "ctl/report.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <ostream>
 
 namespace laburnumdyke {
@@ -14,6 +16,12 @@
 std::string
 CellText(const boost::json::value& aValue)
 {
+  if (aValue.is_double()) {
+    // Shorter than JSON, which has exponents.
+    std::array<char, 32> number{};
+    std::snprintf(number.data(), number.size(), "%.10g", aValue.get_double());
+    return number.data();
+  }
   std::string text = aValue.is_string()
                        ? std::string(aValue.get_string().c_str())
                        : boost::json::serialize(aValue);
@@ -123,6 +131,37 @@
   return json;
 }
 
+boost::json::object
+AnswerJson(const instance_answer& aAnswer)
+{
+  boost::json::object json;
+  json["operator"] = aAnswer.mAddress.Text();
+  json["status"] = aAnswer.mStatus;
+  json["answer"] = aAnswer.mBody;
+  return json;
+}
+
+// The line of an instance, with the fields that are compared first.
+boost::json::object
+SummaryJson(const instance_answer& aAnswer)
+{
+  boost::json::object json;
+  json["operator"] = aAnswer.mAddress.Text();
+  if (!aAnswer.mBody.is_object()) {
+    json["error"] = "no answer";
+    return json;
+  }
+  for (const char* field :
+       { "instance", "version", "outcome", "upstream", "reason", "error" }) {
+    const boost::json::value* value =
+      aAnswer.mBody.get_object().if_contains(field);
+    if (value != nullptr) {
+      json[field] = *value;
+    }
+  }
+  return json;
+}
+
 } // namespace
 
 boost::json::array
@@ -221,6 +260,30 @@
   }
 }
 
+void
+ReportRoutes(std::ostream& aOut,
+             const ctl_options& aOptions,
+             const std::vector<instance_answer>& aAnswers)
+{
+  boost::json::array answers;
+  boost::json::array summary;
+  for (const instance_answer& answer : aAnswers) {
+    answers.push_back(AnswerJson(answer));
+    summary.push_back(SummaryJson(answer));
+  }
+  if (aOptions.mJson) {
+    aOut << boost::json::serialize(answers) << "\n";
+    return;
+  }
+  PrintTable(aOut, ToTable(summary));
+  for (const instance_answer& answer : aAnswers) {
+    if (answer.mStatus == 200) {
+      aOut << "\n--- " << answer.mAddress.Text() << "\n";
+      ReportJson(aOut, aOptions, answer.mBody);
+    }
+  }
+}
+
 exit_status
 StatusOf(submission_kind aKind)
 {
--- a/ctl/report.h
+++ b/ctl/report.h
@@ -38,6 +38,20 @@
            const ctl_options& aOptions,
            const boost::json::value& aValue);
 
+// The answers of instances to one question; null: no answer.
+struct instance_answer
+{
+  endpoint mAddress;
+  unsigned mStatus = 0;
+  boost::json::value mBody;
+};
+
+// Prints one line for each instance, then what each one explains.
+void
+ReportRoutes(std::ostream& aOut,
+             const ctl_options& aOptions,
+             const std::vector<instance_answer>& aAnswers);
+
 exit_status
 StatusOf(submission_kind aKind);
 
--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -107,6 +107,32 @@
     { "submit", "a", "--platform", "127.0.0.1:1", "--base", "1x" },
     { "submit", "a", "--platform", "127.0.0.1:1", "--submitter", "a b" },
     { "explain" },
+    { "route", "--path", "/a", "--operator", "127.0.0.1:1" },
+    { "route", "--host", "a", "--operator", "127.0.0.1:1" },
+    { "route", "--host", "a", "--path", "/a" },
+    { "route", "--host", "a", "--path", "a", "--operator", "127.0.0.1:1" },
+    { "route", "--host", "a\n", "--path", "/a", "--operator", "127.0.0.1:1" },
+    { "route", "--host", "a", "--path", "/a", "--operator", "here" },
+    { "route",
+      "--host",
+      "a",
+      "--path",
+      "/a",
+      "--operator",
+      "127.0.0.1:1",
+      "--deadline",
+      "2" },
+    { "route",
+      "--host",
+      "a",
+      "--path",
+      "/a",
+      "--operator",
+      "127.0.0.1:1",
+      "--customer",
+      "acme",
+      "--key-file",
+      "-" },
   };
   for (const std::vector<std::string>& row : kRows) {
     options_result result = Parse(row);
@@ -363,3 +389,96 @@
   CHECK_EQUAL(std::string("/v1/lookup?service=job-sheet&client=10.0.0.1"),
               mHttp.mRequests.back().mTarget);
 }
+
+// Guards against text of the command line that becomes another parameter, and
+// against a key that shows up anywhere but in its header.
+TEST(CtlCommands, RouteEncodesItsQuestionAndHidesTheKey)
+{
+  Write("s3cret-key\n");
+  mHttp.mAnswers = { client_answer{ 200,
+                                    "{\"instance\":\"one\",\"outcome\":"
+                                    "\"sent\",\"upstream\":\"u1\"}" } };
+  CHECK(exit_status::Ok == Run({ "route",
+                                 "--host",
+                                 "a.example",
+                                 "--path",
+                                 "/x?y=1&customer=z",
+                                 "--deadline",
+                                 "2s",
+                                 "--key-file",
+                                 mFile,
+                                 "--operator",
+                                 "127.0.0.1:1" }));
+  const client_request& sent = mHttp.mRequests.at(0);
+  CHECK_EQUAL(std::string("/v1/explain?host=a%2Eexample&path=%2Fx%3Fy%3D1%26"
+                          "customer%3Dz&deadline_ms=2000"),
+              sent.mTarget);
+  LONGS_EQUAL(1, sent.mHeaders.size());
+  STRCMP_EQUAL("s3cret-key", sent.mHeaders.at(0).second.c_str());
+  CHECK(Printed("u1"));
+  CHECK_FALSE(Printed("s3cret"));
+  CHECK(mErrors.str().empty());
+}
+
+TEST(CtlCommands, RouteRefusesUnusableKeysWithoutShowingThem)
+{
+  for (const std::string& text : { std::string(),
+                                   std::string("\nkey"),
+                                   std::string("ke\ty"),
+                                   std::string(300, 'k') }) {
+    Write(text);
+    CHECK(exit_status::Usage == Run({ "route",
+                                      "--host",
+                                      "a",
+                                      "--path",
+                                      "/",
+                                      "--key-file",
+                                      mFile,
+                                      "--operator",
+                                      "127.0.0.1:1" }));
+    CHECK(mErrors.str().find("kkk") == std::string::npos);
+    CHECK(mErrors.str().find("ke\ty") == std::string::npos);
+  }
+  LONGS_EQUAL(0, mHttp.mRequests.size());
+}
+
+// Guards against a failure of one instance that hides the answers of others,
+// and the other way round.
+TEST(CtlCommands, RouteAsksEachInstanceAndReturnsTheWorstStatus)
+{
+  const std::vector<std::string> kRoute = {
+    "route",      "--host",      "a",          "--path",     "/",
+    "--operator", "127.0.0.1:1", "--operator", "127.0.0.1:2"
+  };
+  client_answer good{ 200, "{\"instance\":\"one\",\"outcome\":\"sent\"}" };
+  struct row
+  {
+    std::optional<client_answer> mSecond;
+    exit_status mStatus;
+  };
+  const std::vector<row> kRows = {
+    { good, exit_status::Ok },
+    { std::nullopt, exit_status::Unavailable },
+    { client_answer{ 200, "{" }, exit_status::Unavailable },
+    { client_answer{ 200, "[]" }, exit_status::Unavailable },
+    { client_answer{ 404, "{\"error\":\"no customer\"}" },
+      exit_status::Refused },
+    { client_answer{ 429, "{\"error\":\"slow down\"}" },
+      exit_status::Unavailable },
+    { client_answer{ 503, "{\"error\":\"none yet\"}" },
+      exit_status::Unavailable },
+  };
+  for (const row& one : kRows) {
+    mHttp.mAnswers = { good, one.mSecond };
+    CHECK(one.mStatus == Run(kRoute));
+    CHECK(Printed("127.0.0.1:1"));
+    CHECK(Printed("127.0.0.1:2"));
+  }
+  mHttp.mAnswers = { good, std::nullopt };
+  std::vector<std::string> json = kRoute;
+  json.emplace_back("--json");
+  CHECK(exit_status::Unavailable == Run(json));
+  boost::json::value printed = boost::json::parse(mOut.str());
+  LONGS_EQUAL(2, printed.as_array().size());
+  CHECK(printed.as_array().at(1).as_object().at("answer").is_null());
+}
