--- a/laburnumdyke/plugin/http_client.h
+++ b/laburnumdyke/plugin/http_client.h
@@ -10,6 +10,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -21,6 +23,7 @@
   std::string mIfMatch; // the If-Match header; empty: not sent
   // Name of a header of the answer that the caller needs; empty: none.
   std::string mWantedHeader;
+  std::vector<std::pair<std::string, std::string>> mHeaders; // further ones
   std::string mBody;
   std::chrono::milliseconds mTimeout{ 2000 };
   std::size_t mLimit = 256UL * 1024 * 1024; // bytes of the answer's body
