A new instance grants a customer the slack's part at once; names of the boot clock

Cause: with no tokens at all, the first requests of a customer with a small rate were refused at an instance that had just started (route_explanation_test).

--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -61,7 +61,8 @@
     }
     one.mQuota = customer.mQuota;
     if (known == mAccounts.end()) {
-      // No burst at first: each instance that starts would grant one.
+      // No burst at first, which each instance that starts would grant.
+      one.mTokens = mOptions.mSlack * kUsedFraction;
       one.mCredit = anyCredit(mRandom);
     }
     one.mTokens = std::min(one.mTokens, BurstOf(one));
--- a/laburnumdyke/kernel/boot_clock.h
+++ b/laburnumdyke/kernel/boot_clock.h
@@ -1,6 +1,6 @@
 // A steady clock that also counts the time during which the machine is
 // suspended, unlike std::chrono::steady_clock. For deadlines that must hold
-// across a suspension.
+// across a suspension. Serves as the clock of std::chrono::time_point.
 #pragma once
 
 #include <chrono>
@@ -15,9 +15,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
 
-  static time_point now() noexcept
+  static time_point Now() noexcept
   {
     timespec value{};
     ::clock_gettime(CLOCK_BOOTTIME, &value);
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -204,7 +204,7 @@
     }
     while (true) {
       co_await SleepFor(mJitter(kAgeCheckInterval));
-      dated_routes dated = mTables.DatedRoutes(boot_clock::now());
+      dated_routes dated = mTables.DatedRoutes(boot_clock::Now());
       bool hasCustomers = dated.mRoutes && dated.mRoutes->Customers();
       bool isOld = !dated.mAge || *dated.mAge > maxAge / 2;
       // After a failure WatchControl reads without waiting, too.
@@ -217,7 +217,7 @@
   // Returns whether a reading was accepted and applied.
   asio::awaitable<bool> ReadControl(std::chrono::milliseconds aLongPoll)
   {
-    boot_instant sent = boot_clock::now();
+    boot_instant sent = boot_clock::Now();
     control_reading reading = co_await mSource.ReadControl(
       mControl.After(), mControl.LongPollWait(aLongPoll));
     NoteStoreEra();
--- a/laburnumdyke/plugin/route_explanation.cc
+++ b/laburnumdyke/plugin/route_explanation.cc
@@ -143,7 +143,7 @@
     boost::json::object row;
     row["rule"] = ToString(rule);
     row["count"] = excluded.mCount;
-    row["upstreams"] = std::move(names);
+    row["upstreams"] = names;
     rows.push_back(std::move(row));
   }
   return rows;
@@ -333,7 +333,7 @@
 string_answer
 route_explainer::AnswerQuery(const explain_query& aQuery, instant aNow)
 {
-  dated_routes dated = mTables.DatedRoutes(boot_clock::now());
+  dated_routes dated = mTables.DatedRoutes(boot_clock::Now());
   if (!dated.mRoutes) {
     return ExplainError(http::status::service_unavailable,
                         "no configuration in force yet");
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -172,7 +172,7 @@
     steered_request request;
     request.mReceived = aExchange.mReceived;
     request.mCaller = Dialect::ReadCaller(aExchange.Head());
-    dated_routes dated = mTables.DatedRoutes(boot_clock::now());
+    dated_routes dated = mTables.DatedRoutes(boot_clock::Now());
     request.mRoutes = dated.mRoutes;
     const route_table* routes = request.mRoutes.get();
     if (routes == nullptr) {
@@ -267,7 +267,7 @@
       return refusal_reason::None;
     }
     gate_decision gate =
-      CheckKey(aRequest, mTables.DatedRoutes(boot_clock::now()));
+      CheckKey(aRequest, mTables.DatedRoutes(boot_clock::Now()));
     bool isSame = gate.mCustomer != nullptr && aRequest.mCustomer != nullptr &&
                   gate.mCustomer->mName == aRequest.mCustomer->mName;
     if (gate.mRefusal == refusal_reason::None && !isSame &&
