--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -227,6 +227,7 @@
     reading.mHead.mStatus = reading_status::Read;
     reading.mHead.mIsSnapshot = aUpdate.mIsSnapshot;
     reading.mHead.mVersion = aUpdate.mVersion;
+    std::chrono::milliseconds age = aUpdate.mAge;
     reading.mRows = ToRows(std::move(aUpdate));
     bool isRestored = mState.AwaitsEra();
     bool taken = mState.TakeFromPeer(reading.mHead);
@@ -235,7 +236,7 @@
     if (!taken && mState.AwaitsEra()) {
       return false;
     }
-    mTiming.KnownAsOf(now - aUpdate.mAge);
+    mTiming.KnownAsOf(now - age);
     bool isWanted = WantsPeerSnapshot() && reading.mHead.mIsSnapshot &&
                     reading.mHead.mVersion == knownVersion;
     mHasPeerSnapshot = mHasPeerSnapshot || reading.mHead.mIsSnapshot;
--- a/laburnumdyke/testing/route_explanation_test.cc
+++ b/laburnumdyke/testing/route_explanation_test.cc
@@ -300,7 +300,7 @@
   Register(entries);
   std::string answer = Ask("path=/open");
   CHECK(BodyOf(answer).at("more_candidates").as_int64() == 780);
-  CHECK(answer.size() < 16 * 1024);
+  CHECK(answer.size() < 16UL * 1024);
   int refused = 0;
   for (int i = 0; i < 3 * static_cast<int>(route_explainer::kPerSecond); ++i) {
     refused += Has(Ask("path=/nothing"), "HTTP/1.1 429") ? 1 : 0;
