--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -40,7 +40,8 @@
 struct fleet_quota_options
 {
   // What may run in any window beyond rate and burst: a fraction of both, and a
-  // number of requests. Half of it is used, the rest covers delayed totals.
+  // number of requests. A quarter of it is used, the rest covers delayed
+  // totals.
   double mOvershoot = 0.1;
   double mSlack = 20;
   std::uint64_t mSeed = 1;
