Forward the answer of an upstream that closes before it has read the body

Callers got 502 although the upstream had answered: it closed its connection with part of the body unread, the write of the rest failed, and the answer that had arrived was never read. An attempt now reads the answer after a failed write; its connection is not kept.

SteeredFront.AnAnswerBeforeTheBodyIsReadIsForwarded failed before.

--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -48,7 +48,8 @@
   std::unique_ptr<tcp_stream> mStream;
   beast::flat_buffer mBuffer{ kUnparsedLimit };
   std::unique_ptr<answer_parser> mParser;
-  bool mClean = true; // carried no answer to another request
+  bool mClean = true;     // carried no answer to another request
+  bool mSentWhole = true; // the whole request was written
   answer_attributes mAnswer;
 };
 
@@ -331,7 +332,8 @@
                const upstream_attempt& aAttempt,
                upstream_connection& aConnection)
 {
-  bool reusable = aConnection.mClean && aConnection.mParser->is_done() &&
+  bool reusable = aConnection.mClean && aConnection.mSentWhole &&
+                  aConnection.mParser->is_done() &&
                   aConnection.mParser->get().keep_alive() &&
                   aConnection.mBuffer.size() == 0;
   std::chrono::milliseconds idleTimeout =
@@ -443,11 +445,15 @@
     outcome.mEnd = attempt_ending::UpstreamLeaving;
     co_return outcome;
   }
-  failure = co_await SendRequest(aExchange, aAttempt, connection);
-  if (failure) {
-    outcome.mEnd = EndOf(failure);
+  error_code sendFailure =
+    co_await SendRequest(aExchange, aAttempt, connection);
+  if (sendFailure == beast::error::timeout) {
+    outcome.mEnd = attempt_ending::TimedOut;
     co_return outcome;
   }
+  // An upstream that closes its connection before it has read the body may have
+  // answered.
+  connection.mSentWhole = !sendFailure;
   if (aAttempt.mIdempotent) {
     std::variant<error_code, std::monostate> first =
       co_await (ReadAnswerHead(aExchange, aAttempt, connection) ||
@@ -462,7 +468,7 @@
     failure = co_await ReadAnswerHead(aExchange, aAttempt, connection);
   }
   if (failure) {
-    outcome.mEnd = EndOf(failure);
+    outcome.mEnd = EndOf(sendFailure ? sendFailure : failure);
     co_return outcome;
   }
   outcome.mStatus = connection.mParser->get().result_int();
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -254,6 +254,21 @@
   LONGS_EQUAL(1, mFront.Arrivals());
 }
 
+// Guards against losing the answer of an upstream that closes its connection
+// before it has read the body.
+TEST(SteeredFront, AnAnswerBeforeTheBodyIsReadIsForwarded)
+{
+  mFront.Configure(false);
+  mFront.mFirst.Script({ kWholeAnswer });
+  std::string body(4UL * 1024 * 1024, 'x'); // more than sockets buffer
+  std::string answer =
+    mFront.Send("POST /write/1 HTTP/1.1\r\nHost: a.example\r\n"
+                "X-Request-Id: 77\r\nX-Deadline-Ms: 2000\r\n"
+                "Connection: close\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+}
+
 TEST(SteeredFront, BadInputIsRefusedAndReachesNoUpstream)
 {
   mFront.Configure(false);
