--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -3,7 +3,10 @@
 #include "laburnumdyke/kernel/settings.h"
 
 #include <charconv>
+#include <cmath>
 #include <functional>
+#include <limits>
+#include <ratio>
 #include <set>
 
 namespace laburnumdyke {
@@ -112,19 +115,21 @@
   return parsed.ec == std::errc() && parsed.ptr == end && aTarget > 0;
 }
 
-// Accepts "1500ms" or "2s".
+// Accepts "1500ms", "2s" or "6.5s"; rounds to whole milliseconds.
 bool
 SetDuration(std::chrono::milliseconds& aTarget, std::string_view aText)
 {
-  std::uint32_t count = 0;
+  static constexpr double kMaxCount = std::numeric_limits<std::uint32_t>::max();
+  double count = 0;
   const char* end = aText.data() + aText.size();
-  std::from_chars_result parsed = std::from_chars(aText.data(), end, count);
-  if (parsed.ec != std::errc()) {
+  std::from_chars_result parsed =
+    std::from_chars(aText.data(), end, count, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || !(count >= 0 && count <= kMaxCount)) {
     return false;
   }
   std::string_view unit(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
-  aTarget = unit == "s" ? std::chrono::milliseconds(std::chrono::seconds(count))
-                        : std::chrono::milliseconds(count);
+  double milliseconds = unit == "s" ? count * std::milli::den : count;
+  aTarget = std::chrono::milliseconds(std::llround(milliseconds));
   return unit == "s" || unit == "ms";
 }
 
@@ -145,7 +150,7 @@
   static constexpr std::string_view kNumber = "a number such as 1.5";
   static constexpr std::string_view kBytes =
     "a whole number of bytes, at least 1";
-  static constexpr std::string_view kDuration = "a time such as 1500ms or 2s";
+  static constexpr std::string_view kDuration = "a time such as 1500ms or 2.5s";
   using text = std::string_view;
   static const std::vector<setting_key> kKeys = {
     { "instance",
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -111,6 +111,29 @@
   }
 }
 
+// Guards against an instance that does not start because a bound of the
+// deployment is not a whole number.
+TEST(Settings, TimesMayBeFractions)
+{
+  const std::pair<const char*, std::chrono::milliseconds> rows[] = {
+    { "6.5s", std::chrono::milliseconds(6500) },
+    { "0.25s", std::chrono::milliseconds(250) },
+    { "1500.4ms", std::chrono::milliseconds(1500) },
+    { "1500.6ms", std::chrono::milliseconds(1501) },
+    { "6.0s", std::chrono::milliseconds(6000) },
+  };
+  for (const std::pair<const char*, std::chrono::milliseconds>& row : rows) {
+    settings_result result = ParseSettings(HostsSettings("7s", row.first));
+    CHECK_TEXT(result.mSettings.has_value(), row.first);
+    CHECK_TEXT(result.mSettings->mBounds.mGrace == row.second, row.first);
+  }
+  for (const char* faulty :
+       { "-6.5s", "6,5s", "6.s5", "nans", "infs", "1e9s", "5000000000s" }) {
+    settings_result result = ParseSettings(HostsSettings("7s", faulty));
+    CHECK_TEXT(!result.mSettings.has_value(), faulty);
+  }
+}
+
 TEST(Settings, TheUseOfLearnedSpeedsIsAChoiceOfThree)
 {
   settings_result result = ParseSettings(kGoodSettings);
