Split the pipeline of steered requests by responsibility

steered_pipeline.h had 655 lines: concepts, state, checks, refusals, log lines and the attempts in one template. kStaleCustomersRetry stood in it twice, and MayBegin both asked whether a request may begin and limited its deadline.

- steering_dialect.h: what a front end supplies (dialect, transport)
- steered_request.h, .cc: the state of a request, and its refusals as values
- steered_checks.h, .cc: route and key, planned stop and quota, key again before each attempt.
A request has one path through its checks: each returns a refusal or nothing, and Serve writes it in one place
- steered_log.h, .cc: log lines and metrics
- steered_pipeline.h, .cc: body, choice, attempts, answer (259 and 76 lines)

MayBegin only asks; LimitDeadline follows it. They take the lock of the planned stop one after the other. A stop that begins between the two now limits the deadline, which it did not before; such a request is answered before the exit. Answers, counters, log lines and the other decisions are the same, and no assertion changed.

--- a/laburnumdyke/plugin/route_explanation.cc
+++ b/laburnumdyke/plugin/route_explanation.cc
@@ -1,10 +1,10 @@
-// The steps are those of steered_pipeline::Serve, in the same order, each with
-// the preview of what the pipeline does. Locks are held one at a time, so the
-// answer may mix states that are a few microseconds apart.
+// The steps are those of steered_pipeline::Serve and steered_checks, in the
+// same order, each with the preview of what they do. Locks are held one at a
+// time, so the answer may mix states that are a few microseconds apart.
 #include "laburnumdyke/plugin/route_explanation.h"
 
 #include "laburnumdyke/plugin/console_form.h"
-#include "laburnumdyke/plugin/steered_pipeline.h"
+#include "laburnumdyke/plugin/steered_request.h"
 
 #include <boost/json.hpp>
 
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -11,8 +11,8 @@
   return aLoad && aLoad->mWaiting == 0 && aLoad->mRunning < aLoad->mSlots;
 }
 
-} // namespace
-
+// Classifies the end of an attempt for the upstream's health. A refusal counts
+// as an error only if the upstream reports free slots.
 attempt_result
 ToAttemptResult(const attempt_outcome& aOutcome)
 {
@@ -39,43 +39,38 @@
   return attempt_result::Abandoned;
 }
 
-std::string
-RetryAfterText(std::chrono::milliseconds aAfter)
-{
-  char text[32];
-  std::snprintf(
-    text, sizeof text, "%.3f", std::chrono::duration<double>(aAfter).count());
-  return text;
-}
-
-std::string
-DecimalText(double aValue)
-{
-  char text[32];
-  std::snprintf(text, sizeof text, "%.2f", aValue);
-  return text;
-}
+} // namespace
 
-std::uint32_t
-PriorityOf(const steered_request& aRequest)
+attempt_report
+ToAttemptReport(const attempt_outcome& aOutcome, duration aTook)
 {
-  std::uint32_t priority = aRequest.mRoute->mPriority;
-  return aRequest.mCustomer == nullptr
-           ? priority
-           : aRequest.mCustomer->mPriority.value_or(priority);
+  attempt_report report;
+  report.mResult = ToAttemptResult(aOutcome);
+  report.mTook = aTook;
+  report.mBytes = aOutcome.mBytes;
+  report.mLoad = aOutcome.mLoad;
+  report.mQueueFull = aOutcome.mEnd == attempt_ending::NotRun;
+  report.mWrongInstance = aOutcome.mEnd == attempt_ending::WrongInstance;
+  report.mConnect = aOutcome.mConnect;
+  return report;
 }
 
-std::string
-LoadText(const std::optional<reported_load>& aLoad)
+bool
+RecordOutcome(steered_request& aRequest, const attempt_outcome& aOutcome)
 {
-  if (!aLoad) {
-    return {};
+  bool sent = aOutcome.mEnd != attempt_ending::NotSent &&
+              aOutcome.mEnd != attempt_ending::UpstreamLeaving;
+  bool refused = aOutcome.mEnd == attempt_ending::NotRun ||
+                 aOutcome.mEnd == attempt_ending::WrongInstance;
+  aRequest.mSends += sent ? 1 : 0;
+  if (sent && !refused) {
+    ++aRequest.mRuns;
+    aRequest.mMayHaveRun = true;
   }
-  std::string text = std::to_string(aLoad->mRunning) + "," +
-                     std::to_string(aLoad->mWaiting) + "," +
-                     std::to_string(aLoad->mSlots);
-  return aLoad->mWorkPercent ? text + "," + std::to_string(*aLoad->mWorkPercent)
-                             : text;
+  aRequest.mTimedOut = aOutcome.mEnd == attempt_ending::TimedOut;
+  return aOutcome.mEnd == attempt_ending::Answered ||
+         aOutcome.mEnd == attempt_ending::CutShort ||
+         aOutcome.mEnd == attempt_ending::CallerGone;
 }
 
 } // namespace laburnumdyke
