Admit by priority, overflow and customer while a service is contended

A service without capacity for all requests admitted them in order of arrival: at 1.5 times the capacity urgent requests were refused as often as others, and overflow of a split route or one hot customer displaced the rest.

Each instance now measures, by service, its demand and what was served by class (overflow, then priority), route and customer. While requests find no room, the less urgent ones get a limit on the load of an upstream and on the part that is admitted (decision/contention.h, docs/design/contention.md). The setting uneven_load = auto | always | never says where; other deployments choose as before. Refusals for others have the reason yields_to_others, and Retry-After is spread over the excess of requests. Counters by priority, and a log line when contention begins and ceases.

--- a/laburnumdyke/decision/choice_explanation.h
+++ b/laburnumdyke/decision/choice_explanation.h
@@ -12,6 +12,7 @@
 // instant of the explanation.
 #pragma once
 
+#include "laburnumdyke/decision/contention.h"
 #include "laburnumdyke/decision/region_spillover.h"
 #include "laburnumdyke/decision/types.h"
 
@@ -59,6 +60,7 @@
   duration mTotal{}; // expected response time
   double mCost = 0;  // seconds; mTotal plus the cost of cross-domain bytes
   bool mAdmits = false;
+  bool mYields = false; // would admit but for more urgent requests
 };
 
 struct excluded_upstreams
@@ -78,6 +80,7 @@
   bool mIgnoresHealth = false;
   // Set if the limit on what leaves the region took part.
   std::optional<spillover_decision> mSpillover;
+  contention_room mRoom;   // that more urgent requests leave
   double mRemoteShare = 0; // of the service's requests, before this one
   std::optional<upstream_id> mChosen;
   refusal_reason mReason = refusal_reason::None; // set if none is chosen
--- a/laburnumdyke/decision/route_table.cc
+++ b/laburnumdyke/decision/route_table.cc
@@ -20,6 +20,29 @@
   return host;
 }
 
+std::uint32_t
+MaxWeight(const route_spec& aRoute)
+{
+  std::uint32_t weight = 0;
+  for (const weighted_service& each : aRoute.mServices) {
+    weight = std::max(weight, each.mWeight);
+  }
+  return weight;
+}
+
+// Whether aService is the only or heaviest one of the route.
+bool
+IsHeaviest(const route_spec& aRoute, const service_id& aService)
+{
+  std::uint32_t weight = MaxWeight(aRoute);
+  return std::any_of(aRoute.mServices.begin(),
+                     aRoute.mServices.end(),
+                     [&](const weighted_service& aEach) {
+                       return aEach.mService == aService &&
+                              aEach.mWeight == weight;
+                     });
+}
+
 } // namespace
 
 route_table::route_table(routing_document aDocument,
@@ -33,7 +56,13 @@
     mDocument.mCustomers.reset();
   }
   for (std::size_t i = 0; i < mDocument.mRoutes.size(); ++i) {
-    mByHost[NormalizeHost(mDocument.mRoutes[i].mHost)].push_back(i);
+    const route_spec& route = mDocument.mRoutes[i];
+    mByHost[NormalizeHost(route.mHost)].push_back(i);
+    for (const weighted_service& each : route.mServices) {
+      if (IsHeaviest(route, each.mService)) {
+        mOwners.insert(each.mService);
+      }
+    }
   }
   for (std::pair<const std::string, std::vector<std::size_t>>& host : mByHost) {
     std::stable_sort(host.second.begin(),
@@ -62,6 +91,13 @@
   return nullptr;
 }
 
+bool
+route_table::IsOverflow(const route_spec& aRoute,
+                        const service_id& aService) const
+{
+  return mOwners.count(aService) > 0 && !IsHeaviest(aRoute, aService);
+}
+
 service_rules
 route_table::Rules(const service_id& aService) const
 {
--- a/laburnumdyke/decision/route_table.h
+++ b/laburnumdyke/decision/route_table.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,12 +91,18 @@
   // Null if requests need no key.
   const customer_table* Customers() const { return mCustomers.get(); }
 
+  // Whether requests of aRoute reach aService as overflow: other services of
+  // the route have a greater weight, and aService has routes of its own, of
+  // which it is the only or heaviest service.
+  bool IsOverflow(const route_spec& aRoute, const service_id& aService) const;
+
   // Returns the defaults for a service that is not declared.
   service_rules Rules(const service_id& aService) const;
 
 private:
   routing_document mDocument; // without its customers
   std::unique_ptr<const customer_table> mCustomers;
+  std::set<service_id> mOwners; // services with routes of their own
   // By host, the longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> mByHost;
 };
--- a/laburnumdyke/decision/steering_candidates.cc
+++ b/laburnumdyke/decision/steering_candidates.cc
@@ -219,7 +219,9 @@
     aNow + evaluated.mTotal <= request.mReceived + request.mRoute.mObjective;
   bool hasQueueSpace = load + 1 <= slots * (1 + kMaxQueuedPerSlot);
   bool isFree = load + 1 <= slots;
-  evaluated.mAdmits = (meetsObjective && hasQueueSpace) || isFree;
+  bool hasCapacity = (meetsObjective && hasQueueSpace) || isFree;
+  evaluated.mAdmits = hasCapacity && load + 1 <= slots * aView.mRoom.mSlots;
+  evaluated.mYields = hasCapacity && !evaluated.mAdmits;
   return evaluated;
 }
 
--- a/laburnumdyke/decision/steering_explanation.cc
+++ b/laburnumdyke/decision/steering_explanation.cc
@@ -31,8 +31,14 @@
   region_spillover copy =
     spillover == mSpillovers.end() ? MakeSpillover(share) : spillover->second;
   copy.SetMinShare(share);
-  return Explain(
-    { aRequest, upstreams, estimate, balance }, copy, aLimits, aNow);
+  return Explain({ aRequest,
+                   upstreams,
+                   estimate,
+                   balance,
+                   RoomOf(aRequest, upstreams, aNow) },
+                 copy,
+                 aLimits,
+                 aNow);
 }
 
 choice_explanation
@@ -65,7 +71,8 @@
                            one.mWait,
                            one.mTotal,
                            one.mCost,
-                           one.mAdmits });
+                           one.mAdmits,
+                           one.mYields });
   }
   ExplainExclusions(aView, selected, builder, aNow);
   choice_explanation explanation = builder.Build(
@@ -74,6 +81,7 @@
   explanation.mIgnoresHealth =
     !selected.mTrustsHealth && !selected.mCandidates.empty();
   explanation.mSpillover = spilled;
+  explanation.mRoom = aView.mRoom;
   explanation.mRemoteShare = aSpillover.Share();
   if (chosen == nullptr) {
     const steering_request& request = aView.mRequest;
@@ -81,7 +89,7 @@
     explanation.mLeastRetryAfter =
       RetryAfter(selected.mCandidates, request, kLeastRetrySpread, aNow);
     explanation.mMostRetryAfter =
-      RetryAfter(selected.mCandidates, request, kMostRetrySpread, aNow);
+      RetryAfter(selected.mCandidates, request, MostRetrySpread(aView), aNow);
   }
   return explanation;
 }
--- a/laburnumdyke/decision/types.cc
+++ b/laburnumdyke/decision/types.cc
@@ -52,6 +52,7 @@
     "body_too_large",
     "body_too_slow",
     "no_body_room",
+    "yields_to_others",
   };
 
 constexpr std::array<std::string_view,
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -87,8 +87,9 @@
   StaleCustomers,  // the key may have been revoked since the last reading
   QuotaExceeded,   // of the customer, over all instances
   BodyTooLarge,
-  BodyTooSlow, // the caller sent less than the minimum rate
-  NoBodyRoom,  // the memory for request bodies is exhausted
+  BodyTooSlow,    // the caller sent less than the minimum rate
+  NoBodyRoom,     // the memory for request bodies is exhausted
+  YieldsToOthers, // more urgent requests are expected to need the capacity
   Count,
 };
 
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -123,6 +123,9 @@
       { slots, static_cast<std::uint32_t>(slots * kMaxQueuedPerSlot), slots },
       aNow);
   }
+  if (aReport.mQueueFull) {
+    RecordShed(target->mEntry.mService, aNow);
+  }
   if (aReport.mWrongInstance) {
     target->mMisdirected = true;
     return std::nullopt;
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -178,8 +178,13 @@
 refusal_reason
 upstream_steering::RefusalOf(const std::vector<candidate>& aCandidates)
 {
-  return aCandidates.empty() ? refusal_reason::NoUpstream
-                             : refusal_reason::QueueFull;
+  if (aCandidates.empty()) {
+    return refusal_reason::NoUpstream;
+  }
+  bool yields = std::any_of(aCandidates.begin(),
+                            aCandidates.end(),
+                            [](const candidate& aOne) { return aOne.mYields; });
+  return yields ? refusal_reason::YieldsToOthers : refusal_reason::QueueFull;
 }
 
 std::chrono::milliseconds
@@ -190,7 +195,9 @@
 {
   duration shortestWait = kMaxRetryAfter;
   for (const candidate& one : aCandidates) {
-    shortestWait = std::min(shortestWait, one.mWait);
+    // A request that yields finds room when one of those there has ended.
+    shortestWait = std::min(
+      shortestWait, one.mYields ? std::max(one.mWait, one.mTotal) : one.mWait);
   }
   duration after = ToDuration(seconds_d(shortestWait) * aSpread);
   after = std::clamp<duration>(after, kMinRetryAfter, kMaxRetryAfter);
@@ -200,14 +207,15 @@
 
 steering_choice
 upstream_steering::Refuse(const std::vector<candidate>& aCandidates,
-                          const steering_request& aRequest,
+                          const request_view& aView,
                           instant aNow)
 {
   std::uniform_real_distribution<double> spread(kLeastRetrySpread,
-                                                kMostRetrySpread);
+                                                MostRetrySpread(aView));
   steering_choice choice;
   choice.mReason = RefusalOf(aCandidates);
-  choice.mRetryAfter = RetryAfter(aCandidates, aRequest, spread(mRandom), aNow);
+  choice.mRetryAfter =
+    RetryAfter(aCandidates, aView.mRequest, spread(mRandom), aNow);
   return choice;
 }
 
@@ -217,7 +225,8 @@
   request_view view{ aRequest,
                      UpstreamsOf(aRequest.mService),
                      WorkOf(aRequest.mRoute),
-                     BalanceOf(aRequest.mService) };
+                     BalanceOf(aRequest.mService),
+                     RoomOf(aRequest, UpstreamsOf(aRequest.mService), aNow) };
   selection selected = Select(view, aNow);
   const candidate* chosen =
     Pick(selected.mCandidates, [&](const best_candidates& aBest) {
@@ -227,11 +236,18 @@
                 aNow,
                 aBest.mRemote != nullptr);
     });
+  std::optional<contention_change> contention = RecordContention(
+    aRequest,
+    chosen == nullptr ? RefusalOf(selected.mCandidates) : refusal_reason::None,
+    aNow);
   if (chosen == nullptr) {
-    return Refuse(selected.mCandidates, aRequest, aNow);
+    steering_choice refusal = Refuse(selected.mCandidates, view, aNow);
+    refusal.mContention = contention;
+    return refusal;
   }
   const upstream_entry& entry = chosen->mUpstream->mEntry;
   steering_choice choice;
+  choice.mContention = contention;
   choice.mTarget = steering_target{ entry.mId,
                                     entry.mAddress,
                                     entry.mDomain,
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -28,6 +28,7 @@
 
 #include "laburnumdyke/decision/choice_explanation.h"
 #include "laburnumdyke/decision/cold_start_limiter.h"
+#include "laburnumdyke/decision/contention.h"
 #include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/decision/recent_objects.h"
 #include "laburnumdyke/decision/region_balance.h"
@@ -39,6 +40,7 @@
 #include "laburnumdyke/decision/work_estimate.h"
 #include "laburnumdyke/kernel/learned_speed.h"
 #include "laburnumdyke/kernel/lock_rank.h"
+#include "laburnumdyke/kernel/uneven_load.h"
 
 #include <chrono>
 #include <map>
@@ -67,6 +69,7 @@
   std::chrono::milliseconds mFarRoundTrip{ 40 };
   upstream_directory_options mDirectory;
   learned_speed mLearnedSpeed = learned_speed::Reported;
+  uneven_load mUnevenLoad = uneven_load::Auto;
   std::uint64_t mSeed = 1;
 };
 
@@ -100,6 +103,8 @@
   std::optional<steering_target> mTarget;
   refusal_reason mReason = refusal_reason::None; // set if there is no target
   std::chrono::milliseconds mRetryAfter{ 0 };
+  // Set if contention for the service has begun or ceased, for the log.
+  std::optional<contention_change> mContention{};
 };
 
 // Outcome of an attempt, for learning about the upstream.
@@ -195,6 +200,7 @@
     duration mTotal{}; // expected response time
     double mCost = 0;  // seconds; mTotal plus the cost of cross-domain bytes
     bool mAdmits = false;
+    bool mYields = false; // would admit but for more urgent requests
   };
 
   // Upstreams are ranked for an object separately in each locality.
@@ -221,6 +227,7 @@
     const std::vector<const upstream*>& mUpstreams; // of the service
     const work_estimate& mWork;
     const region_balance& mBalance; // of the service
+    contention_room mRoom{};
 
     bool IsAssignedRemotely() const
     {
@@ -287,6 +294,17 @@
                     bool aWasCached,
                     instant aNow);
   std::optional<speed_notice> TakeNotice(upstream& aUpstream, instant aNow);
+  bool UsesUnevenLoad(const std::vector<const upstream*>& aUpstreams,
+                      instant aNow) const;
+  contending_request Contending(const steering_request& aRequest) const;
+  contention_room RoomOf(const steering_request& aRequest,
+                         const std::vector<const upstream*>& aUpstreams,
+                         instant aNow) const;
+  std::optional<contention_change> RecordContention(
+    const steering_request& aRequest,
+    refusal_reason aRefusal,
+    instant aNow);
+  void RecordShed(const service_id& aService, instant aNow);
   locality LocalityOf(const upstream& aUpstream, bool aStaysInDomain) const;
   const std::vector<const upstream*>& UpstreamsOf(const service_id& aService);
   std::vector<ranked_upstream> PreferredUpstreams(const request_view& aView,
@@ -331,13 +349,19 @@
   }
 
   static refusal_reason RefusalOf(const std::vector<candidate>& aCandidates);
+  // The excess of requests that is refused comes back later by as much, so that
+  // it fits.
+  static double MostRetrySpread(const request_view& aView)
+  {
+    return kMostRetrySpread * aView.mRoom.mExcess;
+  }
   static std::chrono::milliseconds RetryAfter(
     const std::vector<candidate>& aCandidates,
     const steering_request& aRequest,
     double aSpread,
     instant aNow);
   steering_choice Refuse(const std::vector<candidate>& aCandidates,
-                         const steering_request& aRequest,
+                         const request_view& aView,
                          instant aNow);
   choice_explanation Explain(const request_view& aView,
                              const region_spillover& aSpillover,
@@ -371,6 +395,7 @@
   std::map<service_id, region_balance> mBalances; // computed when needed
   std::map<service_id, region_spillover> mSpillovers;
   std::map<service_id, service_speed> mServiceSpeeds;
+  std::map<service_id, contention> mContentions;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
 };
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -94,6 +94,22 @@
   return true;
 }
 
+bool
+SetUnevenLoad(uneven_load& aTarget, std::string_view aText)
+{
+  static const std::map<std::string_view, uneven_load> kValues = {
+    { "auto", uneven_load::Auto },
+    { "always", uneven_load::Always },
+    { "never", uneven_load::Never },
+  };
+  auto found = kValues.find(aText);
+  if (found == kValues.end()) {
+    return false;
+  }
+  aTarget = found->second;
+  return true;
+}
+
 // Accepts a non-negative number, such as 1.5.
 bool
 SetNumber(double& aTarget, std::string_view aText)
@@ -316,6 +332,11 @@
       [](settings& aS, text aT) {
         return SetLearnedSpeed(aS.mLearnedSpeed, aT);
       } },
+    { "steering",
+      "uneven_load",
+      false,
+      "auto, always or never",
+      [](settings& aS, text aT) { return SetUnevenLoad(aS.mUnevenLoad, aT); } },
     { "limits",
       "body_memory",
       false,
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -38,6 +38,7 @@
 //   quota_slack = 20
 //   [steering]
 //   learned_speed = reported
+//   uneven_load = auto
 //   [limits]
 //   body_memory = 67108864
 //   body_rate = 4096
@@ -52,6 +53,7 @@
 #include "laburnumdyke/kernel/endpoint.h"
 #include "laburnumdyke/kernel/ini.h"
 #include "laburnumdyke/kernel/learned_speed.h"
+#include "laburnumdyke/kernel/uneven_load.h"
 
 #include <chrono>
 #include <cstddef>
@@ -136,6 +138,7 @@
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
   learned_speed mLearnedSpeed = learned_speed::Reported;
+  uneven_load mUnevenLoad = uneven_load::Auto;
   client_bounds mLimits; // with front = hosts
   endpoint mPlatform;    // table service and object store
   std::vector<endpoint> mSeeds;
--- a/laburnumdyke/plugin/route_explanation.cc
+++ b/laburnumdyke/plugin/route_explanation.cc
@@ -121,6 +121,7 @@
     row["slowness"] = Rounded(one.mSlowness);
     row["cold"] = one.mIsCold;
     row["admits"] = one.mAdmits;
+    row["yields"] = one.mYields;
     rows.push_back(std::move(row));
   }
   return rows;
@@ -196,6 +197,10 @@
 {
   aJson["health_ignored"] = aChoice.mIgnoresHealth;
   aJson["remote_share"] = Rounded(aChoice.mRemoteShare);
+  aJson["contended"] = aChoice.mRoom.mIsContended;
+  if (aChoice.mRoom.IsLimited()) {
+    aJson["room_per_slot"] = Rounded(aChoice.mRoom.mSlots);
+  }
   if (aChoice.mSpillover) {
     aJson["spillover"] = ToString(*aChoice.mSpillover);
   }
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -1,10 +1,16 @@
 // Parts of the pipeline that do not depend on the dialect or the transport.
 #include "laburnumdyke/plugin/steered_pipeline.h"
 
+#include <algorithm>
+
 namespace laburnumdyke {
 
 namespace {
 
+// The counters by priority have no more labels than this; less urgent requests
+// share the last.
+constexpr std::uint32_t kLastPriority = 15;
+
 bool
 HasFreeSlot(const std::optional<reported_load>& aLoad)
 {
@@ -65,6 +71,27 @@
            : aRequest.mCustomer->mPriority.value_or(priority);
 }
 
+void
+RecordChoice(kernel& aKernel,
+             const steered_request& aRequest,
+             const steering_choice& aChoice)
+{
+  if (aRequest.mTried.empty()) {
+    std::uint32_t priority = std::min(PriorityOf(aRequest), kLastPriority);
+    aKernel.Counters().Add(aChoice.mTarget ? "chosen_by_priority_total"
+                                           : "refused_by_priority_total",
+                           "priority_" + std::to_string(priority));
+  }
+  if (aChoice.mContention) {
+    bool begun = *aChoice.mContention == contention_change::Begun;
+    std::string_view state = begun ? "begun" : "ceased";
+    aKernel.Counters().Add("contention_changes_total", state);
+    aKernel.Log().Info("contention",
+                       { { "service", aRequest.mService.mValue },
+                         { "state", std::string(state) } });
+  }
+}
+
 std::string
 LoadText(const std::optional<reported_load>& aLoad)
 {
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -146,6 +146,13 @@
 std::uint32_t
 PriorityOf(const steered_request& aRequest);
 
+// Counts the first choice for a request by its priority, and logs that
+// contention for its service has begun or ceased.
+void
+RecordChoice(kernel& aKernel,
+             const steered_request& aRequest,
+             const steering_choice& aChoice);
+
 // Formats aValue with two decimals, such as "1.50".
 std::string
 DecimalText(double aValue);
@@ -433,13 +440,16 @@
                             aRequest.mCaller.mObject, aRequest.mReceived,
                             aRequest.mDeadline,       aRequest.mTried,
                             aRequest.mCustomer };
-    return mTables.Steering().With([&](steering_state& aSteering) {
-      steering_choice choice = aSteering.Choose(query, aNow);
-      if (choice.mTarget) {
-        aSteering.Begin(*choice.mTarget, aNow);
-      }
-      return choice;
-    });
+    steering_choice choice =
+      mTables.Steering().With([&](steering_state& aSteering) {
+        steering_choice chosen = aSteering.Choose(query, aNow);
+        if (chosen.mTarget) {
+          aSteering.Begin(*chosen.mTarget, aNow);
+        }
+        return chosen;
+      });
+    RecordChoice(mKernel, aRequest, choice);
+    return choice;
   }
 
   // Whether the request may be sent again after a failed attempt. Spends one
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -26,6 +26,7 @@
   options.mColdOvershoot = aSettings.mBounds.mColdOvershoot;
   options.mColdSlack = aSettings.mBounds.mColdSlack;
   options.mLearnedSpeed = aSettings.mLearnedSpeed;
+  options.mUnevenLoad = aSettings.mUnevenLoad;
   options.mSeed = KeyOf(options.mSelf, aSettings.mIncarnation);
   return options;
 }
--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -107,13 +107,15 @@
 
 load_replay::load_replay(std::vector<replay_region> aRegions,
                          unsigned aSeed,
-                         learned_speed aLearnedSpeed)
+                         learned_speed aLearnedSpeed,
+                         uneven_load aUnevenLoad)
   : mRandom(aSeed)
   , mLearnedSpeed(aLearnedSpeed)
-  , mRegions(std::move(aRegions))
+  , mUnevenLoad(aUnevenLoad)
 {
   std::vector<upstream_entry> entries;
-  for (const replay_region& region : mRegions) {
+  for (const replay_region& region : aRegions) {
+    AddCallers({ region.mName, region.mName, region.mPerSecond });
     for (std::size_t i = 0; i < region.mUpstreams; ++i) {
       std::string name = region.mName + "-u" + std::to_string(i);
       entries.push_back(ReplayUpstream(name, DomainOf(region.mName, i)));
@@ -129,6 +131,22 @@
   }
 }
 
+void
+load_replay::AddCallers(replay_callers aCallers)
+{
+  if (aCallers.mPerSecond > 0) {
+    mCallers.push_back(std::move(aCallers));
+  }
+}
+
+void
+load_replay::SetRules(const std::shared_ptr<const route_table>& aRules)
+{
+  for (upstream_steering& instance : mInstances) {
+    instance.SetRules(aRules);
+  }
+}
+
 void
 load_replay::AddInstances(const replay_region& aRegion)
 {
@@ -137,6 +155,7 @@
     steering_options options = ReplayOptions(name, DomainOf(aRegion.mName, i));
     options.mSeed = mInstances.size() + 1;
     options.mLearnedSpeed = mLearnedSpeed;
+    options.mUnevenLoad = mUnevenLoad;
     mInstancesOf[aRegion.mName].push_back(mInstances.size());
     mInstances.emplace_back(options);
     mFleet.push_back({ { name }, { aRegion.mName } });
@@ -173,26 +192,27 @@
 }
 
 double
-load_replay::Rate(const replay_region& aRegion, instant aNow) const
+load_replay::Rate(const replay_callers& aCallers, instant aNow) const
 {
   bool isBurst = aNow >= mBurstBegin && aNow < mBurstEnd;
-  return aRegion.mPerSecond * (isBurst ? mBurstFactor : 1);
+  return aCallers.mPerSecond * (isBurst ? mBurstFactor : 1);
 }
 
 void
 load_replay::Run(std::chrono::seconds aFor)
 {
-  std::vector<instant> next(mRegions.size(), kReplayStart);
+  std::vector<instant> next(mCallers.size(), kReplayStart);
   instant end = kReplayStart + aFor;
   while (true) {
     auto first = std::min_element(next.begin(), next.end());
     if (*first >= end) {
       break;
     }
-    const replay_region& region = mRegions[first - next.begin()];
+    std::size_t callers = static_cast<std::size_t>(first - next.begin());
     FinishUntil(*first);
-    Arrive(region, *first);
-    std::exponential_distribution<double> interarrival(Rate(region, *first));
+    Arrive(callers, *first);
+    std::exponential_distribution<double> interarrival(
+      Rate(mCallers[callers], *first));
     *first += std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(interarrival(mRandom)));
   }
@@ -200,24 +220,31 @@
 }
 
 void
-load_replay::Arrive(const replay_region& aRegion, instant aNow)
+load_replay::Arrive(std::size_t aCallers, instant aNow)
 {
   static const std::vector<upstream_id> kNoneTried;
-  const std::vector<std::size_t>& local = mInstancesOf[aRegion.mName];
+  const replay_callers& callers = mCallers[aCallers];
+  const std::vector<std::size_t>& local = mInstancesOf[callers.mRegion];
   std::size_t instance = local[mRandom() % local.size()];
   std::uniform_int_distribution<int> number(0, kObjectsPerRegion - 1);
-  std::string object = aRegion.mName + std::to_string(number(mRandom));
-  replay_result& result = mResults[aRegion.mName];
+  std::string object = callers.mRegion + std::to_string(number(mRandom));
+  replay_result& result = mResults[callers.mName];
   steering_choice choice = mInstances[instance].Choose(
-    { mRoute, { "sheets" }, object, aNow, aNow + 3s, kNoneTried }, aNow);
+    { callers.mRoute,
+      { "sheets" },
+      object,
+      aNow,
+      aNow + 3s,
+      kNoneTried,
+      callers.mCustomer ? &*callers.mCustomer : nullptr },
+    aNow);
   if (!choice.mTarget) {
     ++result.mRefused;
     return;
   }
   mInstances[instance].Begin(*choice.mTarget, aNow);
   model_upstream& upstream = mUpstreams[choice.mTarget->mId];
-  mRequests.push_back(
-    { instance, aRegion.mName, object, aNow, *choice.mTarget });
+  mRequests.push_back({ instance, aCallers, object, aNow, *choice.mTarget });
   std::size_t request = mRequests.size() - 1;
   if (upstream.mRunning < kSlots) {
     Begin(request, aNow);
@@ -258,7 +285,7 @@
     upstream.mCached.pop_front();
   }
   const std::string& domain = request.mTarget.mDomain.mValue;
-  mRuns[request.mRegion].push_back(
+  mRuns[mCallers[request.mCallers].mRegion].push_back(
     { aNow, domain.substr(0, domain.find('-')) });
   duration work = isCached ? kCachedWork : kUncachedWork;
   std::chrono::duration<double> slowed = work * Slowness(request.mTarget, aNow);
@@ -281,8 +308,9 @@
       Begin(number, done.mAt);
     }
     duration elapsed = done.mAt - request.mArrived;
-    replay_result& result = mResults[request.mRegion];
-    (elapsed <= mRoute.mObjective ? result.mOnTime : result.mLate) += 1;
+    const replay_callers& callers = mCallers[request.mCallers];
+    replay_result& result = mResults[callers.mName];
+    (elapsed <= callers.mRoute.mObjective ? result.mOnTime : result.mLate) += 1;
     attempt_report report;
     report.mResult = attempt_result::Answered;
     report.mTook = elapsed;
--- a/laburnumdyke/testing/harness/load_replay.h
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -6,6 +6,9 @@
 //   replay.SetBurst(kReplayStart, 6s, 2.5);
 //   replay.Run(30s);
 //   replay.Result("east").mOnTime; replay.GreatestShift("east", 2s);
+//
+// AddCallers() adds callers with a route or a customer of their own, whose
+// results are counted under their own name.
 #pragma once
 
 #include "laburnumdyke/decision/upstream_steering.h"
@@ -44,6 +47,16 @@
   double mPerSecond = 0; // mean rate of requests of the region's callers
 };
 
+// Callers in a region that are counted under their own name.
+struct replay_callers
+{
+  std::string mName;
+  std::string mRegion;
+  double mPerSecond = 0;
+  route_spec mRoute = ReplayRoute();
+  std::optional<customer_spec> mCustomer{};
+};
+
 // Numbers of requests of a region's callers.
 struct replay_result
 {
@@ -53,6 +66,11 @@
   int mShed = 0; // refused by an upstream whose queue was full
 
   int All() const { return mOnTime + mLate + mRefused + mShed; }
+  // The part of the requests that ran.
+  double Served() const
+  {
+    return All() == 0 ? 0 : static_cast<double>(mOnTime + mLate) / All();
+  }
 };
 
 class load_replay
@@ -60,7 +78,13 @@
 public:
   load_replay(std::vector<replay_region> aRegions,
               unsigned aSeed,
-              learned_speed aLearnedSpeed = learned_speed::Reported);
+              learned_speed aLearnedSpeed = learned_speed::Reported,
+              uneven_load aUnevenLoad = uneven_load::Auto);
+
+  // aCallers' region must be one of the replay's.
+  void AddCallers(replay_callers aCallers);
+  // Gives all instances rules, in place of ReplayRules().
+  void SetRules(const std::shared_ptr<const route_table>& aRules);
 
   // All rates are aFactor times as high from aBegin for aFor.
   void SetBurst(instant aBegin, duration aFor, double aFactor);
@@ -96,7 +120,7 @@
   struct model_request
   {
     std::size_t mInstance = 0;
-    std::string mRegion; // of the caller
+    std::size_t mCallers = 0;
     std::string mObject;
     instant mArrived{};
     steering_target mTarget;
@@ -122,17 +146,17 @@
   static region_counts CountRuns(const std::vector<run>& aRuns,
                                  instant aBegin,
                                  instant aEnd);
-  void Arrive(const replay_region& aRegion, instant aNow);
+  void Arrive(std::size_t aCallers, instant aNow);
   reported_load Load(const steering_target& aTarget, instant aNow);
   double Slowness(const steering_target& aTarget, instant aNow) const;
   void Begin(std::size_t aNumber, instant aNow);
   void FinishUntil(instant aUntil);
-  double Rate(const replay_region& aRegion, instant aNow) const;
+  double Rate(const replay_callers& aCallers, instant aNow) const;
 
   std::mt19937 mRandom;
   learned_speed mLearnedSpeed;
-  route_spec mRoute = ReplayRoute();
-  std::vector<replay_region> mRegions;
+  uneven_load mUnevenLoad;
+  std::deque<replay_callers> mCallers;
   std::map<std::string, std::vector<std::size_t>> mInstancesOf; // by region
   std::deque<upstream_steering> mInstances;
   std::vector<instance_location> mFleet;
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -131,6 +131,20 @@
   STRCMP_EQUAL("steering.learned_speed", result.mFaults[0].mField.c_str());
 }
 
+TEST(Settings, TheUseOfUnevenLoadIsAChoiceOfThree)
+{
+  settings_result result = ParseSettings(kGoodSettings);
+  CHECK(result.mSettings->mUnevenLoad == uneven_load::Auto);
+  const std::string head = std::string(kGoodSettings) + "[steering]\n";
+  result = ParseSettings(head + "uneven_load = never\n");
+  CHECK(result.mSettings->mUnevenLoad == uneven_load::Never);
+  result = ParseSettings(head + "uneven_load = always\n");
+  CHECK(result.mSettings->mUnevenLoad == uneven_load::Always);
+  result = ParseSettings(head + "uneven_load = yes\n");
+  LONGS_EQUAL(1, result.mFaults.size());
+  STRCMP_EQUAL("steering.uneven_load", result.mFaults[0].mField.c_str());
+}
+
 TEST(Settings, ReadsEverySetting)
 {
   settings_result result = ParseSettings(kGoodSettings);
--- a/laburnumdyke/testing/steering_explanation_test.cc
+++ b/laburnumdyke/testing/steering_explanation_test.cc
@@ -58,6 +58,7 @@
     options.mSeed = aSeed;
     options.mLearnedSpeed =
       Chance(50) ? learned_speed::Always : learned_speed::Reported;
+    options.mUnevenLoad = Chance(50) ? uneven_load::Always : uneven_load::Auto;
     mSteerings.emplace_back(options);
     mSteerings.emplace_back(options);
     std::vector<instance_location> fleet;
@@ -187,7 +188,9 @@
     if (Chance(10)) {
       request.mRoute.mHomes = { { Chance(50) ? "east" : "west" } };
     }
+    request.mRoute.mPriority = static_cast<std::uint32_t>(Below(3));
     request.mHasCustomer = Chance(20);
+    request.mCustomer.mName = { std::to_string(Below(3)) };
     if (Chance(50)) {
       request.mCustomer.mHomes = { { Chance(50) ? "east" : "north" } };
     }
@@ -292,6 +295,7 @@
                              "spillover 2",
                              "none",
                              "queue_full",
+                             "yields_to_others",
                              "no_upstream" }) {
     CHECK_TEXT(seen.count(state) > 0, state);
   }
