--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -1,5 +1,6 @@
 // Tests of steered_front with raw bytes from callers and scripted bytes from
 // upstreams: what is forwarded, what is retried, and what callers are answered.
+#include "laburnumdyke/plugin/steered_pipeline.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_front.h"
 #include "laburnumdyke/testing/harness/one_kernel.h"
@@ -138,6 +139,32 @@
   LONGS_EQUAL(1, counted.Value("upstream_speed_changes_total", "slow"));
 }
 
+// Guards against a metric that grows with the priorities in use, and against
+// second attempts that count as further requests.
+TEST(SteeredFront, FirstChoicesAreCountedByPriority)
+{
+  route_spec route;
+  route.mPriority = 1000;
+  steered_request request;
+  request.mRoute = &route;
+  steering_choice choice;
+  choice.mReason = refusal_reason::YieldsToOthers;
+  choice.mContention = contention_change::Begun;
+  RecordChoice(*mFront.mKernel, request, choice);
+  customer_spec customer;
+  customer.mPriority = 2;
+  request.mCustomer = &customer;
+  choice = {};
+  choice.mTarget.emplace();
+  RecordChoice(*mFront.mKernel, request, choice);
+  request.mTried = { { "u1" } };
+  RecordChoice(*mFront.mKernel, request, choice);
+  counters& counted = mFront.mKernel->Counters();
+  LONGS_EQUAL(1, counted.Value("refused_by_priority_total", "priority_15"));
+  LONGS_EQUAL(1, counted.Value("chosen_by_priority_total", "priority_2"));
+  LONGS_EQUAL(1, counted.Value("contention_changes_total", "begun"));
+}
+
 namespace {
 
 struct outcome_row
