--- a/laburnumdyke/plugin/steered_log.cc
+++ b/laburnumdyke/plugin/steered_log.cc
@@ -2,6 +2,7 @@
 // information.
 #include "laburnumdyke/plugin/steered_log.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <initializer_list>
 #include <optional>
@@ -11,6 +12,10 @@
 
 namespace {
 
+// The counters by priority have no more labels than this; less urgent requests
+// share the last.
+constexpr std::uint32_t kLastPriority = 15;
+
 std::string
 MillisecondsText(duration aTime)
 {
@@ -84,6 +89,26 @@
       { "took_ms", MillisecondsText(aNow - aRequest.mReceived) } });
 }
 
+void
+steered_log::Chosen(const steered_request& aRequest,
+                    const steering_choice& aChoice) const
+{
+  if (aRequest.mTried.empty()) {
+    std::uint32_t priority = std::min(PriorityOf(aRequest), kLastPriority);
+    mKernel.Counters().Add(aChoice.mTarget ? "chosen_by_priority_total"
+                                           : "refused_by_priority_total",
+                           "priority_" + std::to_string(priority));
+  }
+  if (aChoice.mContention) {
+    bool begun = *aChoice.mContention == contention_change::Begun;
+    std::string_view state = begun ? "begun" : "ceased";
+    mKernel.Counters().Add("contention_changes_total", state);
+    mKernel.Log().Info("contention",
+                       { { "service", aRequest.mService.mValue },
+                         { "state", std::string(state) } });
+  }
+}
+
 void
 steered_log::RetryDecided(bool aInBudget) const
 {
--- a/laburnumdyke/plugin/steered_log.h
+++ b/laburnumdyke/plugin/steered_log.h
@@ -31,6 +31,11 @@
   // The caller has disconnected; no answer is written.
   void CallerGone(const steered_request& aRequest, instant aNow) const;
 
+  // Counts the first choice for a request by its priority, and logs that
+  // contention for its service has begun or ceased.
+  void Chosen(const steered_request& aRequest,
+              const steering_choice& aChoice) const;
+
   // A further attempt was asked of the budget of retries.
   void RetryDecided(bool aInBudget) const;
 
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -156,13 +156,16 @@
                             aRequest.mCaller.mObject, aRequest.mReceived,
                             aRequest.mDeadline,       aRequest.mTried,
                             aRequest.mCustomer };
-    return mTables.Steering().With([&](steering_state& aSteering) {
-      steering_choice choice = aSteering.Choose(query, aNow);
-      if (choice.mTarget) {
-        aSteering.Begin(*choice.mTarget, aNow);
-      }
-      return choice;
-    });
+    steering_choice choice =
+      mTables.Steering().With([&](steering_state& aSteering) {
+        steering_choice chosen = aSteering.Choose(query, aNow);
+        if (chosen.mTarget) {
+          aSteering.Begin(*chosen.mTarget, aNow);
+        }
+        return chosen;
+      });
+    mLog.Chosen(aRequest, choice);
+    return choice;
   }
 
   // Whether the request may be sent again after a failed attempt. Spends one
