--- a/laburnumdyke/decision/contention.h
+++ b/laburnumdyke/decision/contention.h
@@ -48,7 +48,7 @@
 {
   bool mIsOverflow = false;
   std::uint32_t mPriority = 0;
-  auto operator<=>(const contention_class&) const = default;
+  std::strong_ordering operator<=>(const contention_class&) const = default;
 };
 
 struct contending_request
