Run customers, keys and quotas in the soak, with an oracle for each promise

The randomised run had no customers, so nothing showed whether keys, revocations and quotas hold under cuts, freezes and restarts together. Its instances now run customer_gate, knowledge_age, fleet_quota, usage_collector and fleet_view, and customer_oracle counts what runs.

--- a/laburnumdyke/testing/soak/entry_instance.cc
+++ b/laburnumdyke/testing/soak/entry_instance.cc
@@ -52,6 +52,7 @@
   , mDecisions(SoakMember(aIndex, aIncarnation),
                Seeds(),
                aWorld.mSimulation.Now())
+  , mCustomers(aWorld, mAddress)
 {
 }
 
@@ -94,6 +95,7 @@
   TickAdmission();
   WatchLoad();
   Poll();
+  mCustomers.Start();
 }
 
 // --- identity -----------------------------------------------------------
@@ -639,6 +641,7 @@
 entry_instance::BeginLeaving()
 {
   mDecisions.BeginLeaving(Now());
+  mCustomers.BeginLeaving();
   SendHeartbeats();
   Deliver(mDecisions.RefreshHomes(Now()));
 }
--- a/laburnumdyke/testing/soak/entry_instance.h
+++ b/laburnumdyke/testing/soak/entry_instance.h
@@ -8,12 +8,10 @@
 // a kill can come between any two of them.
 #pragma once
 
+#include "laburnumdyke/testing/soak/entry_customers.h"
 #include "laburnumdyke/testing/soak/entry_decisions.h"
-#include "laburnumdyke/testing/soak/network.h"
-#include "laburnumdyke/testing/soak/upstream_mock.h"
 
 #include <array>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -21,20 +19,6 @@
 
 namespace laburnumdyke {
 
-class entry_instance;
-
-// What the parts of the run share.
-struct soak_world
-{
-  simulation& mSimulation;
-  oracle& mOracle;
-  network& mNetwork;
-  platform_mock& mPlatform;
-  std::deque<upstream_mock>& mUpstreams;
-  // Null while no process runs at the address.
-  std::array<std::unique_ptr<entry_instance>, kSoakEntries>& mEntries;
-};
-
 enum class soak_origin
 {
   Caller,
@@ -77,6 +61,7 @@
   bool IsIdle() const { return mFlows.empty(); }
   const process_address& Address() const { return mAddress; }
   const entry_decisions& Decisions() const { return mDecisions; }
+  entry_customers& Customers() { return mCustomers; }
 
 private:
   using flow_id = std::uint64_t;
@@ -163,6 +148,7 @@
   soak_world mWorld;
   process_address mAddress;
   entry_decisions mDecisions;
+  entry_customers mCustomers;
   std::unordered_map<flow_id, flow> mFlows;
   std::unordered_map<request_number, flow_id> mWaiting;    // for a grant
   std::unordered_map<std::uint64_t, flow_id> mConnections; // in use
--- a/laburnumdyke/testing/soak/oracle.cc
+++ b/laburnumdyke/testing/soak/oracle.cc
@@ -16,12 +16,13 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(violation_kind::Count)>
-  kNames = { "double_run",           "false_not_run",
-             "not_run_after_run",    "answer_of_another",
-             "slots_overshot",       "work_to_leaving",
-             "version_went_back",    "version_not_spread",
-             "change_twice",         "change_misreported",
-             "lookup_names_stopped", "planned_stop_refused" };
+  kNames = {
+    "double_run",         "false_not_run",        "not_run_after_run",
+    "answer_of_another",  "slots_overshot",       "work_to_leaving",
+    "version_went_back",  "version_not_spread",   "change_twice",
+    "change_misreported", "lookup_names_stopped", "planned_stop_refused",
+    "unknown_key_ran",    "revoked_key_ran",      "quota_overshot"
+  };
 
 bool
 Has(const std::vector<std::uint32_t>& aList, std::uint32_t aOne)
--- a/laburnumdyke/testing/soak/oracle.h
+++ b/laburnumdyke/testing/soak/oracle.h
@@ -40,6 +40,9 @@
   ChangeMisreported,
   LookupNamesStopped,
   PlannedStopRefused, // a cached look-up named an instance that had exited
+  UnknownKeyRan,      // the key was in no configuration
+  RevokedKeyRan,
+  QuotaOvershot,
   Count,
 };
 
@@ -126,6 +129,9 @@
   // A planned stop has refused a caller that kept to its look-up's answer.
   void OnPlannedStopRefused(std::size_t aInstance);
 
+  // Records a violation.
+  void Break(violation_kind aKind, std::string aState);
+
   const std::vector<violation>& Violations() const { return mViolations; }
   const violation_counts& Counts() const { return mCounts; }
   std::uint64_t Runs() const { return mRuns; }
@@ -167,7 +173,6 @@
     instant mAt{};
   };
 
-  void Break(violation_kind aKind, std::string aState);
   void Forget();
   static std::string Text(attempt_tag aTag);
 
--- a/laburnumdyke/testing/soak/platform_mock.h
+++ b/laburnumdyke/testing/soak/platform_mock.h
@@ -50,6 +50,7 @@
   // Since when no fault is in force.
   instant HealthySince() const { return mHealthySince; }
   bool IsHealthy() const { return mFaults == 0; }
+  bool IsInOutage() const { return mSet.mOutage; }
 
 private:
   void Count(int aChange);
--- a/laburnumdyke/testing/soak/soak_run.cc
+++ b/laburnumdyke/testing/soak/soak_run.cc
@@ -9,8 +9,13 @@
   , mOracle(mSimulation)
   , mNetwork(mSimulation)
   , mPlatform(mSimulation, mOracle)
-  , mWorld{ mSimulation, mOracle, mNetwork, mPlatform, mUpstreams, mEntries }
+  , mCustomerOracle(mSimulation, mOracle)
+  , mCustomerStore(mSimulation, mCustomerOracle, mPlatform)
+  , mWorld{ mSimulation,     mOracle,        mNetwork,
+            mPlatform,       mUpstreams,     mEntries,
+            mCustomerOracle, mCustomerStore, aOptions.mCustomerFault }
   , mCallers(mWorld, mStops)
+  , mCustomers(mWorld)
   , mOperators(mSimulation, mOracle, mPlatform)
   , mFaults(mWorld, mCallers, mStops)
   , mBegan(mSimulation.Now())
@@ -26,6 +31,8 @@
   mOperators.Start();
   mFaults.Start();
   mCallers.Start();
+  mCustomerStore.Start();
+  mCustomers.Start();
   while (mSimulation.Executed() < mOptions.mEvents &&
          !(mOptions.mStopAtFirst && !mOracle.Violations().empty())) {
     mSimulation.Step();
@@ -44,6 +51,7 @@
   report.mRuns = mOracle.Runs();
   report.mFaults = mFaults.Counts();
   report.mOutcomes = mCallers.Outcomes();
+  report.mCustomers = mCustomers.Outcomes();
   report.mSubmissions = mOperators.Outcomes();
   report.mCounts = mOracle.Counts();
   report.mViolations = mOracle.Violations();
--- a/laburnumdyke/testing/soak/soak_run.h
+++ b/laburnumdyke/testing/soak/soak_run.h
@@ -10,6 +10,7 @@
 // give the same digest.
 #pragma once
 
+#include "laburnumdyke/testing/soak/customer_fleet.h"
 #include "laburnumdyke/testing/soak/fault_plan.h"
 #include "laburnumdyke/testing/soak/operators.h"
 
@@ -20,6 +21,7 @@
   std::uint64_t mSeed = 1;
   std::uint64_t mEvents = 100000;
   bool mStopAtFirst = false; // ends the run at the first violation
+  customer_fault mCustomerFault = customer_fault::None;
 };
 
 struct soak_report
@@ -31,6 +33,7 @@
   std::uint64_t mRuns = 0; // at upstreams
   fault_counts mFaults{};
   std::array<service_outcomes, kSoakServices> mOutcomes{};
+  std::array<customer_outcomes, kSoakCustomers> mCustomers{};
   std::array<std::uint64_t, 6> mSubmissions{};
   violation_counts mCounts{};
   std::vector<violation> mViolations; // the first of them
@@ -56,11 +59,14 @@
   oracle mOracle;
   network mNetwork;
   platform_mock mPlatform;
+  customer_oracle mCustomerOracle;
+  customer_store mCustomerStore;
   std::deque<upstream_mock> mUpstreams;
   std::array<std::unique_ptr<entry_instance>, kSoakEntries> mEntries;
   stop_records mStops{};
   soak_world mWorld;
   caller_fleet mCallers;
+  customer_fleet mCustomers;
   operators mOperators;
   fault_plan mFaults;
   instant mBegan;
--- a/laburnumdyke/testing/soak_main.cc
+++ b/laburnumdyke/testing/soak_main.cc
@@ -1,6 +1,9 @@
 // The long randomised run as a program; scripts/soak builds and starts it.
 //
-//   soak --seed N --events N [--stop-at-first]
+//   soak --seed N --events N [--stop-at-first] [--plant FAULT]
+//
+// FAULT is planted in all instances, to see whether the oracle finds it:
+// accepts_unknown_keys, ignores_age or ignores_others.
 //
 // Exit status: 0 where everything held, 1 on a violation, 2 on bad use. A
 // broken invariant of the program itself aborts, with the seed and the event
@@ -14,6 +17,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <string_view>
+#include <utility>
 
 using namespace laburnumdyke;
 
@@ -42,12 +46,30 @@
   return parsed.ec == std::errc() && parsed.ptr == end && !aText.empty();
 }
 
+bool
+ParseFault(std::string_view aText, customer_fault& aTarget)
+{
+  const std::pair<std::string_view, customer_fault> names[] = {
+    { "accepts_unknown_keys", customer_fault::AcceptsUnknownKeys },
+    { "ignores_age", customer_fault::IgnoresAge },
+    { "ignores_others", customer_fault::IgnoresOthers },
+  };
+  for (const std::pair<std::string_view, customer_fault>& one : names) {
+    if (one.first == aText) {
+      aTarget = one.second;
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 ReadOptions(int aCount, char** aArguments, soak_options& aOptions)
 {
   const option known[] = { { "seed", required_argument, nullptr, 's' },
                            { "events", required_argument, nullptr, 'e' },
                            { "stop-at-first", no_argument, nullptr, 'f' },
+                           { "plant", required_argument, nullptr, 'p' },
                            { nullptr, 0, nullptr, 0 } };
   bool good = true;
   int got = 0;
@@ -58,6 +80,8 @@
       good = good && ParseNumber(optarg, aOptions.mEvents);
     } else if (got == 'f') {
       aOptions.mStopAtFirst = true;
+    } else if (got == 'p') {
+      good = good && ParseFault(optarg, aOptions.mCustomerFault);
     } else {
       good = false;
     }
@@ -85,6 +109,18 @@
                 Number(one.mNotRun),
                 Number(one.mUnknown));
   }
+  for (std::size_t i = 0; i < kSoakCustomers; ++i) {
+    const customer_outcomes& one = aReport.mCustomers.at(i);
+    std::printf("outcomes customer=%zu requests=%llu served=%llu "
+                "over_quota=%llu unknown_key=%llu stale=%llu other=%llu\n",
+                i,
+                Number(one.mRequests),
+                Number(one.mServed),
+                Number(one.mOverQuota),
+                Number(one.mUnknownKey),
+                Number(one.mStale),
+                Number(one.mOther));
+  }
   std::printf("submissions");
   for (std::size_t i = 0; i < aReport.mSubmissions.size(); ++i) {
     std::string_view name = ToString(static_cast<submission_kind>(i));
@@ -140,7 +176,9 @@
 {
   soak_options options;
   if (!ReadOptions(aCount, aArguments, options)) {
-    std::fprintf(stderr, "usage: soak --seed N --events N [--stop-at-first]\n");
+    std::fprintf(stderr,
+                 "usage: soak --seed N --events N [--stop-at-first] "
+                 "[--plant FAULT]\n");
     return kBadUse;
   }
   soak_run run(options);
--- a/laburnumdyke/testing/soak_test.cc
+++ b/laburnumdyke/testing/soak_test.cc
@@ -1,8 +1,9 @@
-// The randomised run at fixed seeds, its exactness, and the oracle against
-// histories that break each rule.
+// The randomised run at fixed seeds, its exactness, planted faults, and the
+// oracles against histories that break each rule.
 #include "laburnumdyke/testing/soak/soak_run.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -51,6 +52,9 @@
     for (const service_outcomes& one : report.mOutcomes) {
       CHECK(one.mAnswered > 0);
     }
+    for (const customer_outcomes& one : report.mCustomers) {
+      CHECK(one.mServed > 0);
+    }
   }
 }
 
@@ -63,6 +67,24 @@
   CHECK(first.mDigest != other.mDigest);
 }
 
+// Each planted fault must be found by the rule that it breaks; without it the
+// same seeds hold (HoldsAtFixedSeeds).
+TEST(Soak, FindsPlantedFaultsOfKeysAndQuotas)
+{
+  const std::pair<customer_fault, violation_kind> rows[] = {
+    { customer_fault::AcceptsUnknownKeys, violation_kind::UnknownKeyRan },
+    { customer_fault::IgnoresAge, violation_kind::RevokedKeyRan },
+    { customer_fault::IgnoresOthers, violation_kind::QuotaOvershot },
+  };
+  for (const std::pair<customer_fault, violation_kind>& row : rows) {
+    soak_run run({ 1, kEvents, true, row.first });
+    run.Go();
+    std::uint64_t found =
+      run.Report().mCounts.at(static_cast<std::size_t>(row.second));
+    CHECK_TEXT(found > 0, std::string(ToString(row.second)).c_str());
+  }
+}
+
 TEST_GROUP(Oracle)
 {
   simulation mSimulation{ 1, kSoakEntries };
@@ -208,3 +230,55 @@
   mOracle.OnLookup({ 0, 1 }, 1, mSimulation.Now() - 5s);
   CHECK(Count(mOracle, violation_kind::LookupNamesStopped) == 1);
 }
+
+TEST_GROUP(CustomerOracle)
+{
+  simulation mSimulation{ 1, kSoakEntries };
+  oracle mOracle{ mSimulation };
+  customer_oracle mCustomers{ mSimulation, mOracle };
+  const customer_id mCustomer{ "a" };
+
+  void Pass(duration aTime)
+  {
+    mSimulation.AtWorld(aTime, event_kind::Check, [] {});
+    mSimulation.Step();
+  }
+};
+
+TEST(CustomerOracle, SeesKeysThatNoConfigurationHeld)
+{
+  mCustomers.OnKeyHeld("k");
+  mCustomers.OnRun(0, mCustomer, "k");
+  CHECK(mOracle.Violations().empty());
+  mCustomers.OnRun(0, mCustomer, "other");
+  CHECK(Count(mOracle, violation_kind::UnknownKeyRan) == 1);
+}
+
+TEST(CustomerOracle, SeesRevokedKeysAfterTheBound)
+{
+  mCustomers.OnKeyHeld("k");
+  mCustomers.OnRevocationAcknowledged("k");
+  mCustomers.OnKeyHeld("k2");
+  Pass(customer_oracle::kRevokeTimeout);
+  mCustomers.OnRun(0, mCustomer, "k");
+  CHECK(mOracle.Violations().empty());
+  Pass(1ms);
+  mCustomers.OnRun(0, mCustomer, "k");
+  mCustomers.OnRun(0, mCustomer, "k2");
+  CHECK(Count(mOracle, violation_kind::RevokedKeyRan) == 1);
+}
+
+TEST(CustomerOracle, SeesMoreThanTheQuotaInAnyWindow)
+{
+  mCustomers.SetQuota(mCustomer, { 10, 10 }); // 86 in 5 s
+  for (int i = 0; i < 86; ++i) {
+    mCustomers.OnRun(0, mCustomer, "k");
+  }
+  CHECK(Count(mOracle, violation_kind::QuotaOvershot) == 0);
+  Pass(4999ms);
+  mCustomers.OnRun(0, mCustomer, "k");
+  CHECK(Count(mOracle, violation_kind::QuotaOvershot) == 1);
+  Pass(1ms);
+  mCustomers.OnRun(0, mCustomer, "k");
+  CHECK(Count(mOracle, violation_kind::QuotaOvershot) == 1);
+}
