Show customers in status, metrics and explanations of refusals

Operators could not see which customers an instance knows, how old its knowledge is, or who is busy; a quota's refusal showed demand and limit without the quota itself. GET /status (also /v1/status) shows the configuration and the 20 busiest customers, counters by customer are bounded to 20 and "other", and quota_exceeded has rate, burst and share. fleet_usage says when the totals of the fleet begin or cease to arrive.

--- a/ctl/explain.cc
+++ b/ctl/explain.cc
@@ -28,6 +28,7 @@
     { "control_from_peer", "control" },
     { "evacuation_changed", "evacuation" },
     { "upstreams_read_from", "reader" },
+    { "fleet_usage", "fleet usage" },
     { "started", "life" },
     { "leaving", "life" },
   };
--- a/ctl/explain.h
+++ b/ctl/explain.h
@@ -9,8 +9,9 @@
 // The context of a step is the last line before it, on the same instance, for
 // each of: contact with the platform, the configuration in force, the control
 // version taken from a peer, evacuations, where the upstream list was read
-// from, start and stop of the instance, and the upstream that was chosen. The
-// output calls these lines "beliefs" (JSON) and "believed" (text).
+// from, whether the usage of customers over the fleet is known, start and stop
+// of the instance, and the upstream that was chosen. The output calls these
+// lines "beliefs" (JSON) and "believed" (text).
 #pragma once
 
 #include "ctl/log_line.h"
--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -179,6 +179,7 @@
     Advance(known, ReachableLoad(known, aNow), aNow);
     auto listed = aTotals.find(one.first);
     usage_rates& others = known.mOthers;
+    known.mIsListed = listed != aTotals.end();
     if (listed == aTotals.end()) {
       others = { known.mQuota.mRate * kListedFraction, 0, 0 };
       others.mAdmitted = others.mDemand;
@@ -202,6 +203,7 @@
   quota_verdict verdict;
   quota_decision& decision = verdict.mDecision;
   decision.mDemand = load.mDemand;
+  decision.mShare = load.mShare;
   double rate = RateOf(aAccount) * load.mShare;
   double unreported = std::max(0.0, load.mAdmitted - rate) * kTotalsDelay;
   decision.mLimit =
@@ -253,6 +255,33 @@
   return preview;
 }
 
+std::optional<quota_usage>
+fleet_quota::Usage(const customer_id& aCustomer, instant aNow) const
+{
+  auto found = mAccounts.find(KeyOf(aCustomer));
+  if (found == mAccounts.end()) {
+    return std::nullopt;
+  }
+  const account& known = found->second;
+  reachable_load load = ReachableLoad(known, aNow);
+  if (known.mIsListed && HasFreshTotals(aNow)) {
+    return quota_usage{ load.mDemand, load.mAdmitted, true, load.mShare };
+  }
+  return quota_usage{
+    known.mDemand.At(aNow), known.mAdmitted.At(aNow), false, load.mShare
+  };
+}
+
+std::optional<std::chrono::milliseconds>
+fleet_quota::TotalsAge(instant aNow) const
+{
+  if (!mTotalsAt) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::max(duration(0), duration(aNow - *mTotalsAt)));
+}
+
 void
 fleet_quota::Refund(const customer_id& aCustomer, instant aNow)
 {
--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -55,6 +55,18 @@
   // The figures that decided, in requests per second.
   double mDemand = 0; // of the fleet within reach
   double mLimit = 0;
+  double mShare = 1; // the part of the quota for what is within reach
+};
+
+// How much a customer asks for and gets, in requests per second.
+struct quota_usage
+{
+  double mDemand = 0;
+  double mAdmitted = 0;
+  // Whether the rates are of the fleet within reach. If not, they are of this
+  // instance: there are no fresh totals, or these leave the customer out.
+  bool mIsOfFleet = false;
+  double mShare = 1; // the part of the quota for what is within reach
 };
 
 // What Admit() would return.
@@ -101,6 +113,13 @@
 
   quota_preview Preview(const customer_id& aCustomer, instant aNow) const;
 
+  // nullopt for a customer without a quota.
+  std::optional<quota_usage> Usage(const customer_id& aCustomer,
+                                   instant aNow) const;
+
+  // Time since the last totals; nullopt before the first.
+  std::optional<std::chrono::milliseconds> TotalsAge(instant aNow) const;
+
   // Takes back an admission that did not run.
   void Refund(const customer_id& aCustomer, instant aNow);
 
@@ -119,8 +138,9 @@
     quota_spec mQuota;
     rate_meter mDemand{ kMeterTime };
     rate_meter mAdmitted{ kMeterTime };
-    usage_rates mReported; // at the last report, and in the next totals
-    usage_rates mOthers;   // by the last totals
+    usage_rates mReported;  // at the last report, and in the next totals
+    usage_rates mOthers;    // by the last totals
+    bool mIsListed = false; // in the last totals
     // Smoothed demand while nobody was silent: at this instance, and at all.
     // The parts of the quota in a cut follow from them.
     double mUsualOwn = 0;
--- a/laburnumdyke/plugin/metrics_http.cc
+++ b/laburnumdyke/plugin/metrics_http.cc
@@ -1,16 +1,19 @@
-// Serves metrics and explanations of an instance that routes by host and path,
-// at the operators' address and, if the settings give one, at an additional
-// address for monitoring. If it can't listen at the latter, such as when the
-// port is in use, the instance logs a warning and starts without it.
+// Serves metrics, status and explanations of an instance that routes by host
+// and path, at the operators' address and, if the settings give one, at an
+// additional address for monitoring. If it can't listen at the latter, such as
+// when the port is in use, the instance logs a warning and starts without it.
 //
 // Paths:
-//   GET /metrics      counters and latency histograms
+//   GET /metrics      counters and latency histograms, with those of customers
+//   GET /status       configuration and customers (customer_status.h); at the
+//                     operators' address only, also as /v1/status
 //   GET /v1/explain   where a request would go (route_explanation.h); at the
 //                     operators' address only
 //
 // The platform holds the configuration of such instances, so there is no
 // console.
 #include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/plugin/customer_status.h"
 #include "laburnumdyke/plugin/exposition.h"
 #include "laburnumdyke/plugin/http_server.h"
 #include "laburnumdyke/plugin/route_explanation.h"
@@ -28,6 +31,8 @@
 
   explicit metrics_http(kernel& aKernel)
     : mKernel(aKernel)
+    , mTables(aKernel)
+    , mActivity(aKernel.Table<activity_state>())
     , mExplainer(aKernel)
     , mOperatorHandler{ *this }
     , mOperatorServer(aKernel, mOperatorHandler)
@@ -59,6 +64,8 @@
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
     string_answer answer = MetricsAnswer(mKernel);
+    answer.body() += RenderCustomerMetrics(mActivity.With(
+      [](activity_state& aActivity) { return aActivity.Report(Now()); }));
     if (aExchange.Head().target() != "/metrics") {
       answer = string_answer(http::status::not_found, 11);
     }
@@ -76,17 +83,34 @@
     }
   };
 
+  static instant Now() { return std::chrono::steady_clock::now(); }
+
   asio::awaitable<void> HandleOperator(http_exchange& aExchange)
   {
-    if (route_explainer::IsPath(FromBeast(aExchange.Head().target()))) {
-      return WriteAnswer(
-        aExchange,
-        mExplainer.Answer(aExchange.Head(), std::chrono::steady_clock::now()));
+    std::string_view target = FromBeast(aExchange.Head().target());
+    if (route_explainer::IsPath(target)) {
+      return WriteAnswer(aExchange, mExplainer.Answer(aExchange.Head(), Now()));
+    }
+    if (target == "/status" || target == "/v1/status") {
+      return WriteAnswer(aExchange, StatusAnswer());
     }
     return Handle(aExchange);
   }
 
+  string_answer StatusAnswer()
+  {
+    string_answer answer(http::status::ok, 11);
+    answer.set(http::field::content_type, "application/json");
+    answer.set(http::field::cache_control, "no-store");
+    answer.body() = boost::json::serialize(HostsStatusJson(
+                      mKernel, mTables, Now(), boot_clock::Now())) +
+                    "\n";
+    return answer;
+  }
+
   kernel& mKernel;
+  steering_tables mTables;
+  table<activity_state>& mActivity;
   route_explainer mExplainer;
   operator_handler mOperatorHandler;
   http_server<operator_handler> mOperatorServer;
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -23,6 +23,7 @@
 // gets no answer.
 #pragma once
 
+#include "laburnumdyke/plugin/customer_status.h"
 #include "laburnumdyke/plugin/http_parts.h"
 #include "laburnumdyke/plugin/steering_tables.h"
 #include "laburnumdyke/plugin/upstream_exchange.h"
@@ -163,6 +164,7 @@
     : mKernel(aKernel)
     , mTables(aKernel)
     , mBodies(aKernel.Table<body_table>())
+    , mActivity(aKernel.Table<activity_state>())
     , mTransport(aTransport)
   {
   }
@@ -199,6 +201,7 @@
       co_return;
     }
     request.mCustomer = gate.mCustomer;
+    CountCustomer(request);
     body_read body =
       co_await ReadHeldBody(mBodies, aExchange, routes->Limits().mBodyBytes);
     if (body.mEnd != body_end::Whole) {
@@ -292,6 +295,15 @@
                                 steered_limits::kStaleCustomersRetry));
   }
 
+  void CountCustomer(const steered_request& aRequest)
+  {
+    if (aRequest.mCustomer != nullptr) {
+      mActivity.With([&](activity_state& aActivity) {
+        aActivity.CountRequest(aRequest.mCustomer->mName, Now());
+      });
+    }
+  }
+
   // Counts the request against its customer's quota. Returns when to come back
   // if the quota is used up.
   std::optional<std::chrono::milliseconds> TakeQuota(steered_request& aRequest)
@@ -306,11 +318,15 @@
     if (decision.mAdmitted) {
       return std::nullopt;
     }
+    const quota_spec& quota = aRequest.mCustomer->mQuota;
     mKernel.Log().Info("quota_exceeded",
                        { { "request", aRequest.mCaller.mId },
                          { "customer", aRequest.mCustomer->mName.mValue },
+                         { "rate_per_s", DecimalText(quota.mRate) },
+                         { "burst", DecimalText(quota.mBurst) },
                          { "demand_per_s", DecimalText(decision.mDemand) },
-                         { "limit_per_s", DecimalText(decision.mLimit) } });
+                         { "limit_per_s", DecimalText(decision.mLimit) },
+                         { "share", DecimalText(decision.mShare) } });
     return decision.mRetryAfter;
   }
 
@@ -584,6 +600,11 @@
     std::optional<std::chrono::milliseconds> aRetryAfter)
   {
     mKernel.Counters().Add("refused_total", ToString(aReason));
+    if (aRequest.mCustomer != nullptr) {
+      mActivity.With([&](activity_state& aActivity) {
+        aActivity.CountRefusal(aRequest.mCustomer->mName);
+      });
+    }
     mKernel.Log().Info(
       "request_refused",
       { { "request", aRequest.mCaller.mId },
@@ -649,6 +670,7 @@
   kernel& mKernel;
   steering_tables mTables;
   table<body_table>& mBodies;
+  table<activity_state>& mActivity;
   Transport& mTransport;
 };
 
--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -20,13 +20,16 @@
 {
   mTargets.clear();
   bool isActive = false;
+  std::optional<std::chrono::milliseconds> totalsAge;
   usage_list own = mTables.Quota().With([&](quota_state& aQuota) {
     isActive = aQuota.IsActive();
+    totalsAge = aQuota.TotalsAge(aNow);
     return aQuota.Report(aNow);
   });
   if (!isActive) {
     return {};
   }
+  LogTotals(totalsAge);
   bool isFleetKnown = false;
   std::optional<endpoint> collector =
     mTables.Fleet().With([&](fleet_state& aFleet) {
@@ -44,6 +47,17 @@
   return Collect(std::move(own), aNow);
 }
 
+void
+usage_exchange::LogTotals(std::optional<std::chrono::milliseconds> aAge)
+{
+  bool hasTotals = aAge && *aAge <= fleet_quota::kTotalsTimeout;
+  if (hasTotals != mHasTotals) {
+    mHasTotals = hasTotals;
+    mKernel.Log().Info("fleet_usage",
+                       { { "state", hasTotals ? "known" : "lost" } });
+  }
+}
+
 std::vector<addressed_message>
 usage_exchange::ReportTo(const endpoint& aCollector, usage_list aOwn)
 {
--- a/laburnumdyke/plugin/usage_exchange.h
+++ b/laburnumdyke/plugin/usage_exchange.h
@@ -40,6 +40,8 @@
   // connections are reused.
   static constexpr std::uint64_t kTurnLength = 25;
 
+  // Logs when the totals of the fleet begin or cease to arrive.
+  void LogTotals(std::optional<std::chrono::milliseconds> aAge);
   std::vector<addressed_message> ReportTo(const endpoint& aCollector,
                                           usage_list aOwn);
   std::vector<addressed_message> Collect(usage_list aOwn, instant aNow);
@@ -54,6 +56,7 @@
   usage_collector mCollector;
   std::optional<instant> mCollectorSince;
   std::uint64_t mCompositions = 0;
+  bool mHasTotals = false;
   std::set<endpoint> mTargets;
 };
 
--- a/laburnumdyke/testing/explain_test.cc
+++ b/laburnumdyke/testing/explain_test.cc
@@ -184,6 +184,30 @@
   LONGS_EQUAL(12, trace.mSkippedLines);
 }
 
+// The figures that decided a refusal by the quota are in a line of their own.
+TEST(Explain, ShowsTheQuotaThatRefusedARequest)
+{
+  const std::string head = "time=2026-03-27T17:53:1";
+  const std::string log =
+    head + "0.000 level=INFO event=fleet_usage instance=a-1 state=lost\n" +
+    head +
+    "2.000 level=INFO event=quota_exceeded instance=a-1 request=ecf4 "
+    "customer=acme rate_per_s=10.00 burst=20.00 demand_per_s=52.10 "
+    "limit_per_s=3.40 share=0.33\n" +
+    head +
+    "2.001 level=INFO event=request_refused instance=a-1 request=ecf4 "
+    "route=r status=429 reason=quota_exceeded sends=0 took_ms=0\n";
+  request_trace trace = Build("ecf4", { log });
+  LONGS_EQUAL(2, trace.mSteps.size());
+  std::ostringstream text;
+  ReportTrace(text, ctl_options(), trace);
+  STRCMP_CONTAINS("quota_exceeded request=ecf4 customer=acme rate_per_s=10.00 "
+                  "burst=20.00 demand_per_s=52.10 limit_per_s=3.40 share=0.33",
+                  text.str().c_str());
+  STRCMP_CONTAINS("believed  a-1  fleet_usage state=lost  (2000 ms before)",
+                  text.str().c_str());
+}
+
 TEST(Explain, PrintsTextAndJson)
 {
   request_trace trace = Build("ecf4", { kConnachtLog });
