Check configurations of the front hosts with laburnumctl check

An operator learnt that a configuration was refused from the line configuration_unreadable, without a reason. laburnumctl check reads a file that begins with { by the function that instances use, and prints each fault with its field and customer, never a key. FindCustomerFaults returns all faults in place of the first one; the test of single faults asks for exactly one.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -14,6 +14,7 @@
 #include "ctl/route_query.h"
 #include "ctl/run_to_completion.h"
 #include "laburnumdyke/plugin/submission_driver.h"
+#include "platform/config_codec.h"
 
 #include <boost/json.hpp>
 
@@ -92,6 +93,9 @@
     if (!text) {
       return exit_status::Usage;
     }
+    if (IsJson(*text)) {
+      return CheckConfig(*text);
+    }
     document_result result = ParseDocument(*text);
     if (!result.mDocument) {
       ReportFaults(mOut, mOptions, result.mFaults);
@@ -104,6 +108,33 @@
     return exit_status::Ok;
   }
 
+  // Whether a file has a configuration of the front "hosts"; documents are INI.
+  static bool IsJson(const std::string& aText)
+  {
+    std::size_t first = aText.find_first_not_of(" \t\r\n");
+    return first != std::string::npos && aText[first] == '{';
+  }
+
+  exit_status CheckConfig(const std::string& aText)
+  {
+    config_result result = ReadConfig(aText);
+    if (!result.mDocument) {
+      ReportFaults(mOut, mOptions, result.mFaults);
+      return exit_status::Refused;
+    }
+    const routing_document& document = *result.mDocument;
+    boost::json::object summary;
+    summary["outcome"] = "valid";
+    summary["version"] = document.mVersion;
+    summary["routes"] = document.mRoutes.size();
+    summary["services"] = document.mServices.size();
+    if (document.mCustomers) {
+      summary["customers"] = document.mCustomers->size();
+    }
+    ReportJson(mOut, mOptions, summary);
+    return exit_status::Ok;
+  }
+
   exit_status Explain()
   {
     request_trace_builder builder(mOptions.mRequest);
--- a/laburnumdyke/decision/customer_table.cc
+++ b/laburnumdyke/decision/customer_table.cc
@@ -5,6 +5,7 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -24,29 +25,35 @@
 
 } // namespace
 
-std::string
-FindCustomerFault(const std::vector<customer_spec>& aCustomers)
+std::vector<std::string>
+FindCustomerFaults(const std::vector<customer_spec>& aCustomers)
 {
+  std::vector<std::string> faults;
   std::set<customer_id> names;
-  std::set<std::string_view> keys;
+  std::map<std::string_view, const std::string*> holders; // by key
   for (const customer_spec& customer : aCustomers) {
     const std::string& name = customer.mName.mValue;
     if (name.empty()) {
-      return "a customer has no name";
-    }
-    if (!names.insert(customer.mName).second) {
-      return "customer " + name + " is listed twice";
+      faults.emplace_back("a customer has no name");
+    } else if (!names.insert(customer.mName).second) {
+      faults.push_back("customer " + name + " is listed twice");
     }
     for (const std::string& key : customer.mKeys) {
       if (key.empty() || key.size() > kMaxKeyBytes) {
-        return "a key of customer " + name + " is empty or too long";
+        faults.push_back("a key of customer " + name + " is empty or too long");
+        continue;
       }
-      if (!keys.insert(key).second) {
-        return "a key of customer " + name + " is given twice";
+      auto held = holders.try_emplace(key, &name);
+      if (!held.second) {
+        const std::string& holder = *held.first->second;
+        faults.push_back("a key of customer " + name +
+                         (holder == name
+                            ? " is given twice"
+                            : " is also given to customer " + holder));
       }
     }
   }
-  return {};
+  return faults;
 }
 
 customer_table::customer_table(std::vector<customer_spec> aCustomers,
--- a/laburnumdyke/decision/customer_table.h
+++ b/laburnumdyke/decision/customer_table.h
@@ -48,11 +48,11 @@
   std::vector<region_id> mHomes; // regions that may serve it; empty: all
 };
 
-// Returns what makes the customers invalid: a name or a key that is empty or
-// given twice, or a key that is too long. Empty if they are valid. The text
-// names customers and never a key.
-std::string
-FindCustomerFault(const std::vector<customer_spec>& aCustomers);
+// Returns all that makes the customers invalid: names and keys that are empty
+// or given twice, and keys that are too long. Empty if they are valid. The
+// texts name customers and never a key.
+std::vector<std::string>
+FindCustomerFaults(const std::vector<customer_spec>& aCustomers);
 
 class customer_table
 {
--- a/laburnumdyke/testing/ctl_test.cc
+++ b/laburnumdyke/testing/ctl_test.cc
@@ -237,6 +237,28 @@
   CHECK_EQUAL(std::string("laburnumctl: .: can't be read\n"), mErrors.str());
 }
 
+// Guards against a check that accepts what instances refuse, and against faults
+// that show keys.
+TEST(CtlCommands, CheckReadsConfigurationsOfTheFrontHosts)
+{
+  const std::string kHead =
+    R"({"version":3,"limits":{"max-header-bytes":1,"max-body-bytes":1,)"
+    R"("header-timeout-ms":1,"idle-timeout-ms":1},"listeners":[],)"
+    R"("clusters":[],"tenants":[{"name":"acme","api-keys":["s3cret"]},)";
+  Write("\n " + kHead + R"({"name":"birch","api-keys":["s3cret-2"]}]})");
+  CHECK(exit_status::Ok == Run({ "check", mFile }));
+  CHECK(Printed("customers:  2"));
+  Write(kHead + R"({"name":"birch","api-keys":["s3cret"],"burst":-1}]})");
+  CHECK(exit_status::Refused == Run({ "check", mFile }));
+  CHECK(Printed("a key of customer birch is also given to customer acme"));
+  CHECK(Printed("customer birch.burst: expected a number from 0"));
+  CHECK_FALSE(Printed("s3cret"));
+  CHECK(exit_status::Refused == Run({ "check", mFile, "--json" }));
+  CHECK(Printed("\"field\":\"customer birch.burst\""));
+  Write("{\"version\":3");
+  CHECK(exit_status::Refused == Run({ "check", mFile }));
+}
+
 TEST(CtlCommands, SubmitWritesTheObjectsThenTheRow)
 {
   Write(kText);
--- a/laburnumdyke/testing/customer_test.cc
+++ b/laburnumdyke/testing/customer_test.cc
@@ -105,7 +105,7 @@
 TEST(CustomerTable, FaultsAreNamedWithoutTheKey)
 {
   CHECK(
-    FindCustomerFault({ Customer("a", { "k1" }), Customer("b", {}) }).empty());
+    FindCustomerFaults({ Customer("a", { "k1" }), Customer("b", {}) }).empty());
   const std::vector<customer_spec> rows[] = {
     { Customer("", { "secret" }) },
     { Customer("a", { "secret" }), Customer("a", {}) },
@@ -115,9 +115,9 @@
     { Customer("a", { std::string(300, 'x') }) },
   };
   for (const std::vector<customer_spec>& row : rows) {
-    std::string fault = FindCustomerFault(row);
-    CHECK(!fault.empty());
-    CHECK(fault.find("secret") == std::string::npos);
+    std::vector<std::string> faults = FindCustomerFaults(row);
+    LONGS_EQUAL(1, faults.size());
+    CHECK(faults.at(0).find("secret") == std::string::npos);
   }
 }
 
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -167,6 +167,57 @@
   }
 }
 
+// Instances and the operator's check must agree on each configuration.
+TEST(RowCodec, EveryRefusedConfigurationHasFaultsAndNoOtherHas)
+{
+  const std::string tenants =
+    R"("tenants":[{"name":"t1","api-keys":["s3cret","k2"],"priority":1},)"
+    R"({"name":"t2","api-keys":["k3"]}],"base-version":5)";
+  std::string config = Replace(kConfig, R"("base-version":5)", tenants);
+  CHECK(ReadConfig(config).mFaults.empty());
+  std::mt19937 random(11);
+  int refused = 0;
+  for (int i = 0; i < 3000; ++i) {
+    std::string text = config;
+    for (std::size_t changes = 1 + random() % 2; changes > 0; --changes) {
+      std::size_t at = random() % text.size();
+      if (random() % 2 == 0) {
+        text[at] = "09a,:{}[]\"-"[random() % 11];
+      } else {
+        text.erase(at, 1 + random() % 12);
+      }
+    }
+    config_result read = ReadConfig(text);
+    CHECK_TEXT(read.mDocument.has_value() == read.mFaults.empty(),
+               text.c_str());
+    refused += read.mDocument ? 0 : 1;
+    for (const text_fault& fault : read.mFaults) {
+      std::string described = fault.Describe("f");
+      CHECK_TEXT(described.find("s3cret") == std::string::npos,
+                 described.c_str());
+    }
+  }
+  CHECK(refused > 100 && refused < 3000);
+}
+
+TEST(RowCodec, EachFaultNamesItsField)
+{
+  std::string text = Replace(kConfig, R"("timeout-ms":3000,)", "");
+  text = Replace(text, R"("prefix":"/y/z/")", R"("prefix":"/y/z")");
+  text = Replace(text, R"("version":7)", R"("version":"7")");
+  std::vector<text_fault> faults = ReadConfig(text).mFaults;
+  const std::vector<std::string> fields = {
+    "version",
+    "listeners[0].rules[0].action.timeout-ms",
+    "listeners[0].rules[0].action.timeout-ms", // not more than 0 either
+    "listeners[1].rules[0].match.prefix",
+  };
+  LONGS_EQUAL(fields.size(), faults.size());
+  for (std::size_t i = 0; i < fields.size(); ++i) {
+    STRCMP_EQUAL(fields[i].c_str(), faults[i].mField.c_str());
+  }
+}
+
 TEST(RowCodec, PublicRoutesAreRead)
 {
   CHECK_FALSE(DecodeConfig(kConfig)->mRoutes[0].mPublic);
