--- a/laburnumdyke/testing/bench/deployment.cc
+++ b/laburnumdyke/testing/bench/deployment.cc
@@ -103,6 +103,19 @@
   return made;
 }
 
+namespace {
+
+// One of twenty sends five times its usual.
+std::vector<bench_customer>
+OneHotCustomer()
+{
+  std::vector<bench_customer> customers(20, { 0.05, 1 });
+  customers.front().mHot = 5;
+  return customers;
+}
+
+} // namespace
+
 std::vector<scenario>
 Scenarios()
 {
@@ -131,6 +144,13 @@
   all.push_back({ .mName = "region cut off, entry frozen",
                   .mFreeze = true,
                   .mRegionCut = true });
+  all.push_back({ .mName = "hot customer, no quotas",
+                  .mLoad = 0.9,
+                  .mCustomers = OneHotCustomer() });
+  all.push_back({ .mName = "hot customer",
+                  .mLoad = 0.9,
+                  .mCustomers = OneHotCustomer(),
+                  .mQuotas = true });
   return all;
 }
 
--- a/laburnumdyke/testing/bench/deployment.h
+++ b/laburnumdyke/testing/bench/deployment.h
@@ -49,6 +49,13 @@
 deployment
 Kamishiro();
 
+// A customer of all services.
+struct bench_customer
+{
+  double mShare = 0; // of all requests, as usual
+  double mHot = 1;   // times its usual rate while requests are measured
+};
+
 struct scenario
 {
   std::string mName;
@@ -61,6 +68,8 @@
   bool mFreeze = false;     // an entry instance stops for kFreeze
   bool mRegionDead = false; // the last region, for good
   bool mRegionCut = false;  // the last region from the others, for kCut
+  std::vector<bench_customer> mCustomers{}; // shares sum up to 1; empty: none
+  bool mQuotas = false; // customers have a quota above their usual rate
 
   bool HasFault() const
   {
--- a/laburnumdyke/testing/bench/steered.cc
+++ b/laburnumdyke/testing/bench/steered.cc
@@ -15,6 +15,11 @@
       AddEntry(domain, index++);
     }
   }
+  std::vector<domain_id> domains;
+  for (const std::unique_ptr<entry>& one : mEntries) {
+    domains.push_back(one->mSelf.mDomain);
+  }
+  mQuotas = std::make_unique<customer_quotas>(aWorld, std::move(domains));
   if (aWorld.Scenario().mFreeze) {
     mEntries[0]->mFrozenFrom = aWorld.Now() + kMeasureFrom;
     mEntries[0]->mFrozenUntil = mEntries[0]->mFrozenFrom + kFreeze;
@@ -26,6 +31,7 @@
 steered<Order>::AddEntry(const domain_id& aDomain, std::uint32_t aIndex)
 {
   std::unique_ptr<entry> made = std::make_unique<entry>();
+  made->mIndex = aIndex;
   made->mSelf.mInstance.mValue = "entry-" + std::to_string(aIndex);
   made->mSelf.mIncarnation = 1;
   made->mSelf.mDomain = aDomain;
@@ -233,6 +239,11 @@
     if (arrived.mSettled) {
       return; // the caller is gone
     }
+    if (!mQuotas->Admit(made->mEntry->mIndex, arrived.mCustomer)) {
+      mWorld.Settle(
+        made->mRequest, outcome_kind::NotRun, refusal_reason::QuotaExceeded);
+      return;
+    }
     refusal_reason reason =
       made->mEntry->mAdmission.Limit().Enter(arrived.mRank, 0, mWorld.Now());
     if (reason != refusal_reason::None) {
--- a/laburnumdyke/testing/bench/steered.h
+++ b/laburnumdyke/testing/bench/steered.h
@@ -5,6 +5,7 @@
 #include "laburnumdyke/decision/membership.h"
 #include "laburnumdyke/decision/retry_budget.h"
 #include "laburnumdyke/decision/routing.h"
+#include "laburnumdyke/testing/bench/customer_quotas.h"
 #include "laburnumdyke/testing/bench/world.h"
 
 #include <memory>
@@ -42,6 +43,7 @@
 
   struct entry
   {
+    std::size_t mIndex = 0;
     member mSelf;
     membership mMembership;
     std::vector<peer> mPeers; // as of mPeersAt; adverts carry their own age
@@ -94,6 +96,7 @@
 
   world& mWorld;
   std::vector<std::unique_ptr<entry>> mEntries;
+  std::unique_ptr<customer_quotas> mQuotas;
   std::map<domain_id, std::size_t> mNextEntry;
 };
 
--- a/laburnumdyke/testing/bench/world.cc
+++ b/laburnumdyke/testing/bench/world.cc
@@ -12,6 +12,9 @@
 // Share of the one pool's load that each rank asks for.
 constexpr std::array<double, kRankCount> kOnePoolShare = { 0.5, 0.35, 0.15 };
 
+// Keeps the generators of hot customers apart from those of the services.
+constexpr std::uint64_t kHotSeed = 1000003;
+
 duration
 Scale(duration aTime, double aFactor)
 {
@@ -47,27 +50,49 @@
     mUpstreams[entry.first].mSlots = entry.second.mSlots;
     mUpstreams[entry.first].mDomain = entry.second.mDomain;
   }
+  mFigures.mCustomers.resize(mScenario.mCustomers.size());
   for (std::size_t i = 0; i < kRankCount; ++i) {
     AddArrivals(i, aLength, aSeed * kRankCount + i);
+    AddHotArrivals(i, aLength, aSeed * kRankCount + i);
   }
   AddFaults();
 }
 
+double
+world::RateOf(std::size_t aLoad) const
+{
+  const service_load& own = mDeployment.mLoads.at(aLoad);
+  const service_load& asked = mScenario.mOnePool ? mDeployment.mLoads[0] : own;
+  double share = mScenario.mOnePool ? kOnePoolShare.at(aLoad) : 1;
+  return asked.Capacity() * mScenario.mLoad * share *
+         mScenario.mFlood.at(aLoad);
+}
+
+double
+world::UsualRate() const
+{
+  double rate = 0;
+  for (std::size_t i = 0; i < kRankCount; ++i) {
+    rate += RateOf(i);
+  }
+  return rate;
+}
+
 void
 world::AddArrivals(std::size_t aLoad,
                    std::chrono::seconds aLength,
                    std::uint64_t aSeed)
 {
-  const service_load& own = mDeployment.mLoads.at(aLoad);
-  const service_load& asked = mScenario.mOnePool ? mDeployment.mLoads[0] : own;
-  double share = mScenario.mOnePool ? kOnePoolShare.at(aLoad) : 1;
-  double rate =
-    asked.Capacity() * mScenario.mLoad * share * mScenario.mFlood.at(aLoad);
   std::mt19937_64 random(aSeed);
-  std::exponential_distribution<double> gap(rate);
-  std::exponential_distribution<double> work(2);
-  std::uniform_real_distribution<double> allowed(kShortestDeadline,
-                                                 kLongestDeadline);
+  std::exponential_distribution<double> gap(RateOf(aLoad));
+  // Customers are drawn apart, so that arrivals are the same without them.
+  std::mt19937_64 randomCustomer(~aSeed);
+  std::vector<double> shares;
+  for (const bench_customer& one : mScenario.mCustomers) {
+    shares.push_back(one.mShare);
+  }
+  std::discrete_distribution<std::size_t> customer(shares.begin(),
+                                                   shares.end());
   duration at{ 0 };
   while (true) {
     double factor = mScenario.mHalfCold && at < kMeasureFrom ? 2 : 1;
@@ -76,27 +101,70 @@
     if (at >= aLength) {
       return;
     }
-    bench_request request;
-    request.mService = asked.mService;
-    request.mRank = own.mRank;
-    request.mDomain = CallerDomain(random(), at);
-    request.mSent = mStart + at;
-    // An entry clamps the deadline to that of the service asked for.
-    request.mDeadline =
-      request.mSent + std::min(Scale(own.mDeadline, allowed(random)),
-                               Scale(asked.mDeadline, kLongestDeadline));
-    request.mWork = Scale(asked.mWork, 0.5 + work(random));
-    request.mIdempotent = asked.mIdempotent;
-    request.mMeasured =
-      at >= kMeasureFrom && request.mDeadline < mStart + aLength;
-    std::size_t index = mRequests.size();
-    mRequests.push_back(request);
-    mEvents.At(request.mSent + mDeployment.mClientDelay,
-               [this, index]() { mArrive(index); });
-    mEvents.At(request.mDeadline,
-               [this, index]() { mRequests[index].mSettled = true; });
-    if (request.mMeasured) {
-      ++mFigures.mRanks.at(static_cast<std::size_t>(own.mRank)).mOffered;
+    AddRequest(aLoad, at, customer(randomCustomer), random);
+  }
+}
+
+void
+world::AddHotArrivals(std::size_t aLoad,
+                      std::chrono::seconds aLength,
+                      std::uint64_t aSeed)
+{
+  for (std::size_t i = 0; i < mScenario.mCustomers.size(); ++i) {
+    const bench_customer& one = mScenario.mCustomers[i];
+    if (one.mHot <= 1) {
+      continue;
+    }
+    std::mt19937_64 random(aSeed + kHotSeed * (i + 1));
+    std::exponential_distribution<double> gap(RateOf(aLoad) * one.mShare *
+                                              (one.mHot - 1));
+    duration at = kMeasureFrom;
+    while (true) {
+      at += std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(gap(random)));
+      if (at >= aLength) {
+        break;
+      }
+      AddRequest(aLoad, at, i, random);
+    }
+  }
+}
+
+void
+world::AddRequest(std::size_t aLoad,
+                  duration aAt,
+                  std::size_t aCustomer,
+                  std::mt19937_64& aRandom)
+{
+  const service_load& own = mDeployment.mLoads.at(aLoad);
+  const service_load& asked = mScenario.mOnePool ? mDeployment.mLoads[0] : own;
+  std::exponential_distribution<double> work(2);
+  std::uniform_real_distribution<double> allowed(kShortestDeadline,
+                                                 kLongestDeadline);
+  bench_request request;
+  request.mService = asked.mService;
+  request.mRank = own.mRank;
+  request.mDomain = CallerDomain(aRandom(), aAt);
+  request.mSent = mStart + aAt;
+  // An entry clamps the deadline to that of the service asked for.
+  request.mDeadline =
+    request.mSent + std::min(Scale(own.mDeadline, allowed(aRandom)),
+                             Scale(asked.mDeadline, kLongestDeadline));
+  request.mWork = Scale(asked.mWork, 0.5 + work(aRandom));
+  request.mIdempotent = asked.mIdempotent;
+  request.mCustomer = aCustomer;
+  request.mMeasured =
+    aAt >= kMeasureFrom && request.mDeadline < mStart + mLength;
+  std::size_t index = mRequests.size();
+  mRequests.push_back(request);
+  mEvents.At(request.mSent + mDeployment.mClientDelay,
+             [this, index]() { mArrive(index); });
+  mEvents.At(request.mDeadline,
+             [this, index]() { mRequests[index].mSettled = true; });
+  if (request.mMeasured) {
+    ++mFigures.mRanks.at(static_cast<std::size_t>(own.mRank)).mOffered;
+    if (!mFigures.mCustomers.empty()) {
+      ++mFigures.mCustomers.at(aCustomer).mOffered;
     }
   }
 }
@@ -263,6 +331,24 @@
   }
 }
 
+void
+world::CountSettled(const bench_request& aRequest,
+                    outcome_kind aOutcome,
+                    refusal_reason aWhy)
+{
+  if (mFigures.mCustomers.empty()) {
+    return;
+  }
+  customer_figures& customer = mFigures.mCustomers.at(aRequest.mCustomer);
+  if (aOutcome == outcome_kind::Answered) {
+    ++customer.mServed;
+  } else if (aWhy == refusal_reason::QuotaExceeded) {
+    ++customer.mOverQuota;
+  } else {
+    ++customer.mRefused;
+  }
+}
+
 void
 world::Settle(std::size_t aRequest, outcome_kind aOutcome, refusal_reason aWhy)
 {
@@ -279,6 +365,7 @@
     if (!request.mMeasured) {
       return;
     }
+    CountSettled(request, aOutcome, aWhy);
     if (aOutcome == outcome_kind::Answered) {
       rank_figures& rank =
         mFigures.mRanks.at(static_cast<std::size_t>(request.mRank));
--- a/laburnumdyke/testing/bench/world.h
+++ b/laburnumdyke/testing/bench/world.h
@@ -25,6 +25,7 @@
   instant mDeadline{};
   duration mWork{};
   bool mIdempotent = true;
+  std::size_t mCustomer = 0; // if the scenario has customers
   bool mMeasured = false;
   std::uint32_t mRuns = 0;
   bool mSettled = false; // the caller has its outcome, or gave up
@@ -41,9 +42,18 @@
   duration Quantile(double aShare);
 };
 
+struct customer_figures
+{
+  std::uint64_t mOffered = 0;
+  std::uint64_t mServed = 0;    // answered within the deadline
+  std::uint64_t mOverQuota = 0; // refused
+  std::uint64_t mRefused = 0;   // for another reason
+};
+
 struct figures
 {
   std::array<rank_figures, kRankCount> mRanks;
+  std::vector<customer_figures> mCustomers; // as in the scenario
   std::uint64_t mOvershot = 0;
   std::uint64_t mDoubleRuns = 0;
   std::uint64_t mFalseNotRun = 0;
@@ -74,6 +84,8 @@
   const deployment& Deployment() const { return mDeployment; }
   const scenario& Scenario() const { return mScenario; }
   const document& Document() const { return mDocument; }
+  // Requests a second of all customers together, as usual.
+  double UsualRate() const;
   bench_request& Request(std::size_t aIndex) { return mRequests.at(aIndex); }
   figures& Figures() { return mFigures; }
   std::uint32_t Busy(const upstream_id& aUpstream) const;
@@ -122,6 +134,18 @@
   void AddArrivals(std::size_t aLoad,
                    std::chrono::seconds aLength,
                    std::uint64_t aSeed);
+  // Adds what hot customers send beyond their usual.
+  void AddHotArrivals(std::size_t aLoad,
+                      std::chrono::seconds aLength,
+                      std::uint64_t aSeed);
+  double RateOf(std::size_t aLoad) const;
+  void AddRequest(std::size_t aLoad,
+                  duration aAt,
+                  std::size_t aCustomer,
+                  std::mt19937_64& aRandom);
+  void CountSettled(const bench_request& aRequest,
+                    outcome_kind aOutcome,
+                    refusal_reason aWhy);
   domain_id CallerDomain(std::uint64_t aRandom, duration aAt) const;
   bool InFaultyRegion(const domain_id& aDomain) const;
   void AddFaults();
--- a/laburnumdyke/testing/bench_main.cc
+++ b/laburnumdyke/testing/bench_main.cc
@@ -110,6 +110,24 @@
               aFigures.mQueuedBeside[2]);
 }
 
+void
+PrintCustomers(const char* aSystem, const figures& aFigures)
+{
+  for (std::size_t i = 0; i < aFigures.mCustomers.size(); ++i) {
+    const customer_figures& one = aFigures.mCustomers[i];
+    std::printf("%50s customer-%zu: offered=%lu served=%lu (%.2f%%) "
+                "over_quota=%lu refused=%lu\n",
+                aSystem,
+                i,
+                one.mOffered,
+                one.mServed,
+                Percent(static_cast<double>(one.mServed),
+                        static_cast<double>(one.mOffered)),
+                one.mOverQuota,
+                one.mRefused);
+  }
+}
+
 // A measured value against the bound that the target states.
 void
 PrintTarget(const std::string& aWhat, double aValue, double aBound, bool aMost)
@@ -239,11 +257,13 @@
     figures baseline = Run<baseline_steering>(
       aDeployment, one, aOptions.mSeed, aOptions.mLength);
     PrintRow(aDeployment.mName, one.mName, "baseline", baseline);
+    PrintCustomers("baseline", baseline);
     figures own =
       Run<edf_steered>(aDeployment, one, aOptions.mSeed, aOptions.mLength);
     PrintRow(aDeployment.mName, one.mName, "steered", own);
     PrintRefusals(own);
     PrintRelays(own);
+    PrintCustomers("steered", own);
     results[one.mName] = std::move(own);
   }
   std::printf("targets, %s\n", aDeployment.mName.c_str());
