A collector that takes over keeps the silent demand that its predecessor knew

In a cut, an instance that became the collector of its failure domain had never heard of the domains out of reach, and granted their part of the quota as well. Silent demand in the last totals is now kept for 30 s, or until a domain reports that the collector had not heard.

--- a/laburnumdyke/decision/customer_usage.cc
+++ b/laburnumdyke/decision/customer_usage.cc
@@ -23,6 +23,12 @@
   return *this;
 }
 
+void
+usage_collector::TakeOverSilent(usage_list aSilent, instant aNow)
+{
+  mTakenOver = { std::move(aSilent), aNow };
+}
+
 void
 usage_collector::ReportInstance(const instance_id& aInstance,
                                 usage_list aUsage,
@@ -36,6 +42,11 @@
                               usage_list aUsage,
                               instant aNow)
 {
+  bool isBack =
+    mDomains.count(aDomain) == 0 && aNow - mTakenOver.mReceived > kSilentAfter;
+  if (isBack) {
+    mTakenOver.mUsage.clear();
+  }
   mDomains[aDomain] = { std::move(aUsage), aNow };
 }
 
@@ -72,6 +83,12 @@
 {
   usage_list sum = DomainUsage(aNow);
   AddReports(mDomains, sum, aNow);
+  if (aNow - mTakenOver.mReceived <= kSilentRetention) {
+    for (const std::pair<const customer_key, usage_rates>& usage :
+         mTakenOver.mUsage) {
+      sum[usage.first] += usage.second;
+    }
+  }
   return sum;
 }
 
--- a/laburnumdyke/decision/customer_usage.h
+++ b/laburnumdyke/decision/customer_usage.h
@@ -56,6 +56,11 @@
   // Longer than a lost link or a restart usually lasts.
   static constexpr std::chrono::seconds kSilentRetention{ 30 };
 
+  // Takes over the silent demand that the last totals of an earlier collector
+  // had, since silent reporters can't report to this one. It is kept for
+  // kSilentRetention, or until a domain reports that has been silent so far.
+  void TakeOverSilent(usage_list aSilent, instant aNow);
+
   // Takes a report of an instance of the own domain, which replaces its last.
   void ReportInstance(const instance_id& aInstance,
                       usage_list aUsage,
@@ -84,6 +89,7 @@
 
   std::map<instance_id, report> mInstances;
   std::map<domain_id, report> mDomains;
+  report mTakenOver; // silent demand alone
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -307,6 +307,18 @@
   return report;
 }
 
+usage_list
+fleet_quota::SilentUsage() const
+{
+  usage_list silent;
+  for (const std::pair<const customer_key, account>& one : mAccounts) {
+    if (one.second.mOthers.mSilent > 0) {
+      silent[one.first].mSilent = one.second.mOthers.mSilent;
+    }
+  }
+  return silent;
+}
+
 void
 fleet_quota::RemoveUnlisted(usage_list& aTotals) const
 {
--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -126,6 +126,9 @@
   // Usage at this instance, of customers with a quota.
   usage_list Report(instant aNow);
 
+  // The silent demand in the last totals, for a collector that takes over.
+  usage_list SilentUsage() const;
+
   // Removes the customers from aTotals that need not be listed.
   void RemoveUnlisted(usage_list& aTotals) const;
 
--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -75,6 +75,10 @@
 {
   if (!mCollectorSince) {
     mCollectorSince = aNow;
+    mCollector.TakeOverSilent(mTables.Quota().With([](quota_state& aQuota) {
+      return aQuota.SilentUsage();
+    }),
+                              aNow);
     mKernel.Log().Info("collects_usage",
                        { { "failure_domain", mDomain.mValue } });
   }
--- a/laburnumdyke/testing/fleet_quota_test.cc
+++ b/laburnumdyke/testing/fleet_quota_test.cc
@@ -96,6 +96,17 @@
     mInstances[aInstance].mIsPaused = aPaused;
   }
 
+  // The next instance of each domain becomes its collector.
+  void ReplaceCollectors()
+  {
+    ++mFirst;
+    for (std::size_t i = 0; i < kInstances; i += kPerDomain) {
+      quota_instance& collector = Collector(i);
+      collector.mCollector.TakeOverSilent(collector.mQuota->SilentUsage(),
+                                          mNow);
+    }
+  }
+
   // Offers aRate requests a second, spread over the instances from aFirst up to
   // but not including aLast.
   void Run(std::chrono::milliseconds aTime,
@@ -182,13 +193,14 @@
 
   quota_instance& Collector(std::size_t aInstance)
   {
-    return mInstances[aInstance / kPerDomain * kPerDomain];
+    return mInstances[aInstance / kPerDomain * kPerDomain + mFirst];
   }
 
   std::mt19937_64 mRandom;
   std::vector<customer_spec> mCustomers;
   std::vector<quota_instance> mInstances;
   std::size_t mCutBelow = 0;
+  std::size_t mFirst = 0; // of each domain: its collector
   instant mNow = kStart;
   std::size_t mOffered = 0;
   std::size_t mRefused = 0;
@@ -261,6 +273,40 @@
   }
 }
 
+// Guards against a collector that takes what it never heard of for gone: it
+// would grant the part of the quota that the other side of a cut keeps. Seen as
+// quota_overshot in the soak.
+TEST(FleetQuota, ACollectorThatTakesOverInACutKnowsWhatIsSilent)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    quota_fleet fleet({ 100, 100 }, seed);
+    fleet.Run(10s, 60);
+    fleet.Cut(2);
+    fleet.Run(3s, 60);
+    fleet.ReplaceCollectors();
+    fleet.Run(12s, 450);
+    CHECK_TEXT(fleet.Oracle().Most() <= fleet.Bound(),
+               std::to_string(fleet.Oracle().Most()).c_str());
+  }
+}
+
+// Guards against silent demand that outlasts the cut: customers below their
+// rate would be refused.
+TEST(FleetQuota, SilentDemandThatWasTakenOverEndsWithTheCut)
+{
+  quota_fleet fleet({ 100, 100 });
+  fleet.Run(10s, 60);
+  fleet.Cut(2);
+  fleet.Run(3s, 60);
+  fleet.ReplaceCollectors();
+  fleet.Run(3s, 60);
+  fleet.Cut(0);
+  fleet.Run(2s, 60);
+  std::size_t refused = fleet.Refused();
+  fleet.Run(10s, 95);
+  LONGS_EQUAL(refused, fleet.Refused());
+}
+
 TEST(FleetQuota, ACutLeavesCustomersBelowTheirRateAlone)
 {
   quota_fleet fleet({ 100, 100 });
--- a/laburnumdyke/testing/soak/entry_customers.cc
+++ b/laburnumdyke/testing/soak/entry_customers.cc
@@ -340,6 +340,7 @@
   instant now = Now();
   if (!mCollectorSince) {
     mCollectorSince = now;
+    mCollector.TakeOverSilent(mQuota.SilentUsage(), now);
   }
   mCollector.ReportInstance(mFleet.Self().mInstance, std::move(aOwn), now);
   if (now - *mCollectorSince < kCollectorWarmUp) {
