--- a/laburnumdyke/plugin/steered_log.cc
+++ b/laburnumdyke/plugin/steered_log.cc
@@ -49,12 +49,28 @@
 
 } // namespace
 
+void
+steered_log::CustomerIdentified(const steered_request& aRequest,
+                                instant aNow) const
+{
+  if (aRequest.mCustomer != nullptr) {
+    mActivity.With([&](activity_state& aActivity) {
+      aActivity.CountRequest(aRequest.mCustomer->mName, aNow);
+    });
+  }
+}
+
 void
 steered_log::Refused(const steered_request& aRequest,
                      const steered_refusal& aRefusal,
                      instant aNow) const
 {
   mKernel.Counters().Add("refused_total", ToString(aRefusal.mReason));
+  if (aRequest.mCustomer != nullptr) {
+    mActivity.With([&](activity_state& aActivity) {
+      aActivity.CountRefusal(aRequest.mCustomer->mName);
+    });
+  }
   mKernel.Log().Info(
     "request_refused",
     { { "request", aRequest.mCaller.mId },
@@ -69,11 +85,15 @@
 steered_log::QuotaExceeded(const steered_request& aRequest,
                            const quota_decision& aDecision) const
 {
+  const quota_spec& quota = aRequest.mCustomer->mQuota;
   mKernel.Log().Info("quota_exceeded",
                      { { "request", aRequest.mCaller.mId },
                        { "customer", aRequest.mCustomer->mName.mValue },
+                       { "rate_per_s", DecimalText(quota.mRate) },
+                       { "burst", DecimalText(quota.mBurst) },
                        { "demand_per_s", DecimalText(aDecision.mDemand) },
-                       { "limit_per_s", DecimalText(aDecision.mLimit) } });
+                       { "limit_per_s", DecimalText(aDecision.mLimit) },
+                       { "share", DecimalText(aDecision.mShare) } });
 }
 
 void
--- a/laburnumdyke/plugin/steered_log.h
+++ b/laburnumdyke/plugin/steered_log.h
@@ -8,6 +8,7 @@
 // of a customer.
 #pragma once
 
+#include "laburnumdyke/plugin/customer_status.h"
 #include "laburnumdyke/plugin/steered_request.h"
 
 namespace laburnumdyke {
@@ -17,9 +18,13 @@
 public:
   explicit steered_log(kernel& aKernel)
     : mKernel(aKernel)
+    , mActivity(aKernel.Table<activity_state>())
   {
   }
 
+  // Counts a request by its customer, if it has one.
+  void CustomerIdentified(const steered_request& aRequest, instant aNow) const;
+
   void Refused(const steered_request& aRequest,
                const steered_refusal& aRefusal,
                instant aNow) const;
@@ -51,6 +56,7 @@
 
 private:
   kernel& mKernel;
+  table<activity_state>& mActivity; // requests and refusals by customer
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -63,6 +63,7 @@
     std::optional<steered_refusal> refusal = mChecks.FindRoute(
       request, FromBeast(aExchange.Head().target()), boot_clock::Now());
     if (!refusal) {
+      mLog.CustomerIdentified(request, Now());
       refusal = co_await ReadBody(aExchange, request);
     }
     if (!refusal) {
