--- a/laburnumdyke/decision/load_estimate.cc
+++ b/laburnumdyke/decision/load_estimate.cc
@@ -32,17 +32,20 @@
 }
 
 double
-load_estimate::Estimate(std::size_t aSenders, instant aNow) const
+load_estimate::Estimate(std::size_t aSenders,
+                        double aUsual,
+                        instant aNow) const
 {
   if (!mHasReport) {
-    return static_cast<double>(mOwnRequests) * static_cast<double>(aSenders);
+    double all = static_cast<double>(mOwnRequests) *
+                 static_cast<double>(aSenders);
+    return std::max(all, mOwnRequests + aUsual);
   }
   double reportWeight = Decay(aNow - mReported, kReportDecayTime);
-  // The mean decays to zero too; otherwise an upstream that was once full would
-  // never be selected again.
   double meanWeight = Decay(aNow - mReported, kMeanDecayTime);
   return mOwnRequests + mOtherRequests * reportWeight +
-         mMeanOthers * (meanWeight - reportWeight * meanWeight);
+         mMeanOthers * (meanWeight - reportWeight * meanWeight) +
+         aUsual * (1 - meanWeight);
 }
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/load_estimate.h
+++ b/laburnumdyke/decision/load_estimate.h
@@ -46,8 +46,9 @@
   void Report(const reported_load& aReport, instant aNow);
 
   // The estimated number of requests of all instances that run or wait at the
-  // upstream. aSenders: instances that send to it, including this one.
-  double Estimate(std::size_t aSenders, instant aNow) const;
+  // upstream. aSenders: instances that send to it, including this one; aUsual:
+  // requests at an upstream of its kind, as others report.
+  double Estimate(std::size_t aSenders, double aUsual, instant aNow) const;
 
 private:
   std::uint32_t mOwnRequests = 0;
--- /dev/null
+++ b/laburnumdyke/decision/service_load.cc
@@ -0,0 +1,45 @@
+// A mean over reports whose weights decay with their age.
+#include "laburnumdyke/decision/service_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumdyke {
+
+namespace {
+
+double
+Decay(duration aAge, duration aDecayTime)
+{
+  return std::exp(-std::max(0.0,
+                            std::chrono::duration<double>(aAge) /
+                              std::chrono::duration<double>(aDecayTime)));
+}
+
+} // namespace
+
+void
+service_load::Report(const reported_load& aReport, instant aNow)
+{
+  if (aReport.mSlots == 0) {
+    return;
+  }
+  double remaining = mWeight > 0 ? Decay(aNow - mReported, kMeanTime) : 0;
+  double load = static_cast<double>(aReport.mRunning) + aReport.mWaiting;
+  mSum = mSum * remaining + load / aReport.mSlots;
+  mWeight = mWeight * remaining + 1;
+  mReported = aNow;
+}
+
+double
+service_load::PerSlot(instant aNow) const
+{
+  if (mWeight <= 0) {
+    return 0;
+  }
+  double perSlot = mSum / mWeight;
+  double certainty = std::clamp(perSlot - 1, 0.0, 1.0);
+  return perSlot * certainty * Decay(aNow - mReported, kForgetTime);
+}
+
+} // namespace laburnumdyke
--- a/laburnumdyke/decision/steering_candidates.cc
+++ b/laburnumdyke/decision/steering_candidates.cc
@@ -185,7 +185,7 @@
   evaluated.mUpstream = aRanked.mUpstream;
   evaluated.mRemote = aRanked.mLocality == locality::OtherRegion;
   double slots = std::max(1U, target.mHealth.Allowed(entry.mSlots, aNow));
-  double load = target.mLoad.Estimate(mRegionInstances, aNow);
+  double load = LoadOf(target, aNow);
   double slowness = ExpectedSlowness(target, aNow);
   evaluated.mLoad = load;
   evaluated.mSlots = slots;
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -30,6 +30,27 @@
   return 1 + (aUpstream.mSlowness - 1) * std::exp(-age / span);
 }
 
+double
+upstream_steering::LoadOf(const upstream& aUpstream, instant aNow) const
+{
+  auto found =
+    mServiceLoads.find({ aUpstream.mEntry.mService, aUpstream.mRegion });
+  double usual = found == mServiceLoads.end()
+                   ? 0
+                   : found->second.PerSlot(aNow) * aUpstream.mEntry.mSlots;
+  return aUpstream.mLoad.Estimate(mRegionInstances, usual, aNow);
+}
+
+void
+upstream_steering::RecordLoad(upstream& aUpstream,
+                              const reported_load& aReport,
+                              instant aNow)
+{
+  aUpstream.mLoad.Report(aReport, aNow);
+  mServiceLoads[{ aUpstream.mEntry.mService, aUpstream.mRegion }].Report(
+    aReport, aNow);
+}
+
 upstream_steering::upstream*
 upstream_steering::Find(const steering_target& aTarget)
 {
@@ -113,13 +134,14 @@
   }
   target->mLoad.End();
   if (aReport.mLoad) {
-    target->mLoad.Report(*aReport.mLoad, aNow);
+    RecordLoad(*target, *aReport.mLoad, aNow);
     if (aReport.mLoad->mWorkPercent) {
       target->mSpeed.Report(*aReport.mLoad->mWorkPercent, aNow);
     }
   } else if (aReport.mQueueFull) {
     std::uint32_t slots = target->mEntry.mSlots;
-    target->mLoad.Report(
+    RecordLoad(
+      *target,
       { slots, static_cast<std::uint32_t>(slots * kMaxQueuedPerSlot), slots },
       aNow);
   }
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -33,6 +33,7 @@
 #include "laburnumdyke/decision/region_balance.h"
 #include "laburnumdyke/decision/region_spillover.h"
 #include "laburnumdyke/decision/route_table.h"
+#include "laburnumdyke/decision/service_load.h"
 #include "laburnumdyke/decision/upstream_directory.h"
 #include "laburnumdyke/decision/upstream_health.h"
 #include "laburnumdyke/decision/upstream_speed.h"
@@ -266,6 +267,10 @@
                                             instant aNow) const;
   bool IsCold(const upstream& aUpstream, instant aNow) const;
   double Slowness(const upstream& aUpstream, instant aNow) const;
+  double LoadOf(const upstream& aUpstream, instant aNow) const;
+  void RecordLoad(upstream& aUpstream,
+                  const reported_load& aReport,
+                  instant aNow);
   bool UsesSpeed(const upstream& aUpstream, instant aNow) const;
   double SpreadOf(const upstream_id& aUpstream) const;
   double MeanSpeed(const upstream& aUpstream) const;
@@ -371,6 +376,7 @@
   std::map<service_id, region_balance> mBalances; // computed when needed
   std::map<service_id, region_spillover> mSpillovers;
   std::map<service_id, service_speed> mServiceSpeeds;
+  std::map<std::pair<service_id, region_id>, service_load> mServiceLoads;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
 };
--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -17,7 +17,6 @@
 constexpr std::size_t kCacheSize = 18;
 constexpr std::chrono::milliseconds kUncachedWork{ 640 };
 constexpr std::chrono::milliseconds kCachedWork{ 192 };
-constexpr int kObjectsPerRegion = 24;
 // Windows with fewer runs are not compared.
 constexpr int kMinRuns = 50;
 constexpr std::chrono::milliseconds kWindowStep{ 100 };
@@ -205,7 +204,7 @@
   static const std::vector<upstream_id> kNoneTried;
   const std::vector<std::size_t>& local = mInstancesOf[aRegion.mName];
   std::size_t instance = local[mRandom() % local.size()];
-  std::uniform_int_distribution<int> number(0, kObjectsPerRegion - 1);
+  std::uniform_int_distribution<int> number(0, aRegion.mObjects - 1);
   std::string object = aRegion.mName + std::to_string(number(mRandom));
   replay_result& result = mResults[aRegion.mName];
   steering_choice choice = mInstances[instance].Choose(
--- a/laburnumdyke/testing/harness/load_replay.h
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -42,6 +42,7 @@
   std::size_t mInstances = 0;
   std::size_t mUpstreams = 0;
   double mPerSecond = 0; // mean rate of requests of the region's callers
+  int mObjects = 24;     // that they ask for
 };
 
 // Numbers of requests of a region's callers.
