--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -17,7 +17,6 @@
 constexpr std::size_t kCacheSize = 18;
 constexpr std::chrono::milliseconds kUncachedWork{ 640 };
 constexpr std::chrono::milliseconds kCachedWork{ 192 };
-constexpr int kObjectsPerRegion = 24;
 // Windows with fewer runs are not compared.
 constexpr int kMinRuns = 50;
 constexpr std::chrono::milliseconds kWindowStep{ 100 };
@@ -115,7 +114,9 @@
 {
   std::vector<upstream_entry> entries;
   for (const replay_region& region : aRegions) {
-    AddCallers({ region.mName, region.mName, region.mPerSecond });
+    replay_callers callers{ region.mName, region.mName, region.mPerSecond };
+    callers.mObjects = region.mObjects;
+    AddCallers(std::move(callers));
     for (std::size_t i = 0; i < region.mUpstreams; ++i) {
       std::string name = region.mName + "-u" + std::to_string(i);
       entries.push_back(ReplayUpstream(name, DomainOf(region.mName, i)));
@@ -226,7 +227,7 @@
   const replay_callers& callers = mCallers[aCallers];
   const std::vector<std::size_t>& local = mInstancesOf[callers.mRegion];
   std::size_t instance = local[mRandom() % local.size()];
-  std::uniform_int_distribution<int> number(0, kObjectsPerRegion - 1);
+  std::uniform_int_distribution<int> number(0, callers.mObjects - 1);
   std::string object = callers.mRegion + std::to_string(number(mRandom));
   replay_result& result = mResults[callers.mName];
   steering_choice choice = mInstances[instance].Choose(
--- a/laburnumdyke/testing/harness/load_replay.h
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -39,12 +39,15 @@
 std::shared_ptr<const route_table>
 ReplayRules();
 
+inline constexpr int kReplayObjects = 24;
+
 struct replay_region
 {
   std::string mName;
   std::size_t mInstances = 0;
   std::size_t mUpstreams = 0;
   double mPerSecond = 0; // mean rate of requests of the region's callers
+  int mObjects = kReplayObjects; // that they ask for
 };
 
 // Callers in a region that are counted under their own name.
@@ -55,6 +58,7 @@
   double mPerSecond = 0;
   route_spec mRoute = ReplayRoute();
   std::optional<customer_spec> mCustomer{};
+  int mObjects = kReplayObjects; // that they ask for
 };
 
 // Numbers of requests of a region's callers.
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -275,6 +275,20 @@
   }
 }
 
+// A hundred instances past the capacity: each sends an upstream a request every
+// five seconds, so that reports of its load are old. Guards against instances
+// that take full upstreams for idle ones.
+TEST(LoadReplay, ManyInstancesPastCapacityDoNotFillTheQueues)
+{
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    load_replay replay({ { "east", 100, 60, 1100, 240 } }, seed);
+    replay.Run(10s);
+    const replay_result& result = replay.Result("east");
+    CHECK(result.mOnTime > result.mLate);
+    CHECK_TEXT(result.mShed < result.All() * 5 / 100, "upstreams refuse");
+  }
+}
+
 // One and a half times the capacity: requests that cannot meet the objective
 // are refused, so that most of those served meet it.
 TEST(LoadReplay, PastCapacityServedRequestsAreStillOnTime)
