Divide requests among regions by measured demand at a bounded rate

demand_division computes the target from the fleet's sums, or from the count of instances unless the sums of all regions are fresh. region_shares follows it: one distribution over all regions, changed by at most half the bound per window. Peaks are held for 45 s, since a division that follows a wave moves objects to and fro. In effect by the setting uneven_load.

--- a/laburnumdyke/decision/choice_explanation.h
+++ b/laburnumdyke/decision/choice_explanation.h
@@ -67,6 +67,25 @@
   std::vector<upstream_id> mNames; // the first ones
 };
 
+// A region's part in the division of a service's requests.
+struct explained_region
+{
+  region_id mRegion;
+  double mDemand = 0; // requests per second, or instances if there is no age
+  double mSlots = 0;  // of upstreams that take requests
+  double mShare = 0;  // of the own region's requests
+};
+
+// How the requests of a service are divided by measured demand.
+struct demand_explanation
+{
+  std::vector<explained_region> mRegions;
+  double mOwnRate = 0; // asked for at this instance, in requests per second
+  // Of the sums; nullopt: there are none that can be used, so the instances of
+  // each region are counted.
+  std::optional<duration> mAge;
+};
+
 struct choice_explanation
 {
   // The chosen one first, then those that admit the request, by cost, then the
@@ -79,6 +98,8 @@
   // Set if the limit on what leaves the region took part.
   std::optional<spillover_decision> mSpillover;
   double mRemoteShare = 0; // of the service's requests, before this one
+  // Set where the service's requests are divided by measured demand.
+  std::optional<demand_explanation> mDemand;
   std::optional<upstream_id> mChosen;
   refusal_reason mReason = refusal_reason::None; // set if none is chosen
   // Bounds of the retry delay, which is spread at random.
--- a/laburnumdyke/decision/region_balance.cc
+++ b/laburnumdyke/decision/region_balance.cc
@@ -44,6 +44,25 @@
   }
 }
 
+region_balance::region_balance(double aRemoteShare,
+                               const std::map<region_id, double>& aReceivers,
+                               const std::map<region_id, double>& aSlots)
+  : mRemoteShare(aRemoteShare)
+{
+  double greatest = 0;
+  for (const std::pair<const region_id, double>& receiver : aReceivers) {
+    auto slots = aSlots.find(receiver.first);
+    bool hasSlots = slots != aSlots.end() && slots->second > 0;
+    double weight = hasSlots ? receiver.second / slots->second : 0;
+    mWeights[receiver.first] = weight;
+    greatest = std::max(greatest, weight);
+  }
+  for (std::pair<const region_id, double>& weight : mWeights) {
+    weight.second =
+      greatest > 0 ? std::max(kMinWeight, weight.second / greatest) : 1;
+  }
+}
+
 double
 region_balance::Weight(const region_id& aRegion) const
 {
--- a/laburnumdyke/decision/region_balance.h
+++ b/laburnumdyke/decision/region_balance.h
@@ -43,6 +43,12 @@
   region_balance(const std::map<region_id, region_capacity>& aCapacities,
                  const region_id& aOwn);
 
+  // From a share that leaves aOwn and the parts of it that each other region
+  // receives, which follow demand at a bounded rate.
+  region_balance(double aRemoteShare,
+                 const std::map<region_id, double>& aReceivers,
+                 const std::map<region_id, double>& aSlots);
+
   // Share of the own region's requests that other regions serve, 0 to 1.
   double RemoteShare() const { return mRemoteShare; }
 
--- a/laburnumdyke/decision/steering_explanation.cc
+++ b/laburnumdyke/decision/steering_explanation.cc
@@ -23,34 +23,60 @@
   work_estimate estimate = work == mWork.end()
                              ? work_estimate(aRequest.mRoute.mObjective)
                              : work->second;
+  region_slots slots = SlotsOf(upstreams);
+  std::optional<demand_preview> demand;
+  if (UsesDemand(upstreams, aNow)) {
+    demand = mDemand.Preview(aRequest.mService, slots, aNow);
+  }
   auto known = mBalances.find(aRequest.mService);
-  region_balance balance =
-    known == mBalances.end() ? MakeBalance(upstreams) : known->second;
+  region_balance balance = demand                     ? demand->mBalance
+                           : known == mBalances.end() ? MakeBalance(upstreams)
+                                                      : known->second;
   double share = balance.RemoteShare();
   auto spillover = mSpillovers.find(aRequest.mService);
   region_spillover copy =
     spillover == mSpillovers.end() ? MakeSpillover(share) : spillover->second;
   copy.SetMinShare(share);
-  return Explain(
-    { aRequest, upstreams, estimate, balance }, copy, aLimits, aNow);
+  choice_explanation explanation =
+    Explain({ aRequest, upstreams, estimate, balance },
+            copy,
+            demand ? &demand->mShares : nullptr,
+            aLimits,
+            aNow);
+  if (demand) {
+    explanation.mDemand = mDemand.Describe(aRequest.mService, slots, aNow);
+  }
+  return explanation;
 }
 
 choice_explanation
 upstream_steering::Explain(const request_view& aView,
                            const region_spillover& aSpillover,
+                           const region_shares* aShares,
                            explanation_limits aLimits,
                            instant aNow) const
 {
   selection selected = Select(aView, aNow);
   std::optional<spillover_decision> spilled;
-  const candidate* chosen =
-    Pick(selected.mCandidates, [&](const best_candidates& aBest) {
+  const candidate* chosen = nullptr;
+  if (aShares != nullptr) {
+    best_by_region best = BestByRegion(selected.mCandidates);
+    std::optional<region_id> region = aShares->Preview(OffersOf(best), aNow);
+    chosen = region ? best.at(*region) : nullptr;
+    if (!best.empty()) {
+      spilled = chosen == nullptr ? spillover_decision::Refuse
+                : chosen->mRemote ? spillover_decision::Remote
+                                  : spillover_decision::Local;
+    }
+  } else {
+    chosen = Pick(selected.mCandidates, [&](const best_candidates& aBest) {
       spilled = aSpillover.Preview(aBest.PrefersRemote(),
                                    aBest.mLocal != nullptr,
                                    aNow,
                                    aBest.mRemote != nullptr);
       return *spilled;
     });
+  }
   explanation_builder builder(aLimits);
   for (const candidate& one : selected.mCandidates) {
     const upstream_entry& entry = one.mUpstream->mEntry;
@@ -74,7 +100,8 @@
   explanation.mIgnoresHealth =
     !selected.mTrustsHealth && !selected.mCandidates.empty();
   explanation.mSpillover = spilled;
-  explanation.mRemoteShare = aSpillover.Share();
+  explanation.mRemoteShare =
+    aShares != nullptr ? aShares->RemoteShare() : aSpillover.Share();
   if (chosen == nullptr) {
     const steering_request& request = aView.mRequest;
     explanation.mReason = RefusalOf(selected.mCandidates);
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -2,8 +2,8 @@
 // thousand of them and an instance handles some tens of requests per second, so
 // an index by object would not pay off. steering_candidates.cc has how they are
 // ranked and evaluated, steering_explanation.cc the explanation of a choice,
-// upstream_feedback.cc what is learned from attempts, and speed_steering.cc how
-// learned speeds are used.
+// demand_choice.cc the use of measured demand, upstream_feedback.cc what is
+// learned from attempts, and speed_steering.cc how learned speeds are used.
 #include "laburnumdyke/decision/upstream_steering.h"
 
 #include <algorithm>
@@ -25,6 +25,7 @@
   , mDirectory(mOptions.mDirectory)
   , mColdStartLimiter(
       { mOptions.mSelf, mOptions.mColdOvershoot, mOptions.mColdSlack })
+  , mDemand(mOptions.mSpillover, mOptions.mRegion)
   , mRandom(mOptions.mSeed)
 {
 }
@@ -100,6 +101,7 @@
   auto own = mFleet.find(mOptions.mRegion);
   mRegionInstances = own == mFleet.end() ? 1 : own->second;
   mBalances.clear();
+  mDemand.SetFleet(mFleet, !knewPeers && mFleetSize > 1);
   mColdStartLimiter.SetFleet(std::move(aFleet));
 }
 
@@ -214,19 +216,30 @@
 steering_choice
 upstream_steering::Choose(const steering_request& aRequest, instant aNow)
 {
+  if (aRequest.mTried.empty()) {
+    mDemand.Count(aRequest.mService, aNow);
+  }
+  std::optional<demand_view> demand = DemandOf(aRequest.mService, aNow);
   request_view view{ aRequest,
                      UpstreamsOf(aRequest.mService),
                      WorkOf(aRequest.mRoute),
-                     BalanceOf(aRequest.mService) };
+                     demand ? demand->mBalance : BalanceOf(aRequest.mService) };
   selection selected = Select(view, aNow);
-  const candidate* chosen =
-    Pick(selected.mCandidates, [&](const best_candidates& aBest) {
+  const candidate* chosen = nullptr;
+  if (demand) {
+    best_by_region best = BestByRegion(selected.mCandidates);
+    std::optional<region_id> region =
+      demand->mShares.Decide(OffersOf(best), aNow);
+    chosen = region ? best.at(*region) : nullptr;
+  } else {
+    chosen = Pick(selected.mCandidates, [&](const best_candidates& aBest) {
       return SpilloverOf(aRequest.mService)
         .Decide(aBest.PrefersRemote(),
                 aBest.mLocal != nullptr,
                 aNow,
                 aBest.mRemote != nullptr);
     });
+  }
   if (chosen == nullptr) {
     return Refuse(selected.mCandidates, aRequest, aNow);
   }
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -28,6 +28,7 @@
 
 #include "laburnumdyke/decision/choice_explanation.h"
 #include "laburnumdyke/decision/cold_start_limiter.h"
+#include "laburnumdyke/decision/demand_steering.h"
 #include "laburnumdyke/decision/load_estimate.h"
 #include "laburnumdyke/decision/recent_objects.h"
 #include "laburnumdyke/decision/region_balance.h"
@@ -39,6 +40,7 @@
 #include "laburnumdyke/decision/work_estimate.h"
 #include "laburnumdyke/kernel/learned_speed.h"
 #include "laburnumdyke/kernel/lock_rank.h"
+#include "laburnumdyke/kernel/uneven_load.h"
 
 #include <chrono>
 #include <map>
@@ -67,6 +69,7 @@
   std::chrono::milliseconds mFarRoundTrip{ 40 };
   upstream_directory_options mDirectory;
   learned_speed mLearnedSpeed = learned_speed::Reported;
+  uneven_load mUnevenLoad = uneven_load::Auto;
   std::uint64_t mSeed = 1;
 };
 
@@ -132,6 +135,11 @@
   upstream_steering& operator=(const upstream_steering&) = delete;
 
   upstream_directory& Directory() { return mDirectory; }
+  demand_steering& Demand() { return mDemand; }
+  // How the busiest services are divided by measured demand.
+  std::vector<std::pair<service_id, demand_explanation>> DescribeDemand(
+    std::size_t aLimit,
+    instant aNow);
 
   // Applies changes reported by the directory.
   void Apply(const std::vector<upstream_change>& aChanges, instant aNow);
@@ -258,6 +266,14 @@
   region_balance MakeBalance(
     const std::vector<const upstream*>& aUpstreams) const;
   const region_balance& BalanceOf(const service_id& aService);
+  bool UsesDemand(const std::vector<const upstream*>& aUpstreams,
+                  instant aNow) const;
+  region_slots SlotsOf(const std::vector<const upstream*>& aUpstreams) const;
+  // nullopt unless the service is divided by measured demand.
+  std::optional<demand_view> DemandOf(const service_id& aService, instant aNow);
+  using best_by_region = std::map<region_id, const candidate*>;
+  static best_by_region BestByRegion(const std::vector<candidate>& aCandidates);
+  static region_offers OffersOf(const best_by_region& aBest);
   std::optional<exclusion_rule> ClosedBy(const upstream& aUpstream) const;
   // Returns why the upstream can't get the request; nullopt if it can.
   std::optional<exclusion_rule> ExclusionOf(const upstream& aUpstream,
@@ -341,6 +357,7 @@
                          instant aNow);
   choice_explanation Explain(const request_view& aView,
                              const region_spillover& aSpillover,
+                             const region_shares* aShares, // null: not used
                              explanation_limits aLimits,
                              instant aNow) const;
   void ExplainExclusions(const request_view& aView,
@@ -370,6 +387,7 @@
   std::map<std::string, work_estimate> mWork;     // by route name
   std::map<service_id, region_balance> mBalances; // computed when needed
   std::map<service_id, region_spillover> mSpillovers;
+  demand_steering mDemand;
   std::map<service_id, service_speed> mServiceSpeeds;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -107,9 +107,11 @@
 
 load_replay::load_replay(std::vector<replay_region> aRegions,
                          unsigned aSeed,
-                         learned_speed aLearnedSpeed)
+                         learned_speed aLearnedSpeed,
+                         uneven_load aUnevenLoad)
   : mRandom(aSeed)
   , mLearnedSpeed(aLearnedSpeed)
+  , mUnevenLoad(aUnevenLoad)
   , mRegions(std::move(aRegions))
 {
   std::vector<upstream_entry> entries;
@@ -137,6 +139,7 @@
     steering_options options = ReplayOptions(name, DomainOf(aRegion.mName, i));
     options.mSeed = mInstances.size() + 1;
     options.mLearnedSpeed = mLearnedSpeed;
+    options.mUnevenLoad = mUnevenLoad;
     mInstancesOf[aRegion.mName].push_back(mInstances.size());
     mInstances.emplace_back(options);
     mFleet.push_back({ { name }, { aRegion.mName } });
@@ -176,7 +179,8 @@
 load_replay::Rate(const replay_region& aRegion, instant aNow) const
 {
   bool isBurst = aNow >= mBurstBegin && aNow < mBurstEnd;
-  return aRegion.mPerSecond * (isBurst ? mBurstFactor : 1);
+  double factor = mRateFactor ? mRateFactor(aRegion.mName, aNow) : 1;
+  return aRegion.mPerSecond * (isBurst ? mBurstFactor : 1) * factor;
 }
 
 void
@@ -190,6 +194,10 @@
       break;
     }
     const replay_region& region = mRegions[first - next.begin()];
+    for (; mStep && mNextStep <= *first; mNextStep += mStepPeriod) {
+      FinishUntil(mNextStep);
+      mStep(mInstances, mFleet, mNextStep);
+    }
     FinishUntil(*first);
     Arrive(region, *first);
     std::exponential_distribution<double> interarrival(Rate(region, *first));
@@ -283,6 +291,7 @@
     duration elapsed = done.mAt - request.mArrived;
     replay_result& result = mResults[request.mRegion];
     (elapsed <= mRoute.mObjective ? result.mOnTime : result.mLate) += 1;
+    mTotalTimes[request.mRegion] += elapsed;
     attempt_report report;
     report.mResult = attempt_result::Answered;
     report.mTook = elapsed;
@@ -292,6 +301,17 @@
   }
 }
 
+duration
+load_replay::MeanTime(const std::string& aRegion) const
+{
+  auto result = mResults.find(aRegion);
+  auto total = mTotalTimes.find(aRegion);
+  if (result == mResults.end() || total == mTotalTimes.end()) {
+    return duration(0);
+  }
+  return total->second / (result->second.mOnTime + result->second.mLate);
+}
+
 load_replay::region_counts
 load_replay::CountRuns(const std::vector<run>& aRuns,
                        instant aBegin,
--- a/laburnumdyke/testing/harness/load_replay.h
+++ b/laburnumdyke/testing/harness/load_replay.h
@@ -11,6 +11,7 @@
 #include "laburnumdyke/decision/upstream_steering.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <queue>
 #include <random>
@@ -60,11 +61,30 @@
 public:
   load_replay(std::vector<replay_region> aRegions,
               unsigned aSeed,
-              learned_speed aLearnedSpeed = learned_speed::Reported);
+              learned_speed aLearnedSpeed = learned_speed::Reported,
+              uneven_load aUnevenLoad = uneven_load::Never);
 
   // All rates are aFactor times as high from aBegin for aFor.
   void SetBurst(instant aBegin, duration aFor, double aFactor);
 
+  // Multiplies the rates of regions by what the function returns.
+  using rate_factor = std::function<double(const std::string&, instant)>;
+  void SetRateFactor(rate_factor aFactor) { mRateFactor = std::move(aFactor); }
+
+  // Calls the function every aPeriod with the instances, in virtual time.
+  using instance_step =
+    std::function<void(std::deque<upstream_steering>&,
+                       const std::vector<instance_location>&,
+                       instant)>;
+  void SetStep(duration aPeriod, instance_step aStep)
+  {
+    mStepPeriod = aPeriod;
+    mStep = std::move(aStep);
+  }
+
+  // Mean time from arrival to the end of a region's served requests.
+  duration MeanTime(const std::string& aRegion) const;
+
   // The upstreams of a region take aFactor times as long for requests that
   // begin from aBegin for aFor; all upstreams report how long work takes.
   void SetSlow(const std::string& aRegion,
@@ -131,6 +151,7 @@
 
   std::mt19937 mRandom;
   learned_speed mLearnedSpeed;
+  uneven_load mUnevenLoad;
   route_spec mRoute = ReplayRoute();
   std::vector<replay_region> mRegions;
   std::map<std::string, std::vector<std::size_t>> mInstancesOf; // by region
@@ -148,6 +169,11 @@
   instant mSlowBegin{};
   instant mSlowEnd{};
   double mSlowFactor = 1;
+  rate_factor mRateFactor;
+  instance_step mStep;
+  duration mStepPeriod{};
+  instant mNextStep = kReplayStart;
+  std::map<std::string, duration> mTotalTimes; // by the callers' region
 };
 
 } // namespace laburnumdyke
