--- a/laburnumdyke/testing/upstream_leaves_test.cc
+++ b/laburnumdyke/testing/upstream_leaves_test.cc
@@ -3,6 +3,7 @@
 #include "laburnumdyke/plugin/steered_pipeline.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_front.h"
+#include "laburnumdyke/testing/harness/one_kernel.h"
 #include "platform/header_dialect.h"
 
 #include <optional>
