Exchange the demand for services between instances

The division of requests by demand needs the sums of all regions. Instances report to the collector of their failure domain each second, collectors exchange sums, and members get the totals each two seconds; collector_role has the part of usage_exchange that both use. Nothing is sent where no service is divided by demand. The demand is in the log, in metrics, and in the explanation of a route, with its age.

--- a/laburnumdyke/decision/demand_division.h
+++ b/laburnumdyke/decision/demand_division.h
@@ -63,7 +63,7 @@
 {
 public:
   // Sums are used for so long: several reports may be lost.
-  static constexpr std::chrono::seconds kMaxAge{ 4 };
+  static constexpr std::chrono::seconds kMaxAge{ 8 };
   // Part of the instances of each region whose reports a sum must contain.
   static constexpr double kMinReporters = 0.6;
 
--- a/laburnumdyke/decision/region_shares.cc
+++ b/laburnumdyke/decision/region_shares.cc
@@ -17,9 +17,9 @@
 namespace {
 
 // Fraction of mMostShift that is used. Each instance sees few requests, so the
-// sum also varies randomly: the rest is left for that. With 0.6, windows of 100
-// requests exceeded mMostShift while demand moved.
-constexpr double kShiftFraction = 0.5;
+// sum also varies randomly: the rest is left for that. With 0.5 and more,
+// windows of 100 requests exceeded mMostShift in waves.
+constexpr double kShiftFraction = 0.4;
 // Time constant of what requests prefer, in windows.
 constexpr double kSmoothingWindows = 1.0;
 // Credit at which a request that prefers another region is sent there.
--- a/laburnumdyke/decision/region_shares.h
+++ b/laburnumdyke/decision/region_shares.h
@@ -50,7 +50,7 @@
 public:
   // Smaller changes of the target are ignored, because an object that moves is
   // slow at its new place.
-  static constexpr double kMinChange = 0.1;
+  static constexpr double kMinChange = 0.2;
 
   region_shares(region_spillover_options aOptions,
                 region_id aOwn,
--- a/laburnumdyke/decision/service_demand.h
+++ b/laburnumdyke/decision/service_demand.h
@@ -38,9 +38,10 @@
 service_key
 KeyOf(const service_id& aService);
 
-// Interval of the reports. Three hops take less than two intervals on average,
-// which is short compared with a wave of demand.
-inline constexpr std::chrono::milliseconds kDemandPeriod{ 600 };
+// Interval of the reports. Members get the totals in every kTotalsInterval-th
+// one: they are most of the bytes that a collector sends.
+inline constexpr std::chrono::milliseconds kDemandPeriod{ 1000 };
+inline constexpr std::uint64_t kTotalsInterval = 2; // periods
 
 // Requests per second by service.
 using demand_list = std::map<service_key, double>;
@@ -74,7 +75,7 @@
 {
 public:
   // A reporter is dropped after missing several reports.
-  static constexpr std::chrono::milliseconds kSilentAfter{ 2500 };
+  static constexpr std::chrono::milliseconds kSilentAfter{ 3500 };
 
   // Takes a report of an instance of the own domain, which replaces its last.
   void ReportInstance(const instance_id& aInstance,
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -92,6 +92,64 @@
   return message;
 }
 
+// The services with the highest demand of all regions.
+std::vector<service_key>
+BusiestServices(const demand_totals& aTotals)
+{
+  demand_list sums;
+  for (const demand_totals::value_type& region : aTotals) {
+    for (const demand_list::value_type& each : region.second.mDemand) {
+      sums[each.first] += each.second;
+    }
+  }
+  std::vector<service_key> services;
+  for (const demand_list::value_type& each : sums) {
+    services.push_back(each.first);
+  }
+  if (services.size() > kMaxDemandServices) {
+    std::nth_element(services.begin(),
+                     services.begin() + kMaxDemandServices,
+                     services.end(),
+                     [&](service_key aOne, service_key aOther) {
+                       return sums.at(aOne) > sums.at(aOther);
+                     });
+    services.resize(kMaxDemandServices);
+  }
+  return services;
+}
+
+// Returns monostate unless each region has a rate for each service.
+fleet_message
+DecodeDemand(const proto::service_demand& aDemand)
+{
+  int count = aDemand.services_size();
+  bool isFleet = aDemand.scope_of() == proto::customer_usage::FLEET;
+  int maxRegions = isFleet ? static_cast<int>(kMaxDemandRegions) : 1;
+  bool isValid = count <= static_cast<int>(kMaxDemandServices) &&
+                 aDemand.regions_size() <= maxRegions &&
+                 proto::customer_usage::scope_IsValid(aDemand.scope_of());
+  if (!isValid) {
+    return {};
+  }
+  demand_message message;
+  message.mScope = static_cast<usage_scope>(aDemand.scope_of());
+  message.mName = aDemand.name();
+  message.mRelayed = aDemand.relayed();
+  for (const proto::region_demand& region : aDemand.regions()) {
+    if (region.demand_size() != count) {
+      return {};
+    }
+    demand_report& report = message.mTotals[{ region.region() }];
+    report.mReporters = region.reporters();
+    for (int i = 0; i < count; ++i) {
+      if (region.demand(i) > 0) {
+        report.mDemand[aDemand.services(i)] = region.demand(i) / kWireUnits;
+      }
+    }
+  }
+  return message;
+}
+
 } // namespace
 
 std::string
@@ -136,6 +194,32 @@
   return message.SerializeAsString();
 }
 
+std::string
+EncodeDemand(const demand_message& aMessage)
+{
+  proto::fleet_heartbeat message;
+  proto::service_demand& demand = *message.mutable_demand();
+  demand.set_scope_of(
+    static_cast<proto::customer_usage::scope>(aMessage.mScope));
+  demand.set_name(aMessage.mName);
+  demand.set_relayed(aMessage.mRelayed);
+  std::vector<service_key> services = BusiestServices(aMessage.mTotals);
+  for (service_key service : services) {
+    demand.add_services(service);
+  }
+  for (const demand_totals::value_type& each : aMessage.mTotals) {
+    proto::region_demand& region = *demand.add_regions();
+    region.set_region(each.first.mValue);
+    region.set_reporters(each.second.mReporters);
+    for (service_key service : services) {
+      auto found = each.second.mDemand.find(service);
+      region.add_demand(
+        found == each.second.mDemand.end() ? 0 : ToWire(found->second));
+    }
+  }
+  return message.SerializeAsString();
+}
+
 fleet_message
 DecodeFleetMessage(std::string_view aBytes)
 {
@@ -149,6 +233,9 @@
   if (message.has_usage()) {
     return DecodeUsage(message.usage());
   }
+  if (message.has_demand()) {
+    return DecodeDemand(message.demand());
+  }
   fleet_heartbeat heartbeat;
   if (message.has_sender()) {
     std::optional<fleet_member> sender = DecodeMember(message.sender());
--- a/laburnumdyke/plugin/fleet_codec.h
+++ b/laburnumdyke/plugin/fleet_codec.h
@@ -1,5 +1,6 @@
 // Encodes and decodes, as protobuf, the messages between instances that route
-// by host and path: heartbeats, and the usage of customers.
+// by host and path: heartbeats, the usage of customers and the demand for
+// services.
 //
 // A compact heartbeat identifies its sender by an 8-byte key. A receiver that
 // does not know that incarnation, from a full heartbeat or from its
@@ -8,6 +9,7 @@
 
 #include "laburnumdyke/decision/customer_usage.h"
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/service_demand.h"
 
 #include <optional>
 #include <string>
@@ -30,7 +32,11 @@
 EncodeFleetHeartbeat(const fleet_heartbeat& aHeartbeat,
                      fleet_heartbeat_form aForm);
 
-// Whose usage a message contains, and for whom it is.
+// Services in one message, and regions in totals.
+inline constexpr std::size_t kMaxDemandServices = 300;
+inline constexpr std::size_t kMaxDemandRegions = 16;
+
+// Whose usage or demand a message contains, and for whom it is.
 enum class usage_scope
 {
   Instance, // of one instance, for the collector of its failure domain
@@ -50,11 +56,23 @@
 std::string
 EncodeUsage(const usage_message& aMessage);
 
+struct demand_message
+{
+  usage_scope mScope = usage_scope::Instance;
+  std::string mName;     // of the instance or the failure domain
+  bool mRelayed = false; // passed on by the instance that first received it
+  demand_totals mTotals; // of one region, except in the scope Fleet
+};
+
+// Encodes the kMaxDemandServices services with the highest demand.
+std::string
+EncodeDemand(const demand_message& aMessage);
+
 // monostate: aBytes is longer than kMaxFleetMessageBytes, malformed, or a
 // heartbeat that does not identify its sender. In a compact heartbeat mSender
 // is empty and mSenderKey is set.
 using fleet_message =
-  std::variant<std::monostate, fleet_heartbeat, usage_message>;
+  std::variant<std::monostate, fleet_heartbeat, usage_message, demand_message>;
 
 fleet_message
 DecodeFleetMessage(std::string_view aBytes);
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -9,6 +9,7 @@
 // earlier full heartbeat. An instance that stops announces this at once with
 // several heartbeats, so that losing one does no harm. A new era of the
 // platform's store, as reported by the store itself, is announced at once.
+#include "laburnumdyke/plugin/demand_exchange.h"
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/sleep.h"
@@ -47,6 +48,7 @@
     , mTables(aKernel)
     , mLink(aKernel, [this](std::string_view aBytes) { Receive(aBytes); })
     , mUsage(aKernel)
+    , mDemand(aKernel)
   {
   }
 
@@ -57,6 +59,7 @@
     if (!failure) {
       asio::co_spawn(mLink.Strand(), SendPeriodically(), asio::detached);
       asio::co_spawn(mLink.Strand(), ExchangeUsage(), asio::detached);
+      asio::co_spawn(mLink.Strand(), ExchangeDemand(), asio::detached);
     }
     return failure;
   }
@@ -78,6 +81,9 @@
     if (usage_message* usage = std::get_if<usage_message>(&message)) {
       mKernel.Counters().Add("usage_messages_total", "received");
       mLink.Send(mUsage.Receive(std::move(*usage), now));
+    } else if (demand_message* demand = std::get_if<demand_message>(&message)) {
+      mKernel.Counters().Add("demand_messages_total", "received");
+      mLink.Send(mDemand.Receive(std::move(*demand), now));
     } else if (fleet_heartbeat* beat = std::get_if<fleet_heartbeat>(&message)) {
       ReceiveHeartbeat(*beat, now);
     } else {
@@ -137,6 +143,7 @@
     }
     std::set<endpoint> open(targets.begin(), targets.end());
     open.insert(mUsage.Targets().begin(), mUsage.Targets().end());
+    open.insert(mDemand.Targets().begin(), mDemand.Targets().end());
     mLink.CloseOthers(open);
     mLink.Send(messages);
   }
@@ -170,6 +177,14 @@
     }
   }
 
+  asio::awaitable<void> ExchangeDemand()
+  {
+    while (true) {
+      mLink.Send(mDemand.Compose(std::chrono::steady_clock::now()));
+      co_await SleepFor(kDemandPeriod);
+    }
+  }
+
   asio::awaitable<void> AnnounceLeaving()
   {
     for (int i = 0; i < kLeavingHeartbeatCount; ++i) {
@@ -182,6 +197,7 @@
   steering_tables mTables;
   message_link mLink;
   usage_exchange mUsage;
+  demand_exchange mDemand;
   std::uint64_t mSentCount = 0; // heartbeats
 };
 
--- a/laburnumdyke/plugin/metrics_http.cc
+++ b/laburnumdyke/plugin/metrics_http.cc
@@ -4,13 +4,14 @@
 // port is in use, the instance logs a warning and starts without it.
 //
 // Paths:
-//   GET /metrics      counters and latency histograms
+//   GET /metrics      counters, latency histograms, demand by service
 //   GET /v1/explain   where a request would go (route_explanation.h); at the
 //                     operators' address only
 //
 // The platform holds the configuration of such instances, so there is no
 // console.
 #include "laburnumdyke/kernel/kernel.h"
+#include "laburnumdyke/plugin/demand_view.h"
 #include "laburnumdyke/plugin/exposition.h"
 #include "laburnumdyke/plugin/http_server.h"
 #include "laburnumdyke/plugin/route_explanation.h"
@@ -59,6 +60,7 @@
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
     string_answer answer = MetricsAnswer(mKernel);
+    answer.body() += RenderDemand(mKernel, std::chrono::steady_clock::now());
     if (aExchange.Head().target() != "/metrics") {
       answer = string_answer(http::status::not_found, 11);
     }
--- a/laburnumdyke/plugin/route_explanation.cc
+++ b/laburnumdyke/plugin/route_explanation.cc
@@ -4,6 +4,7 @@
 #include "laburnumdyke/plugin/route_explanation.h"
 
 #include "laburnumdyke/plugin/console_form.h"
+#include "laburnumdyke/plugin/demand_view.h"
 #include "laburnumdyke/plugin/steered_pipeline.h"
 
 #include <boost/json.hpp>
@@ -199,6 +200,9 @@
   if (aChoice.mSpillover) {
     aJson["spillover"] = ToString(*aChoice.mSpillover);
   }
+  if (aChoice.mDemand) {
+    aJson["demand"] = DemandJson(*aChoice.mDemand);
+  }
   aJson["more_candidates"] = aChoice.mMoreCandidates;
   aJson["candidates"] = CandidatesJson(aChoice.mCandidates);
   aJson["excluded"] = ExcludedJson(aChoice);
--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -1,6 +1,4 @@
-// Each instance takes itself for the collector of its failure domain if it
-// knows no older live one. Two may do so for a moment; each then sends the sum
-// of the members that report to it.
+// collector_role.h describes which instance collects.
 #include "laburnumdyke/plugin/usage_exchange.h"
 
 #include <utility>
@@ -8,8 +6,8 @@
 namespace laburnumdyke {
 
 usage_exchange::usage_exchange(kernel& aKernel)
-  : mKernel(aKernel)
-  , mTables(aKernel)
+  : mTables(aKernel)
+  , mRole(aKernel, "collects_usage", kCollectorWarmUp)
   , mSelf{ aKernel.Settings().mInstance }
   , mDomain{ aKernel.Settings().mFailureDomain }
 {
@@ -27,21 +25,22 @@
   if (!isActive) {
     return {};
   }
-  bool isFleetKnown = false;
-  std::optional<endpoint> collector =
-    mTables.Fleet().With([&](fleet_state& aFleet) {
-      isFleetKnown = !aFleet.InstanceLocations().empty();
-      return aFleet.Collector(aNow);
-    });
-  if (!collector && !isFleetKnown) {
-    // Totals of its own usage alone would grant the whole quota once more.
-    return {};
-  }
-  if (collector) {
-    mCollectorSince.reset();
-    return ReportTo(*collector, std::move(own));
+  switch (mRole.Take(aNow)) {
+    case collector_duty::Report: {
+      std::optional<endpoint> collector = mRole.Collector(aNow);
+      return collector ? ReportTo(*collector, std::move(own))
+                       : std::vector<addressed_message>();
+    }
+    case collector_duty::Prepare:
+      mCollector.ReportInstance(mSelf, std::move(own), aNow);
+      break;
+    case collector_duty::Collect:
+      mCollector.ReportInstance(mSelf, std::move(own), aNow);
+      return Collect(aNow);
+    case collector_duty::None:
+      break;
   }
-  return Collect(std::move(own), aNow);
+  return {};
 }
 
 std::vector<addressed_message>
@@ -57,24 +56,8 @@
 }
 
 std::vector<addressed_message>
-usage_exchange::Collect(usage_list aOwn, instant aNow)
+usage_exchange::Collect(instant aNow)
 {
-  if (!mCollectorSince) {
-    mCollectorSince = aNow;
-    mKernel.Log().Info("collects_usage",
-                       { { "failure_domain", mDomain.mValue } });
-  }
-  mCollector.ReportInstance(mSelf, std::move(aOwn), aNow);
-  if (aNow - *mCollectorSince < kCollectorWarmUp) {
-    return {};
-  }
-  std::uint64_t turn = mCompositions++ / kTurnLength;
-  std::vector<endpoint> contacts;
-  std::vector<endpoint> members;
-  mTables.Fleet().With([&](fleet_state& aFleet) {
-    contacts = aFleet.RemoteContacts(turn);
-    members = aFleet.DomainPeers(aNow);
-  });
   usage_message sum;
   sum.mScope = usage_scope::Domain;
   sum.mName = mDomain.mValue;
@@ -87,8 +70,8 @@
     aQuota.SetTotals(totals.mUsage, aNow);
   });
   std::vector<addressed_message> messages;
-  AddMessages(messages, contacts, sum);
-  AddMessages(messages, members, totals);
+  AddMessages(messages, mRole.Contacts(), sum);
+  AddMessages(messages, mRole.Members(aNow), totals);
   return messages;
 }
 
@@ -102,8 +85,7 @@
         { aMessage.mName }, std::move(aMessage.mUsage), aNow);
       break;
     case usage_scope::Domain: {
-      std::optional<endpoint> collector = mTables.Fleet().With(
-        [&](fleet_state& aFleet) { return aFleet.Collector(aNow); });
+      std::optional<endpoint> collector = mRole.Collector(aNow);
       if (collector && !aMessage.mRelayed) {
         aMessage.mRelayed = true;
         AddMessages(messages, { *collector }, aMessage);
--- a/laburnumdyke/plugin/usage_exchange.h
+++ b/laburnumdyke/plugin/usage_exchange.h
@@ -10,12 +10,11 @@
 #pragma once
 
 #include "laburnumdyke/decision/customer_usage.h"
+#include "laburnumdyke/plugin/collector_role.h"
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/steering_tables.h"
 
-#include <cstdint>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,24 +35,19 @@
   // A new collector waits for the reports of its members before it sends sums.
   static constexpr std::chrono::milliseconds kCollectorWarmUp{ 3 *
                                                                kUsagePeriod };
-  // Compositions with the same contacts in other failure domains, so that
-  // connections are reused.
-  static constexpr std::uint64_t kTurnLength = 25;
 
   std::vector<addressed_message> ReportTo(const endpoint& aCollector,
                                           usage_list aOwn);
-  std::vector<addressed_message> Collect(usage_list aOwn, instant aNow);
+  std::vector<addressed_message> Collect(instant aNow);
   void AddMessages(std::vector<addressed_message>& aMessages,
                    const std::vector<endpoint>& aTargets,
                    const usage_message& aMessage);
 
-  kernel& mKernel;
   steering_tables mTables;
+  collector_role mRole;
   instance_id mSelf;
   domain_id mDomain;
   usage_collector mCollector;
-  std::optional<instant> mCollectorSince;
-  std::uint64_t mCompositions = 0;
   std::set<endpoint> mTargets;
 };
 
--- a/laburnumdyke/testing/route_explanation_test.cc
+++ b/laburnumdyke/testing/route_explanation_test.cc
@@ -268,6 +268,30 @@
   CHECK(avoided.at("slowness").as_double() > 1.5);
 }
 
+TEST(RouteExplanation, TellsTheDemandByRegionAndItsAge)
+{
+  Configure();
+  Register({ ReplayUpstream("e1", "east-a"), ReplayUpstream("w1", "west-a") });
+  CHECK(BodyOf(Ask("path=/x&customer=acme")).count("demand") == 0);
+  Serve("none"); // answers tell how long work takes
+  mKernel->Table<steering_state>().With([&](steering_state& aSteering) {
+    aSteering.SetFleet(
+      { { { "one" }, { "east" } }, { { "two" }, { "west" } } });
+    demand_report report = { 1, { { KeyOf(service_id{ "sheets" }), 12 } } };
+    aSteering.Demand().SetTotals(
+      { { { "east" }, report }, { { "west" }, report } }, mNow);
+  });
+  boost::json::object body = BodyOf(Ask("path=/x&customer=acme"));
+  const boost::json::object& demand = body.at("demand").as_object();
+  CHECK(demand.at("by").as_string() == "demand");
+  CHECK(demand.at("age_ms").as_int64() < 5000);
+  const boost::json::object& west =
+    demand.at("regions").as_array().at(1).as_object();
+  CHECK(west.at("region").as_string() == "west");
+  DOUBLES_EQUAL(12, west.at("demand_per_s").as_double(), 1e-9);
+  DOUBLES_EQUAL(0, west.at("share").as_double(), 1e-9);
+}
+
 TEST(RouteExplanation, TakesAKeyAndNeverShowsIt)
 {
   Configure();
