--- a/laburnumdyke/testing/process_era_test.cc
+++ b/laburnumdyke/testing/process_era_test.cc
@@ -4,6 +4,7 @@
 #include "laburnumdyke/testing/harness/scenario.h"
 
 #include <algorithm>
+#include <csignal>
 #include <string>
 #include <thread>
 #include <vector>
