--- a/laburnumdyke/kernel/uneven_load.h
+++ b/laburnumdyke/kernel/uneven_load.h
@@ -1,5 +1,6 @@
 // Where uneven load is taken into account, a setting: which requests are
-// admitted when a service has too little capacity for all.
+// admitted when a service has too little capacity for all, and how requests are
+// divided among regions.
 #pragma once
 
 namespace laburnumdyke {
--- a/laburnumdyke/plugin/metrics_http.cc
+++ b/laburnumdyke/plugin/metrics_http.cc
@@ -4,7 +4,8 @@
 // when the port is in use, the instance logs a warning and starts without it.
 //
 // Paths:
-//   GET /metrics      counters and latency histograms, with those of customers
+//   GET /metrics      counters and latency histograms, with those of customers,
+//                     and the demand by service
 //   GET /status       configuration and customers (customer_status.h); at the
 //                     operators' address only, also as /v1/status
 //   GET /v1/explain   where a request would go (route_explanation.h); at the
@@ -14,6 +15,7 @@
 // console.
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/plugin/customer_status.h"
+#include "laburnumdyke/plugin/demand_view.h"
 #include "laburnumdyke/plugin/exposition.h"
 #include "laburnumdyke/plugin/http_server.h"
 #include "laburnumdyke/plugin/route_explanation.h"
@@ -64,8 +66,10 @@
   asio::awaitable<void> Handle(http_exchange& aExchange)
   {
     string_answer answer = MetricsAnswer(mKernel);
+    instant now = Now();
     answer.body() += RenderCustomerMetrics(mActivity.With(
-      [](activity_state& aActivity) { return aActivity.Report(Now()); }));
+      [&](activity_state& aActivity) { return aActivity.Report(now); }));
+    answer.body() += RenderDemand(mKernel, now);
     if (aExchange.Head().target() != "/metrics") {
       answer = string_answer(http::status::not_found, 11);
     }
--- a/laburnumdyke/testing/harness/load_replay.cc
+++ b/laburnumdyke/testing/harness/load_replay.cc
@@ -196,7 +196,8 @@
 load_replay::Rate(const replay_callers& aCallers, instant aNow) const
 {
   bool isBurst = aNow >= mBurstBegin && aNow < mBurstEnd;
-  return aCallers.mPerSecond * (isBurst ? mBurstFactor : 1);
+  double factor = mRateFactor ? mRateFactor(aCallers.mRegion, aNow) : 1;
+  return aCallers.mPerSecond * (isBurst ? mBurstFactor : 1) * factor;
 }
 
 void
@@ -210,6 +211,10 @@
       break;
     }
     std::size_t callers = static_cast<std::size_t>(first - next.begin());
+    for (; mStep && mNextStep <= *first; mNextStep += mStepPeriod) {
+      FinishUntil(mNextStep);
+      mStep(mInstances, mFleet, mNextStep);
+    }
     FinishUntil(*first);
     Arrive(callers, *first);
     std::exponential_distribution<double> interarrival(
@@ -312,6 +317,7 @@
     const replay_callers& callers = mCallers[request.mCallers];
     replay_result& result = mResults[callers.mName];
     (elapsed <= callers.mRoute.mObjective ? result.mOnTime : result.mLate) += 1;
+    mTotalTimes[callers.mRegion] += elapsed;
     attempt_report report;
     report.mResult = attempt_result::Answered;
     report.mTook = elapsed;
@@ -321,6 +327,17 @@
   }
 }
 
+duration
+load_replay::MeanTime(const std::string& aRegion) const
+{
+  auto result = mResults.find(aRegion);
+  auto total = mTotalTimes.find(aRegion);
+  if (result == mResults.end() || total == mTotalTimes.end()) {
+    return duration(0);
+  }
+  return total->second / (result->second.mOnTime + result->second.mLate);
+}
+
 load_replay::region_counts
 load_replay::CountRuns(const std::vector<run>& aRuns,
                        instant aBegin,
