--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -78,6 +78,16 @@
 {
 }
 
+bool
+fleet_state::ReceiveHeartbeat(const fleet_heartbeat& aHeartbeat, instant aNow)
+{
+  bool isApplied = fleet_view::ReceiveHeartbeat(aHeartbeat, aNow);
+  if (isApplied) {
+    mWaiters.CancelAll();
+  }
+  return isApplied;
+}
+
 budget_state::budget_state(const settings& aSettings)
   : fleet_budget(BudgetOptions(aSettings))
 {
--- a/laburnumdyke/plugin/steering_tables.h
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -16,6 +16,7 @@
 #include "laburnumdyke/decision/upstream_steering.h"
 #include "laburnumdyke/kernel/kernel.h"
 #include "laburnumdyke/plugin/connection_pool.h"
+#include "laburnumdyke/plugin/timer_set.h"
 
 #include <chrono>
 #include <memory>
@@ -51,9 +52,18 @@
   explicit rotation_state(const settings& aSettings);
 };
 
-struct fleet_state : fleet_view
+class fleet_state : public fleet_view
 {
+public:
   explicit fleet_state(const settings& aSettings);
+
+  // Also wakes the coroutines that wait for a heartbeat (heartbeat_wait.h).
+  bool ReceiveHeartbeat(const fleet_heartbeat& aHeartbeat, instant aNow);
+
+  timer_set& Waiters() { return mWaiters; }
+
+private:
+  timer_set mWaiters;
 };
 
 struct budget_state : fleet_budget
