Split route_explanation.cc; it uses the refusals of requests

- It had its own mapping of refusals by key and by a planned stop; it uses CustomerRefusal and LeavingRefusal as the requests do.
- It asked whether a request may begin and limited the deadline in one step; it now takes the two steps of steered_checks::Admit.
- ExplainAnswer and JsonAnswer of lookup.cc were the same; JsonAnswer is in http_parts.

--- a/laburnumdyke/plugin/http_parts.cc
+++ b/laburnumdyke/plugin/http_parts.cc
@@ -3,6 +3,7 @@
 #include "laburnumdyke/plugin/http_parts.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
 
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -124,4 +125,14 @@
   }
 }
 
+string_answer
+JsonAnswer(http::status aStatus, const boost::json::object& aBody)
+{
+  string_answer answer(aStatus, 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.set(http::field::cache_control, "no-store");
+  answer.body() = boost::json::serialize(aBody) + "\n";
+  return answer;
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/http_parts.h
+++ b/laburnumdyke/plugin/http_parts.h
@@ -1,8 +1,10 @@
-// Helpers for forwarding HTTP messages, shared by all front ends.
+// Helpers for answering and forwarding HTTP messages, shared by all front ends.
 #pragma once
 
 #include "laburnumdyke/plugin/http_server.h"
 
+#include <boost/json/fwd.hpp>
+
 namespace laburnumdyke {
 
 // Removes the hop-by-hop headers, including those that the Connection header
@@ -44,4 +46,8 @@
 asio::awaitable<void>
 WaitCallerGone(http_exchange& aExchange);
 
+// An answer with a JSON body that must not be cached.
+string_answer
+JsonAnswer(http::status aStatus, const boost::json::object& aBody);
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/lookup.cc
+++ b/laburnumdyke/plugin/lookup.cc
@@ -3,6 +3,7 @@
 #include "laburnumdyke/plugin/lookup.h"
 
 #include "laburnumdyke/decision/placement.h"
+#include "laburnumdyke/plugin/http_parts.h"
 
 #include <boost/json.hpp>
 
@@ -10,16 +11,6 @@
 
 namespace {
 
-string_answer
-JsonAnswer(http::status aStatus, const boost::json::object& aBody)
-{
-  string_answer answer(aStatus, 11);
-  answer.set(http::field::content_type, "application/json");
-  answer.set(http::field::cache_control, "no-store");
-  answer.body() = boost::json::serialize(aBody) + "\n";
-  return answer;
-}
-
 string_answer
 RefuseLookup(kernel& aKernel,
              http::status aStatus,
--- a/laburnumdyke/plugin/route_explanation.cc
+++ b/laburnumdyke/plugin/route_explanation.cc
@@ -3,15 +3,13 @@
 // time, so the answer may mix states that are a few microseconds apart.
 #include "laburnumdyke/plugin/route_explanation.h"
 
-#include "laburnumdyke/plugin/console_form.h"
+#include "laburnumdyke/plugin/explanation_json.h"
+#include "laburnumdyke/plugin/http_parts.h"
 #include "laburnumdyke/plugin/steered_request.h"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
-#include <set>
 #include <utility>
 
 namespace laburnumdyke {
@@ -19,222 +17,25 @@
 namespace {
 
 constexpr std::string_view kExplainPath = "/v1/explain";
-constexpr std::size_t kMaxParameterBytes = 4096;
-constexpr std::int64_t kMaxCallerTimeout = 24LL * 3600 * 1000; // milliseconds
-
-string_answer
-ExplainAnswer(http::status aStatus, const boost::json::object& aBody)
-{
-  string_answer answer(aStatus, 11);
-  answer.set(http::field::content_type, "application/json");
-  answer.set(http::field::cache_control, "no-store");
-  answer.body() = boost::json::serialize(aBody) + "\n";
-  return answer;
-}
 
 string_answer
 ExplainError(http::status aStatus, std::string_view aMessage)
 {
   boost::json::object body;
   body["error"] = aMessage;
-  return ExplainAnswer(aStatus, body);
-}
-
-bool
-ReadTimeout(explain_query& aQuery, const std::string& aText)
-{
-  std::int64_t value = 0;
-  const char* end = aText.data() + aText.size();
-  std::from_chars_result parsed = std::from_chars(aText.data(), end, value);
-  aQuery.mCallerTimeout = std::chrono::milliseconds(value);
-  return parsed.ec == std::errc() && parsed.ptr == end && value > 0 &&
-         value <= kMaxCallerTimeout;
-}
-
-// Stores a parameter. Returns whether it is known and valid.
-bool
-SetParameter(explain_query& aQuery,
-             const std::string& aName,
-             const std::string& aValue)
-{
-  if (aValue.empty() || aValue.size() > kMaxParameterBytes) {
-    return false;
-  }
-  if (aName == "host") {
-    aQuery.mHost = aValue;
-  } else if (aName == "path") {
-    aQuery.mPath = aValue;
-    return aValue.front() == '/';
-  } else if (aName == "object") {
-    aQuery.mObject = aValue;
-  } else if (aName == "customer") {
-    aQuery.mCustomer = aValue;
-  } else if (aName == "deadline_ms") {
-    return ReadTimeout(aQuery, aValue);
-  } else {
-    return false;
-  }
-  return true;
-}
-
-double
-ToMs(duration aTime)
-{
-  double value = std::chrono::duration<double, std::milli>(aTime).count();
-  return std::round(value * 10) / 10;
-}
-
-double
-Rounded(double aValue)
-{
-  return std::round(aValue * 100) / 100;
-}
-
-std::string_view
-ToString(spillover_decision aDecision)
-{
-  switch (aDecision) {
-    case spillover_decision::Local:
-      return "local";
-    case spillover_decision::Remote:
-      return "remote";
-    case spillover_decision::Refuse:
-      break;
-  }
-  return "refuse";
-}
-
-boost::json::array
-CandidatesJson(const std::vector<explained_candidate>& aCandidates)
-{
-  boost::json::array rows;
-  for (const explained_candidate& one : aCandidates) {
-    boost::json::object row;
-    row["upstream"] = one.mId.mValue;
-    row["region"] = one.mRegion.mValue;
-    row["failure_domain"] = one.mDomain.mValue;
-    row["load"] = Rounded(one.mLoad);
-    row["slots"] = one.mSlots;
-    row["wait_ms"] = ToMs(one.mWait);
-    row["total_ms"] = ToMs(one.mTotal);
-    row["cost_ms"] = Rounded(one.mCost * 1000);
-    row["slowness"] = Rounded(one.mSlowness);
-    row["cold"] = one.mIsCold;
-    row["admits"] = one.mAdmits;
-    rows.push_back(std::move(row));
-  }
-  return rows;
-}
-
-boost::json::array
-ExcludedJson(const choice_explanation& aChoice)
-{
-  boost::json::array rows;
-  for (std::size_t i = 0; i < kExclusionRules; ++i) {
-    exclusion_rule rule = static_cast<exclusion_rule>(i);
-    const excluded_upstreams& excluded = aChoice.Excluded(rule);
-    if (excluded.mCount == 0) {
-      continue;
-    }
-    std::string names;
-    for (const upstream_id& name : excluded.mNames) {
-      names += (names.empty() ? "" : " ") + name.mValue;
-    }
-    boost::json::object row;
-    row["rule"] = ToString(rule);
-    row["count"] = excluded.mCount;
-    row["upstreams"] = names;
-    rows.push_back(std::move(row));
-  }
-  return rows;
-}
-
-void
-AddCustomer(boost::json::object& aJson, const explained_route& aExplained)
-{
-  if (aExplained.mRoute != nullptr) {
-    std::uint32_t priority = aExplained.mRoute->mPriority;
-    aJson["priority"] = aExplained.mCustomer == nullptr
-                          ? priority
-                          : aExplained.mCustomer->mPriority.value_or(priority);
-  }
-  if (aExplained.mCustomer == nullptr) {
-    return;
-  }
-  const customer_spec& customer = *aExplained.mCustomer;
-  aJson["customer"] = customer.mName.mValue;
-  if (customer.mQuota.IsLimited()) {
-    aJson["quota_rate_per_s"] = customer.mQuota.mRate;
-    aJson["quota_burst"] = customer.mQuota.mBurst;
-  }
-  if (aExplained.mQuota && aExplained.mQuota->mIsLimited) {
-    aJson["quota_limit_per_s"] = Rounded(aExplained.mQuota->mLimit);
-    aJson["quota_demand_per_s"] = Rounded(aExplained.mQuota->mDemand);
-    aJson["quota_admits"] = aExplained.mQuota->mAdmitted;
-  }
-}
-
-void
-AddOutcome(boost::json::object& aJson, const explained_route& aExplained)
-{
-  bool isSent = aExplained.mStatus == http::status::ok;
-  aJson["outcome"] = isSent ? "sent" : "rejected";
-  if (isSent) {
-    aJson["upstream"] = aExplained.mChoice->mChosen->mValue;
-    return;
-  }
-  aJson["status"] = static_cast<unsigned>(aExplained.mStatus);
-  aJson["reason"] = ToString(aExplained.mReason);
-  if (aExplained.mLeastRetryAfter && aExplained.mMostRetryAfter) {
-    aJson["retry_after_least_ms"] = aExplained.mLeastRetryAfter->count();
-    aJson["retry_after_most_ms"] = aExplained.mMostRetryAfter->count();
-  }
-}
-
-void
-AddChoice(boost::json::object& aJson, const choice_explanation& aChoice)
-{
-  aJson["health_ignored"] = aChoice.mIgnoresHealth;
-  aJson["remote_share"] = Rounded(aChoice.mRemoteShare);
-  if (aChoice.mSpillover) {
-    aJson["spillover"] = ToString(*aChoice.mSpillover);
-  }
-  aJson["more_candidates"] = aChoice.mMoreCandidates;
-  aJson["candidates"] = CandidatesJson(aChoice.mCandidates);
-  aJson["excluded"] = ExcludedJson(aChoice);
-}
-
-boost::json::object
-ExplainedJson(const explained_route& aExplained, const std::string& aInstance)
-{
-  boost::json::object json;
-  json["instance"] = aInstance;
-  json["version"] = aExplained.mRoutes->Version();
-  if (aExplained.mRoute != nullptr) {
-    json["route"] = aExplained.mRoute->mName;
-  }
-  if (!aExplained.mService.mValue.empty()) {
-    json["service"] = aExplained.mService.mValue;
-  }
-  AddCustomer(json, aExplained);
-  AddOutcome(json, aExplained);
-  if (aExplained.mChoice) {
-    AddChoice(json, *aExplained.mChoice);
-  }
-  return json;
+  return JsonAnswer(aStatus, body);
 }
 
+// aMost: the upper bound of a Retry-After that varies.
 void
 Reject(explained_route& aExplained,
-       http::status aStatus,
-       refusal_reason aReason,
-       std::optional<std::chrono::milliseconds> aLeast = std::nullopt,
+       const steered_refusal& aRefusal,
        std::optional<std::chrono::milliseconds> aMost = std::nullopt)
 {
-  aExplained.mStatus = aStatus;
-  aExplained.mReason = aReason;
-  aExplained.mLeastRetryAfter = aLeast;
-  aExplained.mMostRetryAfter = aMost ? aMost : aLeast;
+  aExplained.mStatus = aRefusal.mStatus;
+  aExplained.mReason = aRefusal.mReason;
+  aExplained.mLeastRetryAfter = aRefusal.mRetryAfter;
+  aExplained.mMostRetryAfter = aMost ? aMost : aRefusal.mRetryAfter;
 }
 
 const customer_spec*
@@ -253,33 +54,6 @@
 
 } // namespace
 
-explain_query_result
-ReadExplainQuery(std::string_view aTarget)
-{
-  std::size_t separator = aTarget.find('?');
-  std::optional<form_fields> fields = DecodeForm(
-    separator == std::string_view::npos ? std::string_view()
-                                        : aTarget.substr(separator + 1));
-  if (!fields) {
-    return { std::nullopt, "malformed encoding of a parameter" };
-  }
-  explain_query query;
-  std::set<std::string> seen;
-  for (const std::pair<std::string, std::string>& field : *fields) {
-    if (!seen.insert(field.first).second ||
-        !SetParameter(query, field.first, field.second)) {
-      // Doesn't repeat the parameter, which may be a key that was put there.
-      return { std::nullopt,
-               "expected each of host, path, object, customer and deadline_ms "
-               "at most once, with a valid value, and no other parameter" };
-    }
-  }
-  if (query.mHost.empty() || query.mPath.empty()) {
-    return { std::nullopt, "expected host= and path=" };
-  }
-  return { std::move(query), std::string() };
-}
-
 route_explainer::route_explainer(kernel& aKernel)
   : mKernel(aKernel)
   , mTables(aKernel)
@@ -346,9 +120,9 @@
                           "no customer has this name in the configuration");
     }
   }
-  return ExplainAnswer(http::status::ok,
-                       ExplainedJson(Explain(aQuery, customer, dated, aNow),
-                                     mKernel.Settings().mInstance));
+  return JsonAnswer(http::status::ok,
+                    ExplainedJson(Explain(aQuery, customer, dated, aNow),
+                                  mKernel.Settings().mInstance));
 }
 
 // aCustomer: the one that the query names; null if it has a key or neither.
@@ -363,7 +137,8 @@
   const route_table& routes = *aRoutes.mRoutes;
   explained.mRoute = routes.Find(aQuery.mHost, aQuery.mPath);
   if (explained.mRoute == nullptr) {
-    Reject(explained, http::status::not_found, refusal_reason::UnknownService);
+    Reject(explained,
+           { http::status::not_found, refusal_reason::UnknownService });
     return explained;
   }
   const route_spec& route = *explained.mRoute;
@@ -373,13 +148,8 @@
       ? CheckCustomer(routes, route, aCustomer, aRoutes.mAge, maxAge)
       : CheckKey(routes, route, aQuery.mKey, aRoutes.mAge, maxAge);
   explained.mCustomer = gate.mCustomer;
-  if (gate.mRefusal == refusal_reason::UnknownCustomer) {
-    Reject(explained, http::status::unauthorized, gate.mRefusal);
-  } else if (gate.mRefusal != refusal_reason::None) {
-    Reject(explained,
-           http::status::service_unavailable,
-           gate.mRefusal,
-           steered_limits::kStaleCustomersRetry);
+  if (gate.mRefusal != refusal_reason::None) {
+    Reject(explained, CustomerRefusal(gate.mRefusal));
   } else {
     ExplainAdmitted(explained, aQuery, aNow);
   }
@@ -396,27 +166,25 @@
   instant deadline =
     aNow +
     std::min(aQuery.mCallerTimeout.value_or(route.mTimeout), route.mTimeout);
-  bool mayBegin = mTables.PlannedStop().With([&](stop_state& aStop) {
-    bool may = aStop.MayBegin(aNow, deadline, aNow);
-    deadline = std::min(deadline, aStop.LastAnswer());
-    return may;
+  bool mayBegin = mTables.PlannedStop().With([&](const stop_state& aStop) {
+    return aStop.MayBegin(aNow, deadline, aNow);
   });
   if (!mayBegin) {
-    Reject(aExplained,
-           http::status::service_unavailable,
-           refusal_reason::Leaving,
-           steered_limits::kMinRetryAfter);
+    Reject(aExplained, LeavingRefusal());
     return;
   }
+  instant lastAnswer = mTables.PlannedStop().With(
+    [](const stop_state& aStop) { return aStop.LastAnswer(); });
+  deadline = std::min(deadline, lastAnswer);
   if (aExplained.mCustomer != nullptr && !route.mPublic) {
     aExplained.mQuota = mTables.Quota().With([&](const quota_state& aQuota) {
       return aQuota.Preview(aExplained.mCustomer->mName, aNow);
     });
     if (!aExplained.mQuota->mAdmitted) {
       Reject(aExplained,
-             http::status::too_many_requests,
-             refusal_reason::QuotaExceeded,
-             aExplained.mQuota->mLeastRetryAfter,
+             { http::status::too_many_requests,
+               refusal_reason::QuotaExceeded,
+               aExplained.mQuota->mLeastRetryAfter },
              aExplained.mQuota->mMostRetryAfter);
       return;
     }
@@ -436,9 +204,9 @@
     });
   if (aDeadline - aNow < steered_limits::kMinAttemptTime) {
     Reject(aExplained,
-           http::status::service_unavailable,
-           refusal_reason::DeadlineTooClose,
-           steered_limits::kMinRetryAfter);
+           { http::status::service_unavailable,
+             refusal_reason::DeadlineTooClose,
+             steered_limits::kMinRetryAfter });
     return;
   }
   std::vector<upstream_id> tried;
@@ -452,11 +220,12 @@
     });
   const choice_explanation& choice = *aExplained.mChoice;
   if (!choice.mChosen) {
-    Reject(aExplained,
-           http::status::service_unavailable,
-           choice.mReason,
-           std::max(choice.mLeastRetryAfter, steered_limits::kMinRetryAfter),
-           std::max(choice.mMostRetryAfter, steered_limits::kMinRetryAfter));
+    Reject(
+      aExplained,
+      { http::status::service_unavailable,
+        choice.mReason,
+        std::max(choice.mLeastRetryAfter, steered_limits::kMinRetryAfter) },
+      std::max(choice.mMostRetryAfter, steered_limits::kMinRetryAfter));
   }
 }
 
--- a/laburnumdyke/plugin/route_explanation.h
+++ b/laburnumdyke/plugin/route_explanation.h
@@ -23,6 +23,7 @@
 
 #include "laburnumdyke/decision/choice_explanation.h"
 #include "laburnumdyke/decision/token_bucket.h"
+#include "laburnumdyke/plugin/explain_query.h"
 #include "laburnumdyke/plugin/http_server.h"
 #include "laburnumdyke/plugin/steering_tables.h"
 
@@ -34,27 +35,6 @@
 
 namespace laburnumdyke {
 
-// A request that is to be explained.
-struct explain_query
-{
-  std::string mHost;
-  std::string mPath;
-  std::string mObject;
-  std::string mCustomer; // empty: by key
-  std::string mKey;
-  std::optional<std::chrono::milliseconds> mCallerTimeout;
-};
-
-struct explain_query_result
-{
-  std::optional<explain_query> mQuery;
-  std::string mFault; // set if mQuery is empty
-};
-
-// Reads the target of a request for an explanation.
-explain_query_result
-ReadExplainQuery(std::string_view aTarget);
-
 // What would become of a request.
 struct explained_route
 {
