Stand-ins share the code that starts and accepts

store_standin, store_entrance and host_upstream of the harness had the same Start and Accepted. StartWhole of whole_session.h has them once.

--- a/laburnumdyke/testing/harness/hosts_deployment.cc
+++ b/laburnumdyke/testing/harness/hosts_deployment.cc
@@ -67,19 +67,7 @@
 
   std::optional<std::string> Start()
   {
-    std::optional<std::string> failure = Listen(mAcceptor, mAddress);
-    if (!failure) {
-      std::shared_ptr<host_upstream> self = shared_from_this();
-      boost::asio::co_spawn(
-        mAcceptor.get_executor(),
-        AcceptLoop(self,
-                   mAcceptor,
-                   [self](boost::asio::ip::tcp::socket aSocket) {
-                     return Accepted(self, std::move(aSocket));
-                   }),
-        boost::asio::detached);
-    }
-    return failure;
+    return StartWhole(shared_from_this(), mAddress, mAcceptor, mConnections);
   }
 
   boost::asio::awaitable<std::optional<short_answer>> Perform(
@@ -124,14 +112,6 @@
   const endpoint mAddress;
 
 private:
-  // aSelf keeps the upstream for as long as the connection.
-  static boost::asio::awaitable<void> Accepted(
-    std::shared_ptr<host_upstream> aSelf,
-    boost::asio::ip::tcp::socket aSocket)
-  {
-    co_await ServeWhole(*aSelf, aSelf->mConnections, std::move(aSocket));
-  }
-
   boost::asio::ip::tcp::acceptor mAcceptor;
   connection_set mConnections;
   std::mutex mMutex;
--- a/laburnumdyke/testing/standin/store_standin.cc
+++ b/laburnumdyke/testing/standin/store_standin.cc
@@ -63,26 +63,7 @@
 std::optional<std::string>
 store_standin::Start()
 {
-  std::optional<std::string> failure = Listen(mAcceptor, mListen);
-  if (!failure) {
-    std::shared_ptr<store_standin> self = shared_from_this();
-    asio::co_spawn(mAcceptor.get_executor(),
-                   AcceptLoop(self,
-                              mAcceptor,
-                              [self](asio::ip::tcp::socket aSocket) {
-                                return Accepted(self, std::move(aSocket));
-                              }),
-                   asio::detached);
-  }
-  return failure;
-}
-
-// aSelf keeps the stand-in for as long as the connection.
-asio::awaitable<void>
-store_standin::Accepted(std::shared_ptr<store_standin> aSelf,
-                        asio::ip::tcp::socket aSocket)
-{
-  co_await ServeWhole(*aSelf, aSelf->mConnections, std::move(aSocket));
+  return StartWhole(shared_from_this(), mListen, mAcceptor, mConnections);
 }
 
 asio::awaitable<std::optional<short_answer>>
@@ -205,25 +186,7 @@
 std::optional<std::string>
 store_entrance::Start()
 {
-  std::optional<std::string> failure = Listen(mAcceptor, mListen);
-  if (!failure) {
-    std::shared_ptr<store_entrance> self = shared_from_this();
-    asio::co_spawn(mAcceptor.get_executor(),
-                   AcceptLoop(self,
-                              mAcceptor,
-                              [self](asio::ip::tcp::socket aSocket) {
-                                return Accepted(self, std::move(aSocket));
-                              }),
-                   asio::detached);
-  }
-  return failure;
-}
-
-asio::awaitable<void>
-store_entrance::Accepted(std::shared_ptr<store_entrance> aSelf,
-                         asio::ip::tcp::socket aSocket)
-{
-  co_await ServeWhole(*aSelf, aSelf->mConnections, std::move(aSocket));
+  return StartWhole(shared_from_this(), mListen, mAcceptor, mConnections);
 }
 
 asio::awaitable<std::optional<short_answer>>
--- a/laburnumdyke/testing/standin/store_standin.h
+++ b/laburnumdyke/testing/standin/store_standin.h
@@ -62,10 +62,6 @@
   void Malformed() {}
 
 private:
-  static boost::asio::awaitable<void> Accepted(
-    std::shared_ptr<store_standin> aSelf,
-    boost::asio::ip::tcp::socket aSocket);
-
   // Puts the era into an answer of any status.
   void SetEra(short_answer& aAnswer);
   bool HasVersion(const request_target& aTarget);
@@ -110,10 +106,6 @@
   void Malformed() {}
 
 private:
-  static boost::asio::awaitable<void> Accepted(
-    std::shared_ptr<store_entrance> aSelf,
-    boost::asio::ip::tcp::socket aSocket);
-
   endpoint mListen;
   boost::asio::ip::tcp::acceptor mAcceptor;
   connection_set mConnections;
--- a/laburnumdyke/testing/standin/whole_session.h
+++ b/laburnumdyke/testing/standin/whole_session.h
@@ -3,7 +3,8 @@
 //
 // Usage: a class with Perform, Malformed and MaxBody, and
 //   co_await ServeWhole(server, connections, std::move(socket));
-// Perform returns nothing where the connection is to close unanswered.
+// Perform returns nothing where the connection is to close unanswered. A server
+// that is kept by shared pointers can leave accepting to StartWhole.
 #pragma once
 
 #include "laburnumdyke/testing/standin/connections.h"
@@ -16,7 +17,10 @@
 
 #include <concepts>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace laburnumdyke {
 
@@ -94,4 +98,37 @@
   CloseSocket(aSocket);
 }
 
+// The same; aServer is kept for as long as the connection.
+template<whole_request_server Server>
+boost::asio::awaitable<void>
+ServeWholeKept(std::shared_ptr<Server> aServer,
+               connection_set& aConnections,
+               boost::asio::ip::tcp::socket aSocket)
+{
+  co_await ServeWhole(*aServer, aConnections, std::move(aSocket));
+}
+
+// Listens on aAddress and serves all connections until the acceptor is closed.
+// The acceptor and the set are members of aServer. Returns why it can't listen,
+// or nothing.
+template<whole_request_server Server>
+std::optional<std::string>
+StartWhole(std::shared_ptr<Server> aServer,
+           const endpoint& aAddress,
+           boost::asio::ip::tcp::acceptor& aAcceptor,
+           connection_set& aConnections)
+{
+  std::optional<std::string> failure = Listen(aAcceptor, aAddress);
+  if (!failure) {
+    auto serve = [aServer,
+                  &aConnections](boost::asio::ip::tcp::socket aSocket) {
+      return ServeWholeKept(aServer, aConnections, std::move(aSocket));
+    };
+    boost::asio::co_spawn(aAcceptor.get_executor(),
+                          AcceptLoop(aServer, aAcceptor, serve),
+                          boost::asio::detached);
+  }
+  return failure;
+}
+
 } // namespace laburnumdyke
