A few load reports say little about the other upstreams; a full queue without a report nothing

A retry after the refusal of one upstream found the other full as well (SteeredFront.ARetryGoesToAnotherUpstream).

--- a/laburnumdyke/decision/service_load.cc
+++ b/laburnumdyke/decision/service_load.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// So many reports count half: one full upstream says little about the others.
+constexpr double kFewReports = 3;
+
 double
 Decay(duration aAge, duration aDecayTime)
 {
@@ -38,7 +41,8 @@
     return 0;
   }
   double perSlot = mSum / mWeight;
-  double certainty = std::clamp(perSlot - 1, 0.0, 1.0);
+  double certainty =
+    std::clamp(perSlot - 1, 0.0, 1.0) * mWeight / (mWeight + kFewReports);
   return perSlot * certainty * Decay(aNow - mReported, kForgetTime);
 }
 
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -140,8 +140,7 @@
     }
   } else if (aReport.mQueueFull) {
     std::uint32_t slots = target->mEntry.mSlots;
-    RecordLoad(
-      *target,
+    target->mLoad.Report(
       { slots, static_cast<std::uint32_t>(slots * kMaxQueuedPerSlot), slots },
       aNow);
   }
--- a/laburnumdyke/testing/steered_front_test.cc
+++ b/laburnumdyke/testing/steered_front_test.cc
@@ -1,5 +1,6 @@
 // Tests of steered_front with raw bytes from callers and scripted bytes from
 // upstreams: what is forwarded, what is retried, and what callers are answered.
+#include "laburnumdyke/plugin/steered_log.h"
 #include "laburnumdyke/plugin/steered_pipeline.h"
 #include "laburnumdyke/testing/harness/deployment.h"
 #include "laburnumdyke/testing/harness/one_front.h"
@@ -150,15 +151,15 @@
   steering_choice choice;
   choice.mReason = refusal_reason::YieldsToOthers;
   choice.mContention = contention_change::Begun;
-  RecordChoice(*mFront.mKernel, request, choice);
+  steered_log(*mFront.mKernel).Chosen(request, choice);
   customer_spec customer;
   customer.mPriority = 2;
   request.mCustomer = &customer;
   choice = {};
   choice.mTarget.emplace();
-  RecordChoice(*mFront.mKernel, request, choice);
+  steered_log(*mFront.mKernel).Chosen(request, choice);
   request.mTried = { { "u1" } };
-  RecordChoice(*mFront.mKernel, request, choice);
+  steered_log(*mFront.mKernel).Chosen(request, choice);
   counters& counted = mFront.mKernel->Counters();
   LONGS_EQUAL(1, counted.Value("refused_by_priority_total", "priority_15"));
   LONGS_EQUAL(1, counted.Value("chosen_by_priority_total", "priority_2"));
