Stand-ins: one coroutine for each connection

clang-tidy reported a use after move in ServeWholeKept, whose only purpose was to keep the server. ServeWhole takes the shared pointer itself.

--- a/laburnumdyke/testing/standin/whole_session.h
+++ b/laburnumdyke/testing/standin/whole_session.h
@@ -82,11 +82,13 @@
   co_return !failure && answer->keep_alive();
 }
 
+// aKept: aServer, if it is to be kept for as long as the connection.
 template<whole_request_server Server>
 boost::asio::awaitable<void>
 ServeWhole(Server& aServer,
            connection_set& aConnections,
-           boost::asio::ip::tcp::socket aSocket)
+           boost::asio::ip::tcp::socket aSocket,
+           [[maybe_unused]] std::shared_ptr<Server> aKept = nullptr)
 {
   constexpr std::size_t kBufferLimit = 131072;
   connection_guard guard(aConnections, aSocket);
@@ -98,16 +100,6 @@
   CloseSocket(aSocket);
 }
 
-// The same; aServer is kept for as long as the connection.
-template<whole_request_server Server>
-boost::asio::awaitable<void>
-ServeWholeKept(std::shared_ptr<Server> aServer,
-               connection_set& aConnections,
-               boost::asio::ip::tcp::socket aSocket)
-{
-  co_await ServeWhole(*aServer, aConnections, std::move(aSocket));
-}
-
 // Listens on aAddress and serves all connections until the acceptor is closed.
 // The acceptor and the set are members of aServer. Returns why it can't listen,
 // or nothing.
@@ -122,7 +114,7 @@
   if (!failure) {
     auto serve = [aServer,
                   &aConnections](boost::asio::ip::tcp::socket aSocket) {
-      return ServeWholeKept(aServer, aConnections, std::move(aSocket));
+      return ServeWhole(*aServer, aConnections, std::move(aSocket), aServer);
     };
     boost::asio::co_spawn(aAcceptor.get_executor(),
                           AcceptLoop(aServer, aAcceptor, serve),
