Contention handling and division by demand are asked for by a setting

Both stay for deployments that ask.

Contention now begins only after refusals have lasted 2 s: the start of a fleet whose upstreams warm their caches began it below capacity (ContentionReplay.BelowCapacityTheChoicesAreTheSame failed).

--- a/laburnumdyke/decision/contention.cc
+++ b/laburnumdyke/decision/contention.cc
@@ -21,6 +21,8 @@
 // A single refusal is no evidence.
 constexpr double kMinRefusals = 1.2;
 constexpr std::chrono::seconds kMinStay{ 2 };
+// Refusals that end sooner are those of upstreams that warm their caches.
+constexpr std::chrono::seconds kBeginAfter{ 2 };
 // Without requests, nothing is known about contention.
 constexpr double kMinRequests = 0.5;
 
@@ -291,10 +293,13 @@
 contention::Update(instant aNow)
 {
   double refused = mFull.At(aNow) / mAll.mDemand.At(aNow);
-  bool isContended = mIsContended
-                       ? refused >= kCeaseRefused
-                       : refused >= kBeginRefused &&
-                           Sample(mFull, kDemandTime, aNow) >= kMinRefusals;
+  bool refuses = refused >= kBeginRefused &&
+                 Sample(mFull, kDemandTime, aNow) >= kMinRefusals;
+  if (!refuses) {
+    mRefusesSince = aNow;
+  }
+  bool isContended = mIsContended ? refused >= kCeaseRefused
+                                  : aNow - mRefusesSince >= kBeginAfter;
   if (isContended == mIsContended || aNow - mChanged < kMinStay) {
     return std::nullopt;
   }
--- a/laburnumdyke/decision/contention.h
+++ b/laburnumdyke/decision/contention.h
@@ -185,6 +185,7 @@
   share_map mRoutes;
   std::size_t mCustomerCount = 0; // in all classes
   bool mIsContended = false;
+  instant mRefusesSince{}; // unless it refuses few
   instant mChanged{};
 };
 
--- a/laburnumdyke/decision/demand_choice.cc
+++ b/laburnumdyke/decision/demand_choice.cc
@@ -22,7 +22,7 @@
 upstream_steering::DemandOf(const service_id& aService, instant aNow)
 {
   const std::vector<const upstream*>& upstreams = UpstreamsOf(aService);
-  if (!UsesUnevenLoad(upstreams, aNow)) {
+  if (!DividesByDemand()) {
     mDemand.Drop(aService);
     return std::nullopt;
   }
--- a/laburnumdyke/decision/steering_explanation.cc
+++ b/laburnumdyke/decision/steering_explanation.cc
@@ -25,7 +25,7 @@
                              : work->second;
   region_slots slots = SlotsOf(upstreams);
   std::optional<demand_preview> demand;
-  if (UsesUnevenLoad(upstreams, aNow)) {
+  if (DividesByDemand()) {
     demand = mDemand.Preview(aRequest.mService, slots, aNow);
   }
   auto known = mBalances.find(aRequest.mService);
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -71,7 +71,7 @@
   std::chrono::milliseconds mFarRoundTrip{ 40 };
   upstream_directory_options mDirectory;
   learned_speed mLearnedSpeed = learned_speed::Reported;
-  uneven_load mUnevenLoad = uneven_load::Auto;
+  uneven_load mUnevenLoad = uneven_load::Never;
   std::uint64_t mSeed = 1;
 };
 
@@ -311,6 +311,12 @@
                     bool aWasCached,
                     instant aNow);
   std::optional<speed_notice> TakeNotice(upstream& aUpstream, instant aNow);
+  // Dividing by demand serves callers that move for good better, and those of
+  // daily waves a little worse, so it has to be asked for.
+  bool DividesByDemand() const
+  {
+    return mOptions.mUnevenLoad == uneven_load::Always;
+  }
   bool UsesUnevenLoad(const std::vector<const upstream*>& aUpstreams,
                       instant aNow) const;
   contending_request Contending(const steering_request& aRequest) const;
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -138,7 +138,7 @@
   std::map<std::string, std::string> mDomains;
   steering_bounds mBounds;
   learned_speed mLearnedSpeed = learned_speed::Reported;
-  uneven_load mUnevenLoad = uneven_load::Auto;
+  uneven_load mUnevenLoad = uneven_load::Never;
   client_bounds mLimits; // with front = hosts
   endpoint mPlatform;    // table service and object store
   std::vector<endpoint> mSeeds;
--- a/laburnumdyke/kernel/uneven_load.h
+++ b/laburnumdyke/kernel/uneven_load.h
@@ -1,6 +1,6 @@
 // Where uneven load is taken into account, a setting: which requests are
-// admitted when a service has too little capacity for all, and how requests are
-// divided among regions.
+// admitted when a service has too little capacity for all and, with Always, a
+// division of requests among regions by measured demand.
 #pragma once
 
 namespace laburnumdyke {
