--- a/laburnumdyke/decision/load_estimate.cc
+++ b/laburnumdyke/decision/load_estimate.cc
@@ -32,13 +32,11 @@
 }
 
 double
-load_estimate::Estimate(std::size_t aSenders,
-                        double aUsual,
-                        instant aNow) const
+load_estimate::Estimate(std::size_t aSenders, double aUsual, instant aNow) const
 {
   if (!mHasReport) {
-    double all = static_cast<double>(mOwnRequests) *
-                 static_cast<double>(aSenders);
+    double all =
+      static_cast<double>(mOwnRequests) * static_cast<double>(aSenders);
     return std::max(all, mOwnRequests + aUsual);
   }
   double reportWeight = Decay(aNow - mReported, kReportDecayTime);
