Comments that a newcomer stumbled on

Comments of the steering, demand and instance modules state units, bounds, when a function is to be called and what an empty result means. Three copies of the rule "the customer's priority, or else the route's" become one PriorityOf(); kTotalsInterval, a count of periods, is kPeriodsPerTotals. No behaviour changes.

--- a/laburnumdyke/decision/contention.cc
+++ b/laburnumdyke/decision/contention.cc
@@ -19,19 +19,20 @@
 constexpr double kBeginRefused = 0.1;
 constexpr double kCeaseRefused = 0.03;
 // A single refusal is no evidence.
-constexpr double kMinRefusals = 1.2;
+constexpr double kMinRefusals = 1.2; // requests in kDemandTime
+// Minimum time between two changes of the state.
 constexpr std::chrono::seconds kMinStay{ 2 };
 // Refusals that end sooner are those of upstreams that warm their caches.
 constexpr std::chrono::seconds kBeginAfter{ 2 };
 // Without requests, nothing is known about contention.
-constexpr double kMinRequests = 0.5;
+constexpr double kMinRequests = 0.5; // in kDemandTime
 
-// A class, route or customer goes first while it is served less than this,
-// times as often as all requests. More than the quarter that is promised, since
-// it is measured with few requests.
+// A class, route or customer goes first while the served part of its requests
+// is below kFloor times the served part of all. Greater than the guaranteed
+// 0.25, because the rates are measured on few requests.
 constexpr double kFloor = 0.35;
 // Requests by which a customer or route is judged.
-constexpr double kMinSample = 3;
+constexpr double kMinSample = 3; // requests in kShareTime
 
 // Requests that may wait, per slot, if nothing goes before.
 constexpr double kMostWaiting = 2;
@@ -55,7 +56,7 @@
 // Standard deviations by which few requests may exceed a customer's share.
 constexpr double kNoise = 1;
 
-// Requests that a meter of aTime holds.
+// Expected events in aTime at the meter's rate.
 double
 Sample(const rate_meter& aMeter, std::chrono::seconds aTime, instant aNow)
 {
--- a/laburnumdyke/decision/contention.h
+++ b/laburnumdyke/decision/contention.h
@@ -23,9 +23,10 @@
 //   ... admit it to an upstream with at most slots * room.mSlots requests ...
 //   service.Record(request, outcome, now);
 //
-// Room() has no effect. Memory is bounded: kMaxClasses, kMaxRoutes and
-// kMaxCustomers; requests beyond the first two bounds share the last entry, and
-// of the customers the busiest are kept.
+// Room() has no effect. Memory is bounded. Beyond kMaxClasses, requests count
+// for the least urgent known class. Beyond kMaxRoutes, routes are not measured
+// and never go first for being served too rarely. Beyond kMaxCustomers, the
+// customer with the lowest demand is dropped.
 #pragma once
 
 #include "laburnumdyke/decision/rate_meter.h"
@@ -76,7 +77,7 @@
 {
   Served,  // an upstream was chosen
   Yielded, // refused for others; there was room
-  Full,    // refused, since there was no room
+  Full,    // refused for any other reason; counts as a lack of capacity
 };
 
 enum class contention_change
@@ -103,7 +104,10 @@
                                           contention_outcome aOutcome,
                                           instant aNow);
 
-  // Records that an upstream refused a request because its queue was full.
+  // Records that an upstream refused a request because its queue was full. It
+  // counts for the begin and end of contention, and no longer as served in the
+  // capacity (mAll). The meters of its class, route and customer, and the slow
+  // one of all requests, keep it as served.
   void RecordShed(instant aNow)
   {
     mFull.Add(aNow);
--- a/laburnumdyke/decision/contention_steering.cc
+++ b/laburnumdyke/decision/contention_steering.cc
@@ -31,12 +31,10 @@
 upstream_steering::Contending(const steering_request& aRequest) const
 {
   const customer_spec* customer = aRequest.mCustomer;
-  std::uint32_t priority = aRequest.mRoute.mPriority;
   contending_request request;
   request.mClass.mIsOverflow =
     mRoutes && mRoutes->IsOverflow(aRequest.mRoute, aRequest.mService);
-  request.mClass.mPriority =
-    customer == nullptr ? priority : customer->mPriority.value_or(priority);
+  request.mClass.mPriority = PriorityOf(aRequest.mRoute, customer);
   request.mRoute = aRequest.mRoute.mName;
   request.mCustomer =
     customer == nullptr ? std::string_view() : customer->mName.mValue;
--- a/laburnumdyke/decision/demand_division.cc
+++ b/laburnumdyke/decision/demand_division.cc
@@ -97,8 +97,11 @@
     }
   }
   std::erase_if(mPeaks,
-                [&](const auto& aOne) { return rates.count(aOne.first) == 0; });
-  for (const auto& service : rates) {
+                [&](const std::pair<const service_key, region_peaks>& aOne) {
+                  return rates.count(aOne.first) == 0;
+                });
+  for (const std::pair<const service_key, std::map<region_id, double>>&
+         service : rates) {
     AddPeaks(service.first, service.second, aNow);
   }
 }
--- a/laburnumdyke/decision/demand_division.h
+++ b/laburnumdyke/decision/demand_division.h
@@ -12,7 +12,7 @@
 //   division.SetFleet(instances);       // by region
 //   division.SetTotals(totals, now);    // of the whole fleet
 //   region_capacities capacities = division.Capacities(service, slots, now);
-//   share_map target = Divide(capacities, ownRegion);
+//   region_division target = Divide(capacities, ownRegion);
 #pragma once
 
 #include "laburnumdyke/decision/region_balance.h"
@@ -71,7 +71,10 @@
   void SetFleet(std::map<region_id, std::size_t> aInstances);
   void SetTotals(demand_totals aTotals, instant aNow);
 
-  // The slots of each region, given by aSlots, with its demand.
+  // Slots and demand of each region. Demand is in requests per second (the
+  // greatest of about the last held_peak::kHold) if the demand of all regions
+  // is known. Otherwise it is the number of instances, of which only the ratio
+  // is used. A region without instances has demand 0.
   region_capacities Capacities(const service_id& aService,
                                const std::map<region_id, double>& aSlots,
                                instant aNow) const;
--- a/laburnumdyke/decision/load_estimate.h
+++ b/laburnumdyke/decision/load_estimate.h
@@ -46,8 +46,10 @@
   void Report(const reported_load& aReport, instant aNow);
 
   // The estimated number of requests of all instances that run or wait at the
-  // upstream. aSenders: instances that send to it, including this one; aUsual:
-  // requests at an upstream of its kind, as others report.
+  // upstream. aSenders: instances that send to it, including this one. aUsual:
+  // requests expected at an upstream without a recent report
+  // (service_load::PerSlot() times slots). The estimate approaches it, plus the
+  // own requests, as the last report ages.
   double Estimate(std::size_t aSenders, double aUsual, instant aNow) const;
 
 private:
--- a/laburnumdyke/decision/region_balance.h
+++ b/laburnumdyke/decision/region_balance.h
@@ -43,8 +43,9 @@
   region_balance(const std::map<region_id, region_capacity>& aCapacities,
                  const region_id& aOwn);
 
-  // From a share that leaves aOwn and the parts of it that each other region
-  // receives, which follow demand at a bounded rate.
+  // aRemoteShare: part of the own region's requests that others serve, 0 to 1.
+  // aReceivers: part of those for each other region; sum 1. aSlots: slots of
+  // the service by region. The caller limits how fast they change.
   region_balance(double aRemoteShare,
                  const std::map<region_id, double>& aReceivers,
                  const std::map<region_id, double>& aSlots);
--- a/laburnumdyke/decision/region_shares.cc
+++ b/laburnumdyke/decision/region_shares.cc
@@ -1,10 +1,9 @@
 // The division follows its target, and the shares follow the division or what
 // requests prefer, whichever is greater in a region that receives requests;
 // both at a bounded rate. Requests are assigned by error diffusion: each served
-// request adds the shares to the credits of the regions and costs the chosen
-// one
-// 1. Refused requests add nothing, since full upstreams would otherwise make
-// the shares of what is served jump.
+// request adds the shares to the credits of the regions and takes one from the
+// credit of the chosen region. Refused requests add nothing, since full
+// upstreams would otherwise make the shares of what is served jump.
 #include "laburnumdyke/decision/region_shares.h"
 
 #include <algorithm>
@@ -16,8 +15,8 @@
 
 namespace {
 
-// Fraction of mMostShift that is used. Each instance sees few requests, so the
-// sum also varies randomly: the rest is left for that. With 0.5 and more,
+// Fraction of mMostShift that the shares may use in a window. The rest allows
+// for the random variation of an instance's few requests. With 0.5 and more,
 // windows of 100 requests exceeded mMostShift in waves.
 constexpr double kShiftFraction = 0.4;
 // Time constant of what requests prefer, in windows.
--- a/laburnumdyke/decision/region_shares.h
+++ b/laburnumdyke/decision/region_shares.h
@@ -5,7 +5,8 @@
 // different phase in each region, and bursts fill up one region. The part of a
 // region's requests that leaves it and the parts of the regions that receive
 // them all change. Of a region's requests, only a part may change the region in
-// which they run from one window to the next, whatever the cause.
+// which they run from one window (region_spillover_options::mWindow) to the
+// next, whatever the cause.
 //
 // The shares of all regions follow their target at a bounded total variation.
 // Each instance limits its own shares, which bounds the change of the sum
@@ -19,8 +20,8 @@
 //   std::optional<region_id> chosen = shares.Decide(offers, now);
 //
 // Preview() takes the same arguments as Decide() and returns the same, without
-// an effect on later decisions. It returns no region if none admits the request
-// or the shares allow none that does.
+// an effect on later decisions. Both return no region if none admits the
+// request or the shares allow none that does.
 #pragma once
 
 #include "laburnumdyke/decision/rate_meter.h"
@@ -32,24 +33,25 @@
 
 namespace laburnumdyke {
 
-// Parts by region; their sum is 1, or 0 if there are none.
+// Parts by region, each from 0 to 1; their sum is 1, or 0 if there are none.
 using share_map = std::map<region_id, double>;
 
 // How the requests of a region are divided among regions.
 struct region_division
 {
-  double mAway = 0;     // share that leaves the region
+  double mAway = 0;     // share that leaves the region, 0 to 1
   share_map mReceivers; // parts of the other regions in what leaves
 };
 
-// The cost of the best upstream of each region that admits a request.
+// The cost, in seconds, of the best upstream of each region that admits a
+// request.
 using region_offers = std::map<region_id, double>;
 
 class region_shares
 {
 public:
-  // Smaller changes of the target are ignored, because an object that moves is
-  // slow at its new place.
+  // Smaller changes of the target (a part of the requests, 0 to 1) are ignored,
+  // because an object that moves is slow at its new place.
   static constexpr double kMinChange = 0.2;
 
   region_shares(region_spillover_options aOptions,
@@ -57,7 +59,8 @@
                 region_division aInitial);
 
   // Sets the division that demand asks for. The division in force and the
-  // shares follow it.
+  // shares follow it. Ignored if it differs from the present target by less
+  // than kMinChange.
   void SetTarget(const region_division& aTarget);
 
   // The division in force. The same on all instances of a region that get the
@@ -83,7 +86,9 @@
     share_map mShares;
     std::map<region_id, double> mCredits; // requests that each region is due
     rate_meter mServed{ std::chrono::milliseconds(2000) };
-    instant mServesUntil{}; // requests were served within the last window
+    // One window after the last request that was served. Until then, refused
+    // requests leave the credits unchanged.
+    instant mServesUntil{};
     instant mLast{};
     bool mStarted = false;
   };
--- a/laburnumdyke/decision/route_table.cc
+++ b/laburnumdyke/decision/route_table.cc
@@ -45,6 +45,13 @@
 
 } // namespace
 
+std::uint32_t
+PriorityOf(const route_spec& aRoute, const customer_spec* aCustomer)
+{
+  return aCustomer == nullptr ? aRoute.mPriority
+                              : aCustomer->mPriority.value_or(aRoute.mPriority);
+}
+
 route_table::route_table(routing_document aDocument,
                          const route_table* aPrevious)
   : mDocument(std::move(aDocument))
--- a/laburnumdyke/decision/route_table.h
+++ b/laburnumdyke/decision/route_table.h
@@ -48,6 +48,11 @@
   bool mPublic = false; // requests need no key, even if there are customers
 };
 
+// The customer's priority, or else the route's; 0 is the most urgent.
+// aCustomer: null if none is known.
+std::uint32_t
+PriorityOf(const route_spec& aRoute, const customer_spec* aCustomer);
+
 struct service_rules
 {
   std::chrono::milliseconds mColdTime{ 0 };
--- a/laburnumdyke/decision/service_demand.h
+++ b/laburnumdyke/decision/service_demand.h
@@ -38,10 +38,11 @@
 service_key
 KeyOf(const service_id& aService);
 
-// Interval of the reports. Members get the totals in every kTotalsInterval-th
-// one: they are most of the bytes that a collector sends.
+// Interval of the reports.
 inline constexpr std::chrono::milliseconds kDemandPeriod{ 1000 };
-inline constexpr std::uint64_t kTotalsInterval = 2; // periods
+// Members get the totals once in this many periods (a count), because the
+// totals are most of the bytes that a collector sends.
+inline constexpr std::uint64_t kPeriodsPerTotals = 2;
 
 // Requests per second by service.
 using demand_list = std::map<service_key, double>;
@@ -63,7 +64,7 @@
   static constexpr std::chrono::seconds kTimeConstant{ 3 };
 
   void Count(const service_id& aService, instant aNow);
-  // Of all services that requests ask for.
+  // Requests per second of all services with at least kMinRate (0.01).
   demand_list Report(instant aNow) const;
   double Rate(const service_id& aService, instant aNow) const;
 
--- a/laburnumdyke/decision/service_load.h
+++ b/laburnumdyke/decision/service_load.h
@@ -29,10 +29,12 @@
 
   void Report(const reported_load& aReport, instant aNow);
 
-  // Requests expected to run or wait for each slot of an upstream about which
-  // nothing recent is known. While the upstreams have free slots on the mean,
-  // it is taken for idle (0): uncached requests would else be refused although
-  // a slot is free. From twice as many requests as slots on it is the mean.
+  // Requests expected to run or wait for each slot of an upstream without a
+  // recent report. 0 while the mean is at most 1 per slot, since uncached
+  // requests would otherwise be refused although a slot is free. Above that,
+  // the mean times three factors from 0 to 1: the excess over 1 (at most 1),
+  // the confidence in the number of recent reports, and a decay with the time
+  // since the last one (kForgetTime). 0 without reports.
   double PerSlot(instant aNow) const;
 
 private:
--- a/laburnumdyke/decision/types.h
+++ b/laburnumdyke/decision/types.h
@@ -89,7 +89,7 @@
   BodyTooLarge,
   BodyTooSlow,    // the caller sent less than the minimum rate
   NoBodyRoom,     // the memory for request bodies is exhausted
-  YieldsToOthers, // more urgent requests are expected to need the capacity
+  YieldsToOthers, // more urgent requests or other customers go first
   Count,
 };
 
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -2,8 +2,9 @@
 // thousand of them and an instance handles some tens of requests per second, so
 // an index by object would not pay off. steering_candidates.cc has how they are
 // ranked and evaluated, steering_explanation.cc the explanation of a choice,
-// demand_choice.cc the use of measured demand, upstream_feedback.cc what is
-// learned from attempts, and speed_steering.cc how learned speeds are used.
+// demand_choice.cc the use of measured demand, contention_steering.cc the use
+// of contention, upstream_feedback.cc what is learned from attempts, and
+// speed_steering.cc how learned speeds are used.
 #include "laburnumdyke/decision/upstream_steering.h"
 
 #include <algorithm>
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -207,7 +207,7 @@
     duration mTotal{}; // expected response time
     double mCost = 0;  // seconds; mTotal plus the cost of cross-domain bytes
     bool mAdmits = false;
-    bool mYields = false; // would admit but for more urgent requests
+    bool mYields = false; // has capacity, but contention_room doesn't admit it
   };
 
   // Upstreams are ranked for an object separately in each locality.
@@ -311,8 +311,8 @@
                     bool aWasCached,
                     instant aNow);
   std::optional<speed_notice> TakeNotice(upstream& aUpstream, instant aNow);
-  // Dividing by demand serves callers that move for good better, and those of
-  // daily waves a little worse, so it has to be asked for.
+  // Only with Always: division by measured demand has to be enabled explicitly
+  // (docs/design/uneven-demand.md).
   bool DividesByDemand() const
   {
     return mOptions.mUnevenLoad == uneven_load::Always;
@@ -372,8 +372,9 @@
   }
 
   static refusal_reason RefusalOf(const std::vector<candidate>& aCandidates);
-  // The excess of requests that is refused comes back later by as much, so that
-  // it fits.
+  // Upper bound of the random factor of a retry delay. Under contention it
+  // grows with the ratio of requests to served ones, so that callers return no
+  // faster than they can be served.
   static double MostRetrySpread(const request_view& aView)
   {
     return kMostRetrySpread * aView.mRoom.mExcess;
--- a/laburnumdyke/plugin/collector_role.h
+++ b/laburnumdyke/plugin/collector_role.h
@@ -45,15 +45,17 @@
   {
   }
 
-  // The part in the next exchange.
+  // The duty in the next exchange. Call it once for each: it starts the warm-up
+  // of a new collector and logs it.
   collector_duty Take(instant aNow);
 
-  // The collector of the own failure domain; empty if it is this instance.
+  // The collector of the own failure domain; nullopt if it is this instance, or
+  // the fleet is not known yet.
   std::optional<endpoint> Collector(instant aNow);
 
   // Two instances of each other failure domain, which pass a message on to
-  // their collector. The same for some exchanges, so that connections are
-  // reused.
+  // their collector. Call once for each exchange; the choice changes every
+  // kTurnLength calls, so that connections are reused.
   std::vector<endpoint> Contacts();
 
   std::vector<endpoint> Members(instant aNow);
--- a/laburnumdyke/plugin/demand_exchange.cc
+++ b/laburnumdyke/plugin/demand_exchange.cc
@@ -65,7 +65,7 @@
   totals.mTotals = mCollector.FleetDemand(mRegion, aNow);
   std::vector<addressed_message> messages;
   AddMessages(messages, mRole.Contacts(), sum);
-  if (mCollections++ % kTotalsInterval == 0) {
+  if (mCollections++ % kPeriodsPerTotals == 0) {
     AddMessages(messages, mRole.Members(aNow), totals);
   }
   SetTotals(std::move(totals.mTotals), aNow);
--- a/laburnumdyke/plugin/demand_exchange.h
+++ b/laburnumdyke/plugin/demand_exchange.h
@@ -5,10 +5,12 @@
 // Usage, all on the strand of the link that carries the messages:
 //   link.Send(exchange.Compose(now));            // every kDemandPeriod
 //   link.Send(exchange.Receive(message, now));   // passes messages on
-//   std::vector<endpoint> targets = exchange.Targets(); // of late messages
+//   // Connections to keep:
+//   const std::set<endpoint>& open = exchange.Targets();
 //
-// Nothing is sent unless a service is divided by measured demand at some
-// instance: a report without demand is sent only in answer to sums with some.
+// Compose() returns nothing unless this instance has demand to report, or
+// received a message with demand within the last kActiveTime. Receive() only
+// passes on what it got.
 // All figures that arrive are bounded by the codec.
 #pragma once
 
@@ -18,6 +20,8 @@
 #include "laburnumdyke/plugin/message_link.h"
 #include "laburnumdyke/plugin/steering_tables.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -39,7 +43,7 @@
 private:
   static constexpr std::chrono::milliseconds kCollectorWarmUp{ 2 *
                                                                kDemandPeriod };
-  // How long after a message with demand reports are sent.
+  // Reports are sent for this long after a message with demand.
   static constexpr std::chrono::seconds kActiveTime{ 8 };
   static constexpr std::chrono::seconds kLogInterval{ 60 };
   static constexpr std::size_t kMaxLoggedServices = 5;
--- a/laburnumdyke/plugin/explanation_json.cc
+++ b/laburnumdyke/plugin/explanation_json.cc
@@ -90,10 +90,7 @@
 AddCustomer(boost::json::object& aJson, const explained_route& aExplained)
 {
   if (aExplained.mRoute != nullptr) {
-    std::uint32_t priority = aExplained.mRoute->mPriority;
-    aJson["priority"] = aExplained.mCustomer == nullptr
-                          ? priority
-                          : aExplained.mCustomer->mPriority.value_or(priority);
+    aJson["priority"] = PriorityOf(*aExplained.mRoute, aExplained.mCustomer);
   }
   if (aExplained.mCustomer == nullptr) {
     return;
--- a/laburnumdyke/plugin/heartbeat_wait.h
+++ b/laburnumdyke/plugin/heartbeat_wait.h
@@ -1,5 +1,5 @@
-// Lets coroutines wait for the next heartbeat of a peer instead of polling the
-// table of peers.
+// Lets coroutines wait until a heartbeat of a peer is applied or a
+// configuration comes into force, instead of polling the table of peers.
 //
 // Usage, on a strand:
 //   heartbeat_wait wait(tables.Fleet(), strand);
@@ -7,10 +7,10 @@
 //     co_await wait.Until(deadline);
 //   }
 //
-// The table wakes its waiters when it receives a heartbeat. One that arrives
-// between a look-up and the wait is not missed. One that arrives while the
-// coroutine waits for something else does not end a later wait, so the table is
-// looked up before each.
+// The table wakes its waiters on either event. An event between a look-up and
+// the wait is not missed, provided the coroutine does not suspend in between.
+// An event while it waits for something else does not end a later wait, so look
+// up the table before each wait.
 #pragma once
 
 #include "laburnumdyke/plugin/http_types.h"
@@ -33,7 +33,8 @@
   heartbeat_wait(const heartbeat_wait&) = delete;
   heartbeat_wait& operator=(const heartbeat_wait&) = delete;
 
-  // Completes after the next heartbeat, or at aUntil.
+  // Completes after the next such event, or at aUntil. The caller looks up the
+  // table to see which.
   asio::awaitable<void> Until(instant aUntil);
 
 private:
--- a/laburnumdyke/plugin/instance_rows.h
+++ b/laburnumdyke/plugin/instance_rows.h
@@ -12,7 +12,8 @@
 //   asio::co_spawn(strand, rows.Watch(), asio::detached);
 //   co_await rows.Withdraw(); // when this instance leaves
 //
-// Errors: a reading or a write that fails is made again at the next interval.
+// Errors: a reading or a registration that fails is made again at the next
+// interval.
 #pragma once
 
 #include "laburnumdyke/decision/platform_reading.h"
@@ -56,6 +57,8 @@
   {
   }
 
+  // Reads the list at intervals and registers after the first reading; never
+  // completes.
   asio::awaitable<void> Watch()
   {
     fleet_member self =
@@ -94,10 +97,12 @@
     }
   }
 
-  // Returns whether that is a restore after which the list must be read again.
+  // Records the era; see watch_state::LearnEra(). Returns whether that is a
+  // restore after which the list must be read again.
   bool LearnEra(std::uint64_t aEra) { return mState.LearnEra(aEra); }
 
-  // Plans the reading after a restore, spread over the instances.
+  // Advances the next reading to a random time within kRestoreSpread; for use
+  // after a restore. An instance that leaves withdraws again.
   void ReadSoon()
   {
     std::chrono::milliseconds delay(
@@ -109,6 +114,8 @@
     }
   }
 
+  // Deletes the own row and stops registering. A failure is logged, not retried
+  // (except by ReadSoon()).
   asio::awaitable<void> Withdraw()
   {
     mLeaving = true;
--- a/laburnumdyke/plugin/steered_checks.h
+++ b/laburnumdyke/plugin/steered_checks.h
@@ -27,7 +27,8 @@
 public:
   explicit steered_checks(kernel& aKernel);
 
-  // Sets the request's route, customer and deadline from the routes in force.
+  // Finds the route, checks the key, and sets the request's route, customer and
+  // deadline.
   std::optional<steered_refusal> FindRoute(steered_request& aRequest,
                                            std::string_view aTarget,
                                            boot_instant aNow);
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -5,8 +5,9 @@
 // the checks that a request passes, steered_log.h its log and metric lines.
 //
 // Usage:
-//   steered_pipeline<my_dialect, upstream_transport> pipeline(kernel,
-//   transport); co_await pipeline.Serve(exchange);
+//   steered_pipeline<my_dialect, upstream_transport> pipeline(
+//     kernel, transport);
+//   co_await pipeline.Serve(exchange);
 //
 // Errors, as the caller sees them:
 //   400  malformed body
@@ -18,6 +19,7 @@
 //   503  has not run and will not, with Retry-After
 //   503  no configuration yet, or the instance is leaving, with Retry-After
 //   503  no memory for the body, with Retry-After; has not run
+//   503  the body arrived too slowly; the connection is closed
 //   504  deadline exceeded, but may have run on an upstream
 // A request whose caller has disconnected is sent to no further upstream and
 // gets no answer.
--- a/laburnumdyke/plugin/steered_request.cc
+++ b/laburnumdyke/plugin/steered_request.cc
@@ -26,10 +26,7 @@
 std::uint32_t
 PriorityOf(const steered_request& aRequest)
 {
-  std::uint32_t priority = aRequest.mRoute->mPriority;
-  return aRequest.mCustomer == nullptr
-           ? priority
-           : aRequest.mCustomer->mPriority.value_or(priority);
+  return PriorityOf(*aRequest.mRoute, aRequest.mCustomer);
 }
 
 steered_refusal
--- a/laburnumdyke/plugin/steered_request.h
+++ b/laburnumdyke/plugin/steered_request.h
@@ -29,6 +29,7 @@
   static constexpr std::chrono::milliseconds kStaleCustomersRetry{ 500 };
   // With less time left, no attempt is made: it could not be answered in time.
   static constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
+  // Of every refusal by steering; also the delay while the instance leaves.
   static constexpr std::chrono::milliseconds kMinRetryAfter{ 100 };
   // Bodies in memory are forwarded or dropped within about a second.
   static constexpr std::chrono::milliseconds kBodyRoomRetry{ 1000 };
@@ -47,10 +48,10 @@
   instant mReceived{};
   instant mDeadline{};
   std::vector<upstream_id> mTried{};
-  std::uint32_t mRuns = 0; // attempts that may have run
-  std::uint32_t mSends = 0;
-  bool mMayHaveRun = false;
-  bool mTimedOut = false;
+  std::uint32_t mRuns = 0;  // attempts that may have run
+  std::uint32_t mSends = 0; // attempts sent, also refused ones
+  bool mMayHaveRun = false; // any attempt may have run
+  bool mTimedOut = false;   // the deadline ended it
 };
 
 // The customer's priority, or else the route's; 0 is the most urgent.
@@ -80,7 +81,8 @@
 LeavingRefusal();
 
 // The final answer to a request that no upstream has answered. aChoice: the
-// last choice if it has no target.
+// choice without a target; {} if the request ended after an attempt, at its
+// deadline or at a key check.
 steered_refusal
 FailureRefusal(const steered_request& aRequest, const steering_choice& aChoice);
 
--- a/laburnumdyke/plugin/usage_exchange.h
+++ b/laburnumdyke/plugin/usage_exchange.h
@@ -4,7 +4,8 @@
 // Usage, all on the strand of the link that carries the messages:
 //   link.Send(exchange.Compose(now));            // every kUsagePeriod
 //   link.Send(exchange.Receive(message, now));   // passes messages on
-//   std::vector<endpoint> targets = exchange.Targets(); // of late messages
+//   // Connections to keep:
+//   const std::set<endpoint>& open = exchange.Targets();
 //
 // Without customers that have a quota, nothing is sent.
 #pragma once
