--- a/laburnumdyke/decision/fleet_quota.cc
+++ b/laburnumdyke/decision/fleet_quota.cc
@@ -172,7 +172,7 @@
 }
 
 void
-fleet_quota::SetTotals(usage_list aTotals, instant aNow)
+fleet_quota::SetTotals(const usage_list& aTotals, instant aNow)
 {
   for (std::pair<const customer_key, account>& one : mAccounts) {
     account& known = one.second;
--- a/laburnumdyke/decision/fleet_quota.h
+++ b/laburnumdyke/decision/fleet_quota.h
@@ -107,7 +107,7 @@
   void SetFleetSize(std::size_t aInstances) { mFleetSize = aInstances; }
 
   // Takes the totals of the fleet, this instance included.
-  void SetTotals(usage_list aTotals, instant aNow);
+  void SetTotals(const usage_list& aTotals, instant aNow);
 
   quota_decision Admit(const customer_id& aCustomer, instant aNow);
 
--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -122,7 +122,7 @@
     }
     case usage_scope::Fleet:
       mTables.Quota().With([&](quota_state& aQuota) {
-        aQuota.SetTotals(std::move(aMessage.mUsage), aNow);
+        aQuota.SetTotals(aMessage.mUsage, aNow);
       });
       break;
   }
