--- a/laburnumdyke/plugin/usage_exchange.cc
+++ b/laburnumdyke/plugin/usage_exchange.cc
@@ -121,9 +121,8 @@
       break;
     }
     case usage_scope::Fleet:
-      mTables.Quota().With([&](quota_state& aQuota) {
-        aQuota.SetTotals(aMessage.mUsage, aNow);
-      });
+      mTables.Quota().With(
+        [&](quota_state& aQuota) { aQuota.SetTotals(aMessage.mUsage, aNow); });
       break;
   }
   return messages;
