--- a/laburnumdyke/testing/soak/entry_customers.cc
+++ b/laburnumdyke/testing/soak/entry_customers.cc
@@ -383,10 +383,10 @@
 }
 
 void
-entry_customers::ReceiveTotals(usage_list aTotals)
+entry_customers::ReceiveTotals(const usage_list& aTotals)
 {
   if (mWorld.mCustomerFault != customer_fault::IgnoresOthers) {
-    mQuota.SetTotals(std::move(aTotals), Now());
+    mQuota.SetTotals(aTotals, Now());
   }
 }
 
--- a/laburnumdyke/testing/soak/entry_customers.h
+++ b/laburnumdyke/testing/soak/entry_customers.h
@@ -59,7 +59,7 @@
   void ReceiveHeartbeat(const fleet_heartbeat& aHeartbeat);
   void ReceiveReport(std::size_t aEntry, usage_list aUsage);
   void ReceiveSum(const soak_usage& aSum, bool aRelayed);
-  void ReceiveTotals(usage_list aTotals);
+  void ReceiveTotals(const usage_list& aTotals);
 
   // The configuration in force; null until the first is read.
   const std::shared_ptr<const route_table>& Routes() const { return mRoutes; }
