--- a/laburnumdyke/decision/steering_candidates.cc
+++ b/laburnumdyke/decision/steering_candidates.cc
@@ -192,13 +192,13 @@
   evaluated.mSlowness = slowness;
   double waiting = std::max(0.0, load + 1 - slots);
   evaluated.mWait =
-    ToDuration(seconds_d(aView.mWork.Mean()) * slowness * (waiting / slots));
+    ToDuration(seconds_d(aView.mWork.Known()) * slowness * (waiting / slots));
   double handled = HandledSlots(target, slots, aNow);
   double excess = std::max(0.0, load + 1 - handled);
   // Requests beyond those that the upstream handles well delay each other,
   // whether they wait or run.
-  seconds_d delay = handled < slots ? seconds_d(aView.mWork.Mean()) * slowness *
-                                        (excess / handled)
+  seconds_d delay = handled < slots ? seconds_d(aView.mWork.Known()) *
+                                        slowness * (excess / handled)
                                     : seconds_d(evaluated.mWait);
   seconds_d work =
     IsCached(aRanked, aView) ? aView.mWork.Known() : aView.mWork.Unknown();
--- a/laburnumdyke/decision/work_estimate.cc
+++ b/laburnumdyke/decision/work_estimate.cc
@@ -40,7 +40,6 @@
   double bytes = static_cast<double>(aBytes);
   mBytes += (bytes - mBytes) * (mHasBytes ? kSampleWeight : 1);
   mHasBytes = true;
-  MoveTowards(mMean, aWork, kSampleWeight);
   if (!mHasUnknown && !aKnown) {
     // At first, all objects are unknown to the upstreams.
     mHasUnknown = true;
--- a/laburnumdyke/decision/work_estimate.h
+++ b/laburnumdyke/decision/work_estimate.h
@@ -21,7 +21,6 @@
   explicit work_estimate(duration aInitial)
     : mUnknown(aInitial)
     , mKnown(aInitial / 2)
-    , mMean(aInitial)
   {
   }
 
@@ -31,9 +30,6 @@
 
   duration Known() const { return mKnown; }
   duration Unknown() const { return mUnknown; }
-  // Of all answers: what a request that waits in a queue takes. While caches
-  // are cold, most take the longer time.
-  duration Mean() const { return mMean; }
   double Bytes() const { return mBytes; }
 
   // The ratio of the answer's service time to the mean of its kind.
@@ -44,7 +40,6 @@
 
   duration mUnknown;
   duration mKnown;
-  duration mMean;
   double mBytes = 0;
   bool mHasUnknown = false;
   bool mHasKnown = false;
