--- a/laburnumdyke/testing/route_explanation_test.cc
+++ b/laburnumdyke/testing/route_explanation_test.cc
@@ -66,6 +66,12 @@
 
   void setup() override
   {
+    Start(uneven_load::Never);
+  }
+
+  void Start(uneven_load aUse)
+  {
+    mSettings.mUnevenLoad = aUse;
     mSettings.mFront = front_kind::Hosts;
     mSettings.mDomains = { { "east-a", "east" }, { "west-a", "west" } };
     std::vector<plugin_record> metrics;
@@ -272,7 +278,12 @@
 {
   Configure();
   Register({ ReplayUpstream("e1", "east-a"), ReplayUpstream("w1", "west-a") });
+  Serve("none"); // answers tell how long work takes
   CHECK(BodyOf(Ask("path=/x&customer=acme")).count("demand") == 0);
+  mKernel->Stop();
+  Start(uneven_load::Always);
+  Configure();
+  Register({ ReplayUpstream("e1", "east-a"), ReplayUpstream("w1", "west-a") });
   Serve("none"); // answers tell how long work takes
   mKernel->Table<steering_state>().With([&](steering_state& aSteering) {
     aSteering.SetFleet(
