One decay and one reading of choices; the mean load is found without copies of names

Decay stood in load_estimate.cc and service_load.cc, the look-up of a named choice twice in settings.cc. For each candidate the look-up of a service's mean load copied the names of service and region.

--- a/laburnumdyke/decision/load_estimate.cc
+++ b/laburnumdyke/decision/load_estimate.cc
@@ -2,24 +2,12 @@
 // computed in closed form, so that no updates are needed between reports.
 #include "laburnumdyke/decision/load_estimate.h"
 
+#include "laburnumdyke/decision/decay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace laburnumdyke {
 
-namespace {
-
-// The weight, 1 at first, that is left after aAge.
-double
-Decay(duration aAge, duration aDecayTime)
-{
-  double decayTimes = std::chrono::duration<double>(aAge) /
-                      std::chrono::duration<double>(aDecayTime);
-  return std::exp(-std::max(0.0, decayTimes));
-}
-
-} // namespace
-
 void
 load_estimate::Report(const reported_load& aReport, instant aNow)
 {
--- a/laburnumdyke/decision/service_load.cc
+++ b/laburnumdyke/decision/service_load.cc
@@ -1,8 +1,9 @@
 // A mean over reports whose weights decay with their age.
 #include "laburnumdyke/decision/service_load.h"
 
+#include "laburnumdyke/decision/decay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace laburnumdyke {
 
@@ -11,14 +12,6 @@
 // So many reports count half: one full upstream says little about the others.
 constexpr double kFewReports = 3;
 
-double
-Decay(duration aAge, duration aDecayTime)
-{
-  return std::exp(-std::max(0.0,
-                            std::chrono::duration<double>(aAge) /
-                              std::chrono::duration<double>(aDecayTime)));
-}
-
 } // namespace
 
 void
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -33,11 +33,14 @@
 double
 upstream_steering::LoadOf(const upstream& aUpstream, instant aNow) const
 {
-  auto found =
-    mServiceLoads.find({ aUpstream.mEntry.mService, aUpstream.mRegion });
-  double usual = found == mServiceLoads.end()
-                   ? 0
-                   : found->second.PerSlot(aNow) * aUpstream.mEntry.mSlots;
+  double usual = 0;
+  auto service = mServiceLoads.find(aUpstream.mEntry.mService);
+  if (service != mServiceLoads.end()) {
+    auto region = service->second.find(aUpstream.mRegion);
+    if (region != service->second.end()) {
+      usual = region->second.PerSlot(aNow) * aUpstream.mEntry.mSlots;
+    }
+  }
   return aUpstream.mLoad.Estimate(mRegionInstances, usual, aNow);
 }
 
@@ -47,8 +50,8 @@
                               instant aNow)
 {
   aUpstream.mLoad.Report(aReport, aNow);
-  mServiceLoads[{ aUpstream.mEntry.mService, aUpstream.mRegion }].Report(
-    aReport, aNow);
+  mServiceLoads[aUpstream.mEntry.mService][aUpstream.mRegion].Report(aReport,
+                                                                     aNow);
 }
 
 upstream_steering::upstream*
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -422,7 +422,7 @@
   demand_steering mDemand;
   std::map<service_id, service_speed> mServiceSpeeds;
   std::map<service_id, contention> mContentions;
-  std::map<std::pair<service_id, region_id>, service_load> mServiceLoads;
+  std::map<service_id, std::map<region_id, service_load>> mServiceLoads;
   std::map<domain_id, duration> mRoundTrips; // round trip times
   std::mt19937_64 mRandom;
 };
--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -81,36 +81,39 @@
   return aText == "hosts" || aText == "own";
 }
 
+// Accepts the names in aValues.
+template<class Value>
 bool
-SetLearnedSpeed(learned_speed& aTarget, std::string_view aText)
+SetChoice(Value& aTarget,
+          std::string_view aText,
+          const std::map<std::string_view, Value>& aValues)
 {
-  static const std::map<std::string_view, learned_speed> kValues = {
-    { "reported", learned_speed::Reported },
-    { "always", learned_speed::Always },
-    { "never", learned_speed::Never },
-  };
-  auto found = kValues.find(aText);
-  if (found == kValues.end()) {
+  auto found = aValues.find(aText);
+  if (found == aValues.end()) {
     return false;
   }
   aTarget = found->second;
   return true;
 }
 
+bool
+SetLearnedSpeed(learned_speed& aTarget, std::string_view aText)
+{
+  return SetChoice(aTarget,
+                   aText,
+                   { { "reported", learned_speed::Reported },
+                     { "always", learned_speed::Always },
+                     { "never", learned_speed::Never } });
+}
+
 bool
 SetUnevenLoad(uneven_load& aTarget, std::string_view aText)
 {
-  static const std::map<std::string_view, uneven_load> kValues = {
-    { "auto", uneven_load::Auto },
-    { "always", uneven_load::Always },
-    { "never", uneven_load::Never },
-  };
-  auto found = kValues.find(aText);
-  if (found == kValues.end()) {
-    return false;
-  }
-  aTarget = found->second;
-  return true;
+  return SetChoice(aTarget,
+                   aText,
+                   { { "auto", uneven_load::Auto },
+                     { "always", uneven_load::Always },
+                     { "never", uneven_load::Never } });
 }
 
 // Accepts a non-negative number, such as 1.5.
