--- a/laburnumdyke/decision/knowledge_age.cc
+++ b/laburnumdyke/decision/knowledge_age.cc
@@ -26,9 +26,30 @@
 }
 
 void
-knowledge_age::RecordCurrent(platform_time aAsOf)
+knowledge_age::RecordVersion(std::uint64_t aVersion)
 {
-  mCurrentAsOf = std::max(mCurrentAsOf.value_or(aAsOf), aAsOf);
+  mLatestVersion = std::max(mLatestVersion, aVersion);
+}
+
+void
+knowledge_age::RecordCurrent(std::uint64_t aInForce, platform_time aAsOf)
+{
+  if (!IsOutdated(aInForce)) {
+    mCurrentAsOf = std::max(mCurrentAsOf.value_or(aAsOf), aAsOf);
+  }
+}
+
+bool
+knowledge_age::IsOutdated(std::uint64_t aInForce) const
+{
+  return aInForce < mLatestVersion;
+}
+
+void
+knowledge_age::Reset()
+{
+  mAnswer.reset();
+  mCurrentAsOf.reset();
 }
 
 std::optional<std::chrono::milliseconds>
--- a/laburnumdyke/decision/knowledge_age.h
+++ b/laburnumdyke/decision/knowledge_age.h
@@ -11,9 +11,14 @@
 // received: the platform stamped an answer no earlier than its request was
 // sent.
 //
+// A reading dates the version in force only if that is the latest one known to
+// exist: a version that cannot be decoded may revoke a key as well as any
+// other.
+//
 // Usage:
-//   age.RecordAnswer(sent, stamp); // any answer of the platform
-//   age.RecordCurrent(stamp);      // the version in force was the latest then
+//   age.RecordAnswer(sent, stamp);           // any answer of the platform
+//   age.RecordVersion(unreadable);           // this version exists
+//   age.RecordCurrent(versionInForce, stamp); // it was the latest then
 //   std::optional<std::chrono::milliseconds> known = age.At(now);
 //
 // Local times are of boot_clock, so that a suspension of the machine counts.
@@ -22,6 +27,7 @@
 #include "laburnumdyke/kernel/boot_clock.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace laburnumdyke {
@@ -40,9 +46,16 @@
   // aSent: when the request was sent whose answer has the stamp.
   void RecordAnswer(boot_instant aSent, platform_time aStamp);
 
-  // Records that the version in force was the latest at aAsOf, as read by this
-  // instance or reported by a peer.
-  void RecordCurrent(platform_time aAsOf);
+  // Records that aVersion of the configuration exists, whether or not it can be
+  // put in force.
+  void RecordVersion(std::uint64_t aVersion);
+
+  // Records that aInForce, the version in force, was the latest at aAsOf, as
+  // read by this instance or reported by a peer. No effect if it is outdated.
+  void RecordCurrent(std::uint64_t aInForce, platform_time aAsOf);
+
+  // Whether a later version than aInForce, the one in force, is known to exist.
+  bool IsOutdated(std::uint64_t aInForce) const;
 
   // An upper bound of the time since which the version in force may be
   // outdated. nullopt if nothing is known.
@@ -51,8 +64,9 @@
   // The latest time at which the version in force was the latest.
   std::optional<platform_time> CurrentAsOf() const { return mCurrentAsOf; }
 
-  // Drops all records, for a platform whose clock has started anew.
-  void Reset() { *this = knowledge_age(); }
+  // Drops all dates, for a platform whose clock has started anew. Versions are
+  // the operator's own, so they are kept.
+  void Reset();
 
 private:
   struct stamped_answer
@@ -67,6 +81,7 @@
 
   std::optional<stamped_answer> mAnswer; // the one that gives the closest bound
   std::optional<platform_time> mCurrentAsOf;
+  std::uint64_t mLatestVersion = 0; // known to exist; 0: none
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/decision/platform_reading.h
+++ b/laburnumdyke/decision/platform_reading.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace laburnumdyke {
@@ -36,6 +37,13 @@
   std::optional<platform_time> mStamp = std::nullopt;
 };
 
+// A configuration that could not be decoded.
+struct unreadable_document
+{
+  std::optional<std::uint64_t> mVersion; // nullopt: not decoded either
+  std::string mFault;                    // the first one; never shows a key
+};
+
 // Operator control: routes and evacuated failure domains.
 struct control_reading
 {
@@ -44,14 +52,15 @@
   // A failure domain is in one of these at most.
   std::vector<domain_id> mEvacuated;
   std::vector<domain_id> mReturned; // no longer evacuated
-  std::size_t mUnreadable = 0;      // entries that could not be decoded
+  // Set only if mDocument is not.
+  std::optional<unreadable_document> mUnreadable;
 };
 
 struct upstream_reading
 {
   reading_head mHead;
   std::vector<upstream_row> mRows; // a delta may hold several of one upstream
-  std::size_t mUnreadable = 0;
+  std::size_t mUnreadable = 0;     // entries that could not be decoded
 };
 
 struct fleet_reading
--- a/laburnumdyke/plugin/control_in_force.cc
+++ b/laburnumdyke/plugin/control_in_force.cc
@@ -21,8 +21,8 @@
                         store_version aVersion,
                         instant aNow)
 {
-  if (aReading.mUnreadable > 0) {
-    mKernel.Log().Warn("configuration_unreadable", {});
+  if (aReading.mUnreadable) {
+    RecordUnreadable(*aReading.mUnreadable);
   }
   ApplyDocument(aReading.mDocument);
   SetEvacuated(
@@ -31,6 +31,21 @@
     [&](fleet_state& aFleet) { aFleet.SetControlVersion(aVersion); });
 }
 
+void
+control_in_force::RecordUnreadable(const unreadable_document& aDocument)
+{
+  // Versions rise, so one that could not be decoded is a later one.
+  std::uint64_t version = aDocument.mVersion.value_or(DocumentVersion() + 1);
+  mTables.InForce().With(
+    [&](routes_in_force& aInForce) { aInForce.mAge.RecordVersion(version); });
+  mKernel.Counters().Add("configurations_unreadable_total");
+  mKernel.Log().Warn(
+    "configuration_unreadable",
+    { { "version",
+        aDocument.mVersion ? std::to_string(*aDocument.mVersion) : "unknown" },
+      { "fault", aDocument.mFault } });
+}
+
 std::uint64_t
 control_in_force::DocumentVersion()
 {
--- a/laburnumdyke/plugin/control_in_force.h
+++ b/laburnumdyke/plugin/control_in_force.h
@@ -6,8 +6,9 @@
 //   control.Apply(reading, isRestored, version, now);
 //   control.ExpireEvacuations(now); // regularly
 //
-// Errors: a configuration that can't be read is logged as
-// configuration_unreadable, and the present one stays in force.
+// Errors: a configuration that can't be read is counted in
+// configurations_unreadable_total and logged as configuration_unreadable with
+// its fault. The present one stays in force, outdated: see knowledge_age.h.
 #pragma once
 
 #include "laburnumdyke/decision/evacuation_hold.h"
@@ -40,6 +41,7 @@
   void ExpireEvacuations(instant aNow);
 
 private:
+  void RecordUnreadable(const unreadable_document& aDocument);
   std::uint64_t DocumentVersion();
   void SetEvacuated(const std::set<domain_id>& aEvacuated, instant aNow);
 
--- a/laburnumdyke/plugin/customer_status.cc
+++ b/laburnumdyke/plugin/customer_status.cc
@@ -185,6 +185,7 @@
     return status;
   }
   status["configuration_version"] = dated.mRoutes->Version();
+  status["configuration_outdated"] = dated.mIsOutdated;
   status["routes"] = dated.mRoutes->Size();
   const customer_table* customers = dated.mRoutes->Customers();
   if (customers == nullptr) {
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -103,7 +103,8 @@
         bool isSameVersion = aInForce.mRoutes && aInForce.mRoutes->Version() ==
                                                    aHeartbeat.mDocumentVersion;
         if (isSameVersion) {
-          aInForce.mAge.RecordCurrent(*aHeartbeat.mCurrentAsOf);
+          aInForce.mAge.RecordCurrent(aHeartbeat.mDocumentVersion,
+                                      *aHeartbeat.mCurrentAsOf);
         }
       });
     }
--- a/laburnumdyke/plugin/platform_watch.h
+++ b/laburnumdyke/plugin/platform_watch.h
@@ -159,13 +159,18 @@
     if (aHead.mStamp) {
       mTables.InForce().With([&](routes_in_force& aInForce) {
         aInForce.mAge.RecordAnswer(aSent, *aHead.mStamp);
-        aInForce.mAge.RecordCurrent(*aHead.mStamp);
+        if (aInForce.mRoutes) {
+          aInForce.mAge.RecordCurrent(aInForce.mRoutes->Version(),
+                                      *aHead.mStamp);
+        }
       });
     }
   }
 
   // Reads the platform without waiting if neither the last reading nor the
-  // peers' heartbeats show that the routes are the latest.
+  // peers' heartbeats show that the routes are the latest. If a later version
+  // can't be read, reading it again does not help; the long polls find the
+  // next.
   asio::awaitable<void> WatchAge()
   {
     std::chrono::milliseconds maxAge = mTables.MaxKeyAge();
@@ -176,7 +181,8 @@
       co_await SleepFor(mJitter(kAgeCheckInterval));
       dated_routes dated = mTables.DatedRoutes(boot_clock::Now());
       bool hasCustomers = dated.mRoutes && dated.mRoutes->Customers();
-      bool isOld = !dated.mAge || *dated.mAge > maxAge / 2;
+      bool isOld =
+        !dated.mIsOutdated && (!dated.mAge || *dated.mAge > maxAge / 2);
       // After a failure WatchControl reads without waiting, too.
       if (hasCustomers && isOld && !mControl.IsLost()) {
         co_await ReadControl(std::chrono::milliseconds(0));
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -128,7 +128,9 @@
 steering_tables::DatedRoutes(boot_instant aNow)
 {
   return mInForce.With([&](routes_in_force& aInForce) {
-    return dated_routes{ aInForce.mRoutes, aInForce.mAge.At(aNow) };
+    bool isOutdated =
+      aInForce.mRoutes && aInForce.mAge.IsOutdated(aInForce.mRoutes->Version());
+    return dated_routes{ aInForce.mRoutes, aInForce.mAge.At(aNow), isOutdated };
   });
 }
 
--- a/laburnumdyke/plugin/steering_tables.h
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -39,6 +39,7 @@
 {
   std::shared_ptr<const route_table> mRoutes;    // null until the first is read
   std::optional<std::chrono::milliseconds> mAge; // nullopt: unknown
+  bool mIsOutdated = false; // a later version exists that can't be read
 };
 
 struct steering_state : upstream_steering
--- a/laburnumdyke/testing/customer_status_test.cc
+++ b/laburnumdyke/testing/customer_status_test.cc
@@ -183,11 +183,15 @@
   CHECK(!status.contains("other_customers"));
   mKernel->Table<routes_in_force>().With([](routes_in_force& aInForce) {
     aInForce.mAge.RecordAnswer(boot_clock::Now(), 7s);
-    aInForce.mAge.RecordCurrent(7s);
+    aInForce.mAge.RecordCurrent(7, 7s);
   });
   status = Status();
   CHECK(status.at("knowledge_age_ms").to_number<int>() < 4000);
   CHECK(status.at("accepts_keys").as_bool());
+  CHECK_FALSE(status.at("configuration_outdated").as_bool());
+  mKernel->Table<routes_in_force>().With(
+    [](routes_in_force& aInForce) { aInForce.mAge.RecordVersion(8); });
+  CHECK(Status().at("configuration_outdated").as_bool());
 }
 
 TEST(CustomerStatus, ShowsTheBusiestCustomersAndSumsUpTheOthers)
--- a/laburnumdyke/testing/customer_test.cc
+++ b/laburnumdyke/testing/customer_test.cc
@@ -25,6 +25,8 @@
   return customer;
 }
 
+constexpr std::uint64_t kVersion = 7; // in force
+
 std::string
 NameOf(const customer_table& aTable, const std::string& aKey)
 {
@@ -130,7 +132,7 @@
 TEST(KnowledgeAge, NothingIsKnownBeforeAnAnswerAndAReading)
 {
   CHECK_FALSE(mAge.At(mStart).has_value());
-  mAge.RecordCurrent(7s);
+  mAge.RecordCurrent(kVersion, 7s);
   CHECK_FALSE(mAge.At(mStart).has_value());
   mAge.RecordAnswer(mStart, 7s);
   CHECK(mAge.At(mStart) == 0ms);
@@ -140,7 +142,7 @@
 {
   // The platform stamped its answer some time after the request was sent.
   mAge.RecordAnswer(mStart, 7s);
-  mAge.RecordCurrent(7s);
+  mAge.RecordCurrent(kVersion, 7s);
   std::optional<std::chrono::milliseconds> age = mAge.At(mStart + 4s);
   CHECK(age.has_value() && *age >= 4000ms && *age <= 4010ms);
 }
@@ -151,7 +153,7 @@
   // clock reads 10 s when it arrives.
   mAge.RecordAnswer(mStart, 7s);
   mAge.RecordAnswer(mStart, 10s);
-  mAge.RecordCurrent(10s);
+  mAge.RecordCurrent(kVersion, 10s);
   CHECK(mAge.At(mStart + 3s) <= 5ms);
   CHECK(*mAge.At(mStart + 5s) >= 2000ms);
 }
@@ -159,14 +161,36 @@
 TEST(KnowledgeAge, APeersWordCountsByThePlatformsClock)
 {
   mAge.RecordAnswer(mStart, 100s);
-  mAge.RecordCurrent(100s);
+  mAge.RecordCurrent(kVersion, 100s);
   CHECK(*mAge.At(mStart + 3s) >= 3000ms);
-  mAge.RecordCurrent(102s); // from a peer
+  mAge.RecordCurrent(kVersion, 102s); // from a peer
   CHECK(*mAge.At(mStart + 3s) >= 1000ms && *mAge.At(mStart + 3s) <= 1010ms);
-  mAge.RecordCurrent(101s); // an older word changes nothing
+  mAge.RecordCurrent(kVersion, 101s); // an older word changes nothing
   CHECK(*mAge.At(mStart + 3s) <= 1010ms);
 }
 
+// Guards against a version that is taken for the latest although a later one,
+// which can't be read, is known: keys that it revokes would stay in force.
+TEST(KnowledgeAge, AnOutdatedVersionIsNotDated)
+{
+  mAge.RecordAnswer(mStart, 7s);
+  mAge.RecordVersion(kVersion - 1);
+  mAge.RecordCurrent(kVersion, 7s);
+  CHECK_FALSE(mAge.IsOutdated(kVersion));
+  mAge.RecordVersion(kVersion + 1);
+  mAge.RecordVersion(kVersion);
+  CHECK(mAge.IsOutdated(kVersion));
+  mAge.RecordAnswer(mStart + 4s, 11s);
+  mAge.RecordCurrent(kVersion, 11s);
+  CHECK(*mAge.At(mStart + 4s) >= 4000ms);
+  mAge.Reset(); // the versions are not the platform's
+  mAge.RecordAnswer(mStart + 5s, 1s);
+  mAge.RecordCurrent(kVersion, 1s);
+  CHECK_FALSE(mAge.At(mStart + 5s).has_value());
+  mAge.RecordCurrent(kVersion + 1, 1s);
+  CHECK(mAge.At(mStart + 5s) == 0ms);
+}
+
 // Random delays in both directions: the bound must never be below the true age.
 TEST(KnowledgeAge, TheBoundHoldsForAnyDelays)
 {
@@ -183,7 +207,7 @@
         1s + std::chrono::duration_cast<platform_time>(now.time_since_epoch());
       now += std::chrono::milliseconds(delay(random));
       age.RecordAnswer(sent, stamp);
-      age.RecordCurrent(stamp);
+      age.RecordCurrent(kVersion, stamp);
       current = stamp;
       platform_time platformNow =
         1s + std::chrono::duration_cast<platform_time>(now.time_since_epoch());
--- a/laburnumdyke/testing/platform_rows_test.cc
+++ b/laburnumdyke/testing/platform_rows_test.cc
@@ -41,6 +41,12 @@
   R"("info":{"service":"s1","version":"v1","zone":"east-a","slots":3},)"
   R"("status":{"state":"ready","sequence":4,"cold-left-ms":1500}})";
 
+std::optional<routing_document>
+DecodeConfig(const std::string& aText)
+{
+  return ReadConfig(aText).mDocument;
+}
+
 std::string
 Replace(std::string aText, const std::string& aOld, const std::string& aNew)
 {
@@ -167,6 +173,28 @@
   }
 }
 
+// Guards against a refused configuration that leaves no trace: it is one of
+// these versions, and the operator needs the reason.
+TEST(RowCodec, ARefusedConfigurationKeepsItsVersionAndItsFault)
+{
+  const std::pair<std::string, std::optional<std::uint64_t>> rows[] = {
+    { Replace(kConfig, R"("prefix":"/x/")", R"("prefix":"/x")"), 7 },
+    { Replace(kConfig, R"("version":7,)", ""), std::nullopt },
+    { kConfig.substr(0, kConfig.size() / 2), std::nullopt },
+    { "[]", std::nullopt },
+  };
+  for (const std::pair<std::string, std::optional<std::uint64_t>>& row : rows) {
+    store_answer answer = ReadStoreAnswer(Rows(9, { { "config", row.first } }));
+    control_reading reading = ToControl(answer, true);
+    CHECK_FALSE(reading.mDocument.has_value());
+    CHECK(reading.mUnreadable.has_value());
+    CHECK(reading.mUnreadable->mVersion == row.second);
+    CHECK(reading.mUnreadable->mFault.find("expected") != std::string::npos);
+  }
+  store_answer answer = ReadStoreAnswer(Rows(9, { { "config", kConfig } }));
+  CHECK_FALSE(ToControl(answer, true).mUnreadable.has_value());
+}
+
 // Instances and the operator's check must agree on each configuration.
 TEST(RowCodec, EveryRefusedConfigurationHasFaultsAndNoOtherHas)
 {
@@ -473,7 +501,7 @@
     ReadStoreAnswer(Rows(5, { { "config", kConfig.substr(1) } }));
   control_reading reading = ToControl(answer, true);
   CHECK_FALSE(reading.mDocument.has_value());
-  LONGS_EQUAL(1, reading.mUnreadable);
+  CHECK(reading.mUnreadable.has_value());
 }
 
 TEST(StoreSource, EvacuationsFollowTheirRows)
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -319,7 +319,7 @@
   CHECK(WaitUntil([&]() { return IsServing(); }, 10s));
   control_reading unreadable = MakeControl(6, 9);
   unreadable.mDocument.reset();
-  unreadable.mUnreadable = 1;
+  unreadable.mUnreadable = unreadable_document();
   Set(unreadable);
   std::this_thread::sleep_for(200ms);
   LONGS_EQUAL(3, VersionInForce());
@@ -330,6 +330,45 @@
   CHECK(WaitForVersion(4));
 }
 
+// Guards against a reading that dates the routes in force as the latest while
+// the table holds a later version that can't be read.
+TEST(PlatformWatch, RoutesAreDatedOnlyWhileNoLaterVersionIsUnreadable)
+{
+  auto currentAsOf = [&]() {
+    return steering_tables(*mKernel).InForce().With(
+      [](routes_in_force& aInForce) { return aInForce.mAge.CurrentAsOf(); });
+  };
+  auto read = [&](control_reading aControl, platform_time aStamp) {
+    aControl.mHead.mStamp = aStamp;
+    Set(aControl);
+    std::this_thread::sleep_for(200ms);
+  };
+  read(MakeControl(5, 3), 1s);
+  CHECK(WaitUntil([&]() { return currentAsOf() == 1s; }, 10s));
+  control_reading unreadable = MakeControl(6, 0);
+  unreadable.mDocument.reset();
+  unreadable.mUnreadable = unreadable_document();
+  read(unreadable, 2s);
+  CHECK(currentAsOf() == 1s);
+  // Nothing has changed since: the same version is still in the table.
+  control_reading unchanged = unreadable;
+  unchanged.mHead.mIsSnapshot = false;
+  unchanged.mUnreadable.reset();
+  read(unchanged, 3s);
+  CHECK(currentAsOf() == 1s);
+  // A later version that is refused, and then one that can be read.
+  unreadable = MakeControl(7, 0);
+  unreadable.mDocument.reset();
+  unreadable.mUnreadable = { 9, "a fault" };
+  read(unreadable, 4s);
+  read(MakeControl(8, 8), 5s);
+  LONGS_EQUAL(8, VersionInForce());
+  CHECK(currentAsOf() == 1s);
+  read(MakeControl(9, 9), 6s);
+  CHECK(WaitUntil([&]() { return currentAsOf() == 6s; }, 10s));
+  CHECK(mKernel->Counters().Value("configurations_unreadable_total") > 0);
+}
+
 TEST(PlatformWatch, WithoutAnswersItReadsWithoutLongPoll)
 {
   auto lastLongPoll = [&]() {
--- a/laburnumdyke/testing/process_customers_test.cc
+++ b/laburnumdyke/testing/process_customers_test.cc
@@ -32,6 +32,10 @@
 constexpr const char* kBothKeys =
   R"([{"name":"alpha","api-keys":["k-one","k-two"]}])";
 constexpr const char* kOtherKey = R"([{"name":"alpha","api-keys":["k-two"]}])";
+// No configuration: which customer holds the key can't be told.
+constexpr const char* kAmbiguousKey =
+  R"([{"name":"alpha","api-keys":["k-two"]},)"
+  R"({"name":"beta","api-keys":["k-two"]}])";
 
 time_point
 Now()
@@ -316,6 +320,26 @@
   CHECK(mDeployed.StopDaemons());
 }
 
+// Guards against a revoked key that stays in force because the version that
+// revokes it can't be read.
+TEST(ProcessCustomers, AVersionThatCannotBeReadEndsKeysInTime)
+{
+  CHECK(Start({ "one", "two", "three" }, kOneKey));
+  CHECK(WaitForStatusEverywhere("k-one", 200));
+  mDeployed.Configure(3, kAmbiguousKey);
+  std::this_thread::sleep_until(Now() + kRevokeTimeout);
+  for (const std::string& name : mNames) {
+    status_counts revoked = AskUntil(name, "k-one", Now() + 1s);
+    PrintCounts("a key of the version before one that can't be read", revoked);
+    LONGS_EQUAL(0, CountOf(revoked, 200));
+    LONGS_EQUAL(200, AskOpen(name).mStatus);
+  }
+  mDeployed.Configure(4, kOtherKey);
+  CHECK(WaitForStatusEverywhere("k-two", 200));
+  CHECK(WaitForStatusEverywhere("k-one", 401));
+  CHECK(mDeployed.StopDaemons());
+}
+
 // Guards against upstreams that see a key, or a customer whom the client
 // names.
 TEST(ProcessCustomers, UpstreamsSeeTheCustomerAndNoKey)
--- a/laburnumdyke/testing/soak/entry_customers.cc
+++ b/laburnumdyke/testing/soak/entry_customers.cc
@@ -231,7 +231,7 @@
   mAge.RecordAnswer(aSent, aRead.mStamp);
   // An answer that was overtaken by a newer one dates an older version.
   if (aRead.mRoutes->Version() == mRoutes->Version()) {
-    mAge.RecordCurrent(aRead.mStamp);
+    mAge.RecordCurrent(mRoutes->Version(), aRead.mStamp);
   }
   Register();
 }
@@ -310,7 +310,7 @@
   bool isSameVersion =
     mRoutes && mRoutes->Version() == aHeartbeat.mDocumentVersion;
   if (isSameVersion && aHeartbeat.mCurrentAsOf) {
-    mAge.RecordCurrent(*aHeartbeat.mCurrentAsOf);
+    mAge.RecordCurrent(aHeartbeat.mDocumentVersion, *aHeartbeat.mCurrentAsOf);
   }
 }
 
