--- a/ctl/route_query.cc
+++ b/ctl/route_query.cc
@@ -1,7 +1,7 @@
 // Parameters are percent-encoded except for letters and digits.
 #include "ctl/route_query.h"
 
-#include "laburnumdyke/decision/customer_table.h"
+#include "laburnumdyke/plugin/http_types.h"
 
 #include <algorithm>
 #include <array>
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxQueryText = 2048; // bytes; an instance accepts more
+// The rest of the header of a short question.
+constexpr std::size_t kOtherHeaderBytes = 1024;
+constexpr std::size_t kMaxKeyBytes = kHeaderLimit - kOtherHeaderBytes;
 
 bool
 IsControl(char aByte)
--- a/laburnumdyke/decision/customer_table.cc
+++ b/laburnumdyke/decision/customer_table.cc
@@ -5,6 +5,7 @@
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -39,8 +40,8 @@
       faults.push_back("customer " + name + " is listed twice");
     }
     for (const std::string& key : customer.mKeys) {
-      if (key.empty() || key.size() > kMaxKeyBytes) {
-        faults.push_back("a key of customer " + name + " is empty or too long");
+      if (key.empty()) {
+        faults.push_back("a key of customer " + name + " is empty");
         continue;
       }
       auto held = holders.try_emplace(key, &name);
@@ -76,13 +77,9 @@
       keys = isUnchanged ? known->second : nullptr;
     }
     if (!keys) {
-      std::shared_ptr<key_set> fresh = std::make_shared<key_set>();
-      fresh->mFingerprint = fingerprint;
-      for (const std::string& key : customer.mKeys) {
-        fresh->mDigests.push_back(DigestOf(key));
-      }
-      keys = std::move(fresh);
+      keys = MakeKeySet(customer.mKeys, fingerprint);
     }
+    mLongestKey = std::max(mLongestKey, keys->mLongest);
     for (const digest& one : keys->mDigests) {
       mByDigest[one] = i;
     }
@@ -91,6 +88,19 @@
   }
 }
 
+std::shared_ptr<const customer_table::key_set>
+customer_table::MakeKeySet(const std::vector<std::string>& aKeys,
+                           std::uint64_t aFingerprint)
+{
+  std::shared_ptr<key_set> keys = std::make_shared<key_set>();
+  keys->mFingerprint = aFingerprint;
+  for (const std::string& key : aKeys) {
+    keys->mLongest = std::max(keys->mLongest, key.size());
+    keys->mDigests.push_back(DigestOf(key));
+  }
+  return keys;
+}
+
 customer_table::digest
 customer_table::DigestOf(std::string_view aKey)
 {
@@ -104,7 +114,7 @@
 const customer_spec*
 customer_table::Find(std::string_view aKey) const
 {
-  if (aKey.empty() || aKey.size() > kMaxKeyBytes) {
+  if (aKey.empty() || aKey.size() > mLongestKey) {
     return nullptr;
   }
   auto found = mByDigest.find(DigestOf(aKey));
--- a/laburnumdyke/decision/customer_table.h
+++ b/laburnumdyke/decision/customer_table.h
@@ -6,8 +6,9 @@
 //
 // The table holds SHA-256 digests instead of keys: a look-up is one digest and
 // one hash-map access, however many keys there are, and its time tells nothing
-// about the keys held. A table is immutable. A new version takes over the
-// digests of customers whose keys have not changed.
+// about the keys held but the length of the longest one: no longer text is
+// digested. A table is immutable. A new version takes over the digests of
+// customers whose keys have not changed.
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -25,9 +26,6 @@
 
 namespace laburnumdyke {
 
-// Keys with more bytes are refused without a look-up.
-inline constexpr std::size_t kMaxKeyBytes = 256;
-
 // Requests that a customer may send through all instances together.
 struct quota_spec
 {
@@ -49,8 +47,9 @@
 };
 
 // Returns all that makes the customers invalid: names and keys that are empty
-// or given twice, and keys that are too long. Empty if they are valid. The
-// texts name customers and never a key.
+// or given twice. Empty if they are valid. Keys may have any length; the limit
+// on headers bounds those that callers can send. The texts name customers and
+// never a key.
 std::vector<std::string>
 FindCustomerFaults(const std::vector<customer_spec>& aCustomers);
 
@@ -62,8 +61,8 @@
   explicit customer_table(std::vector<customer_spec> aCustomers,
                           const customer_table* aPrevious = nullptr);
 
-  // Returns null if no customer holds the key, or if it is empty or too long.
-  // The result is valid as long as the table.
+  // Returns null if no customer holds the key, or if it is empty. The result is
+  // valid as long as the table.
   const customer_spec* Find(std::string_view aKey) const;
 
   const std::vector<customer_spec>& All() const { return mCustomers; }
@@ -86,15 +85,20 @@
   struct key_set
   {
     std::uint64_t mFingerprint = 0; // of the keys and their order
+    std::size_t mLongest = 0;       // bytes of the longest key
     std::vector<digest> mDigests;
   };
 
   static digest DigestOf(std::string_view aKey);
+  static std::shared_ptr<const key_set> MakeKeySet(
+    const std::vector<std::string>& aKeys,
+    std::uint64_t aFingerprint);
 
   std::vector<customer_spec> mCustomers;
   // By customer; shared between versions.
   std::unordered_map<std::string, std::shared_ptr<const key_set>> mKeySets;
   std::unordered_map<digest, std::size_t, digest_hash> mByDigest;
+  std::size_t mLongestKey = 0; // bytes
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/testing/process_customers_test.cc
+++ b/laburnumdyke/testing/process_customers_test.cc
@@ -340,6 +340,22 @@
   CHECK(mDeployed.StopDaemons());
 }
 
+// Guards against a configuration that is refused whole for a key which callers
+// can send, and against keys of which only a part is compared.
+TEST(ProcessCustomers, AKeyMayBeAsLongAsAHeaderAllows)
+{
+  std::string start(12000, 'k');
+  CHECK(Start({ "one" }, kOneKey));
+  mDeployed.Configure(
+    3, R"([{"name":"alpha","api-keys":["k-two",")" + start + R"(-one"]}])");
+  CHECK(WaitForStatusEverywhere("k-two", 200));
+  LONGS_EQUAL(200, Ask("one", start + "-one").mStatus);
+  LONGS_EQUAL(401, Ask("one", start + "-two").mStatus);
+  LONGS_EQUAL(401, Ask("one", start).mStatus);
+  LONGS_EQUAL(401, Ask("one", "k-one").mStatus);
+  CHECK(mDeployed.StopDaemons());
+}
+
 // Guards against upstreams that see a key, or a customer whom the client
 // names.
 TEST(ProcessCustomers, UpstreamsSeeTheCustomerAndNoKey)
