--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -66,15 +66,13 @@
 } // namespace
 
 asio::awaitable<bool>
-ReadFirstBytes(tcp_stream& aStream,
-               beast::flat_buffer& aBuffer,
-               server_limits aLimits)
+ReadFirstBytes(tcp_stream& aStream, beast::flat_buffer& aBuffer)
 {
   if (aBuffer.size() > 0) {
     co_return true;
   }
   error_code failure;
-  aStream.expires_after(aLimits.mIdleTimeout);
+  aStream.expires_never();
   std::size_t got = co_await aStream.async_read_some(
     aBuffer.prepare(kFirstRead),
     asio::redirect_error(asio::use_awaitable, failure));
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -13,6 +13,11 @@
 // limit gets 400 or 431 and its connection is closed; it is counted in
 // http_rejected_total. A handler can override the limits by defining Limits(),
 // and the size of the kernel's buffers by defining kSocketBuffer.
+//
+// Limits may change while connections are open. Each header meets those of the
+// moment at which its first bytes arrive. A connection is closed once it has
+// been idle for as long as the limit of that moment; a shorter limit applies to
+// a connection that is idle already from the end of the longer one at latest.
 #pragma once
 
 #include "laburnumdyke/kernel/kernel.h"
@@ -23,9 +28,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -81,11 +88,9 @@
 WriteAnswer(http_exchange& aExchange, string_answer aAnswer);
 
 // Waits for the first bytes of the next request, unless aBuffer holds some.
-// Returns false if none arrive.
+// Returns false if the connection fails or the wait is cancelled.
 asio::awaitable<bool>
-ReadFirstBytes(tcp_stream& aStream,
-               beast::flat_buffer& aBuffer,
-               server_limits aLimits);
+ReadFirstBytes(tcp_stream& aStream, beast::flat_buffer& aBuffer);
 
 // Reads the header of a request whose first bytes are in aBuffer. Returns false
 // if there is none; a malformed request is answered with an error and counted.
@@ -111,10 +116,15 @@
 {
   explicit server_connection(tcp::socket aSocket)
     : mStream(std::move(aSocket))
+    , mIdleTimer(mStream.get_executor())
   {
   }
 
   tcp_stream mStream;
+  asio::steady_timer mIdleTimer;
+  // Since when it has waited for the first bytes of a request; nullopt: it does
+  // not wait.
+  std::optional<instant> mWaitsSince;
   // Has served a request and has received no byte of another one.
   bool mIsIdle = false;
   bool mServesOneMore = true; // another request may be read
@@ -250,13 +260,8 @@
     bool open = true;
     while (open) {
       request_parser parser;
-      server_limits limits = Limits();
-      buffer.max_size(limits.mHeaderBytes + kUnparsedRequest);
-      parser.header_limit(limits.mHeaderBytes);
-      parser.body_limit(boost::none);
-      open = co_await AwaitRequest(*aConnection, buffer, limits) &&
-             co_await ReadHead(
-               mKernel, aConnection->mStream, buffer, parser, limits);
+      open = co_await AwaitRequest(aConnection, buffer) &&
+             co_await ReadHeadWithin(Limits(), *aConnection, buffer, parser);
       if (open) {
         ++mInFlight;
         http_exchange exchange{ aConnection->mStream,
@@ -279,17 +284,55 @@
       [&](open_connections& aOpen) { aOpen.mAll.erase(aConnection); });
   }
 
-  // Waits for the first bytes of a request.
-  static asio::awaitable<bool> AwaitRequest(server_connection& aConnection,
-                                            beast::flat_buffer& aBuffer,
-                                            const server_limits& aLimits)
+  // Waits for the first bytes of a request. Returns false if none arrive.
+  asio::awaitable<bool> AwaitRequest(
+    std::shared_ptr<server_connection> aConnection,
+    beast::flat_buffer& aBuffer)
   {
-    bool arrived =
-      co_await ReadFirstBytes(aConnection.mStream, aBuffer, aLimits);
-    aConnection.mIsIdle = false;
+    instant now = std::chrono::steady_clock::now();
+    aConnection->mWaitsSince = now;
+    CancelWaitAt(aConnection, now, now + Limits().mIdleTimeout);
+    bool arrived = co_await ReadFirstBytes(aConnection->mStream, aBuffer);
+    aConnection->mWaitsSince.reset();
+    aConnection->mIdleTimer.cancel();
+    aConnection->mIsIdle = false;
     co_return arrived;
   }
 
+  // Cancels the wait that has begun at aSince if it lasts until aEnd, unless
+  // the idle timeout has become longer by then.
+  void CancelWaitAt(const std::shared_ptr<server_connection>& aConnection,
+                    instant aSince,
+                    instant aEnd)
+  {
+    aConnection->mIdleTimer.expires_at(aEnd);
+    aConnection->mIdleTimer.async_wait(
+      [this, aConnection, aSince, aEnd](error_code aFailure) {
+        if (aFailure || aConnection->mWaitsSince != aSince) {
+          return;
+        }
+        instant end = aSince + Limits().mIdleTimeout;
+        if (end > aEnd) {
+          CancelWaitAt(aConnection, aSince, end);
+        } else {
+          aConnection->mStream.cancel();
+        }
+      });
+  }
+
+  asio::awaitable<bool> ReadHeadWithin(server_limits aLimits,
+                                       server_connection& aConnection,
+                                       beast::flat_buffer& aBuffer,
+                                       request_parser& aParser)
+  {
+    std::size_t most = aLimits.mHeaderBytes + kUnparsedRequest;
+    // The bytes of a pipelined request may be there already.
+    aBuffer.max_size(std::max(most, aBuffer.size()));
+    aParser.header_limit(aLimits.mHeaderBytes);
+    aParser.body_limit(boost::none);
+    return ReadHead(mKernel, aConnection.mStream, aBuffer, aParser, aLimits);
+  }
+
   server_limits Limits()
   {
     if constexpr (requires { mHandler.Limits(); }) {
--- a/laburnumdyke/testing/harness/kept_connection.cc
+++ b/laburnumdyke/testing/harness/kept_connection.cc
@@ -28,6 +28,9 @@
     " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + aRequest.mId +
     "\r\nX-Deadline-Ms: " + std::to_string(aRequest.mTimeout.count()) +
     "\r\nX-Work-Ms: " + std::to_string(aRequest.mWork.count()) + "\r\n";
+  if (!aRequest.mNote.empty()) {
+    text += "X-Note: " + aRequest.mNote + "\r\n";
+  }
   if (!aRequest.mChunked) {
     return text + "Content-Length: " + std::to_string(aRequest.mBody.size()) +
            "\r\n\r\n" + aRequest.mBody;
--- a/laburnumdyke/testing/harness/kept_connection.h
+++ b/laburnumdyke/testing/harness/kept_connection.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds mWork{ 0 };    // for the upstream
   std::string mBody{};
   bool mChunked = false; // the body is sent in two chunks
+  std::string mNote{};   // a header field of this value, if not empty
 };
 
 struct kept_answer
--- a/laburnumdyke/testing/harness/one_front.cc
+++ b/laburnumdyke/testing/harness/one_front.cc
@@ -200,6 +200,18 @@
     [&](quota_state& aQuota) { aQuota.SetCustomers({ customer }); });
 }
 
+void
+one_front::ChangeLimits(std::uint64_t aVersion, const caller_limits& aLimits)
+{
+  routing_document document = FrontDocument();
+  document.mVersion = aVersion;
+  document.mLimits = aLimits;
+  std::shared_ptr<const route_table> routes =
+    std::make_shared<const route_table>(std::move(document));
+  steering_tables(*mKernel).InForce().With(
+    [&](routes_in_force& aInForce) { aInForce.mRoutes = routes; });
+}
+
 void
 one_front::PutInForce(routing_document aDocument, bool aBoth)
 {
--- a/laburnumdyke/testing/harness/one_front.h
+++ b/laburnumdyke/testing/harness/one_front.h
@@ -80,6 +80,9 @@
   // route under /open/ needs no key.
   void ConfigureCustomers(std::vector<std::string> aKeys = { "k1" });
 
+  // Puts a version in force that differs from the first in its limits alone.
+  void ChangeLimits(std::uint64_t aVersion, const caller_limits& aLimits);
+
   std::string Send(const std::string& aBytes);
 
   // Requests that have reached an upstream.
