--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -151,7 +151,7 @@
     RecordShed(target->mEntry.mService, aNow);
   }
   if (aReport.mWrongInstance) {
-    target->mMisdirected = true;
+    target->mMisdirected = aNow;
     return std::nullopt;
   }
   bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -33,7 +33,8 @@
 
 void
 upstream_steering::Apply(const std::vector<upstream_change>& aChanges,
-                         instant aNow)
+                         instant aNow,
+                         instant aWrittenAfter)
 {
   for (const upstream_change& change : aChanges) {
     const upstream_entry& entry = change.mEntry;
@@ -52,19 +53,40 @@
       mUpstreams[entry.mId].mSpeed = upstream_speed(SpreadOf(entry.mId));
     }
     upstream& known = mUpstreams[entry.mId];
+    ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
     known.mEntry = entry;
     known.mRegion = RegionOf(entry.mDomain);
-    known.mColdUntil = aNow + entry.mColdLeft;
-    known.mMisdirected = false;
+    if (known.mMisdirected && aWrittenAfter >= *known.mMisdirected) {
+      known.mMisdirected.reset();
+    }
   }
 }
 
+// Of an upstream that was found to be cold, a row that was written before can
+// prolong that time but not end it. Nor can one that repeats that there is no
+// time left: an upstream may report only the time since its start.
+void
+upstream_steering::ApplyColdLeft(upstream& aUpstream,
+                                 std::chrono::milliseconds aColdLeft,
+                                 instant aNow,
+                                 instant aWrittenAfter)
+{
+  constexpr std::chrono::milliseconds kNone{ 0 };
+  instant coldUntil = aNow + aColdLeft;
+  bool isRepeated = aColdLeft == kNone && aUpstream.mEntry.mColdLeft == kNone;
+  bool isLater = aWrittenAfter >= aUpstream.mFoundCold;
+  aUpstream.mColdUntil = isLater && !isRepeated
+                           ? coldUntil
+                           : std::max(aUpstream.mColdUntil, coldUntil);
+}
+
 void
 upstream_steering::MarkCold(upstream& aUpstream, instant aNow)
 {
   service_rules rules =
     mRoutes ? mRoutes->Rules(aUpstream.mEntry.mService) : service_rules();
   aUpstream.mColdUntil = std::max(aUpstream.mColdUntil, aNow + rules.mColdTime);
+  aUpstream.mFoundCold = aNow;
 }
 
 void
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -145,12 +145,16 @@
     std::size_t aLimit,
     instant aNow);
 
-  // Applies changes reported by the directory.
-  void Apply(const std::vector<upstream_change>& aChanges, instant aNow);
+  // Applies changes reported by the directory. aWrittenAfter: their rows were
+  // written after this instant; instant::min() if that is unknown, as of the
+  // rows of a snapshot. What events have shown since then holds against them.
+  void Apply(const std::vector<upstream_change>& aChanges,
+             instant aNow,
+             instant aWrittenAfter = instant::min());
 
   // Sets the failure domains that receive no requests. The upstreams of a
   // domain that is no longer evacuated count as cold for their service's
-  // mColdTime, or until they register otherwise.
+  // mColdTime, or for as long as a row that was written since says.
   void SetEvacuated(const std::set<domain_id>& aDomains, instant aNow);
   void SetRules(std::shared_ptr<const route_table> aRoutes);
   // Sets the instances that send to the upstreams, including this one; empty
@@ -189,8 +193,11 @@
     upstream_health mHealth;
     load_estimate mLoad;
     instant mColdUntil{};
-    bool mMisdirected = false; // wrong instance; until it registers again
-    double mSlowness = 1;      // service time relative to the route's estimate
+    // When an event, rather than a row, last showed that it was cold.
+    instant mFoundCold = instant::min();
+    // When another upstream answered at its address; until a later row.
+    std::optional<instant> mMisdirected;
+    double mSlowness = 1; // service time relative to the route's estimate
     instant mSlownessUpdated{};
     recent_objects mRecent;
     upstream_speed mSpeed;
@@ -402,6 +409,10 @@
                  const attempt_report& aReport,
                  instant aNow);
   void MarkCold(upstream& aUpstream, instant aNow);
+  static void ApplyColdLeft(upstream& aUpstream,
+                            std::chrono::milliseconds aColdLeft,
+                            instant aNow,
+                            instant aWrittenAfter);
   upstream* Find(const steering_target& aTarget);
   bool TakesRequests(const upstream& aUpstream) const;
 
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -202,17 +202,18 @@
     // A reader always answers the first version with a snapshot.
     request.mTarget =
       UpdateTarget(WantsPeerSnapshot() ? store_version() : mState.Version());
-    request.mTimeout = mTiming.UpdateTimeout(Now());
+    instant requestedAt = Now();
+    request.mTimeout = mTiming.UpdateTimeout(requestedAt);
     std::optional<client_answer> answer = co_await Exchange(std::move(request));
     std::optional<upstream_update> update;
     if (answer && answer->mStatus == 200) {
       update = DecodeUpdate(answer->mBody);
     }
     mKernel.Counters().Add("upstream_news_total", update ? "taken" : "none");
-    co_return update&& ApplyUpdate(std::move(*update));
+    co_return update&& ApplyUpdate(std::move(*update), requestedAt);
   }
 
-  bool ApplyUpdate(upstream_update aUpdate)
+  bool ApplyUpdate(upstream_update aUpdate, instant aRequestedAt)
   {
     NoteEra(aUpdate.mVersion.mEra);
     store_version knownVersion = mState.Version();
@@ -222,11 +223,14 @@
         aUpdate.mVersion < knownVersion) {
       return false;
     }
+    bool isNext = continues && aUpdate.mAfter == knownVersion;
+    instant writtenAfter = isNext ? mAskedAt : instant::min();
     instant now = Now();
     upstream_reading reading;
     reading.mHead.mStatus = reading_status::Read;
     reading.mHead.mIsSnapshot = aUpdate.mIsSnapshot;
     reading.mHead.mVersion = aUpdate.mVersion;
+    store_version version = aUpdate.mVersion;
     std::chrono::milliseconds age = aUpdate.mAge;
     reading.mRows = ToRows(std::move(aUpdate));
     bool isRestored = mState.AwaitsEra();
@@ -241,7 +245,12 @@
                     reading.mHead.mVersion == knownVersion;
     mHasPeerSnapshot = mHasPeerSnapshot || reading.mHead.mIsSnapshot;
     if (taken || isWanted) {
-      ApplyReading(std::move(reading), isRestored, now);
+      ApplyReading(std::move(reading), isRestored, writtenAfter, now);
+    }
+    if (mState.Version() == version) {
+      // The reader answered after the request, with what it had asked the
+      // platform for that long before its answer.
+      mAskedAt = std::max(mAskedAt, aRequestedAt - age);
     }
     return true;
   }
@@ -262,7 +271,9 @@
     std::vector<upstream_change> changes;
     if (accepted) {
       mTiming.KnownAsOf(requestedAt);
-      changes = ApplyReading(std::move(reading), isRestored, now);
+      instant writtenAfter = head.mIsSnapshot ? instant::min() : mAskedAt;
+      changes = ApplyReading(std::move(reading), isRestored, writtenAfter, now);
+      mAskedAt = requestedAt;
     }
     if (accepted && after && mSettled) {
       mUpdates.Add(ToUpdate(*after, mState.Version(), changes));
@@ -289,8 +300,10 @@
   }
 
   // aIsRestored: this is the first reading since a restore of the store.
+  // aWrittenAfter: as for upstream_steering::Apply().
   std::vector<upstream_change> ApplyReading(upstream_reading aReading,
                                             bool aIsRestored,
+                                            instant aWrittenAfter,
                                             instant aNow)
   {
     std::vector<upstream_change> changes;
@@ -304,7 +317,7 @@
       } else {
         changes = directory.ApplyRows(std::move(aReading.mRows), aNow);
       }
-      aSteering.Apply(changes, aNow);
+      aSteering.Apply(changes, aNow, aWrittenAfter);
     });
     Log(changes);
     return changes;
@@ -375,6 +388,9 @@
   watch_state mState;
   update_log mUpdates;
   bool mSettled = false;
+  // When the platform was asked for the reading of mState.Version(), at the
+  // earliest. Rows of later versions were written after this.
+  instant mAskedAt = instant::min();
   bool mHasPeerSnapshot = false;       // since this instance started
   std::optional<fleet_member> mReader; // nullopt: the platform is read directly
 };
--- a/laburnumdyke/testing/platform_watch_test.cc
+++ b/laburnumdyke/testing/platform_watch_test.cc
@@ -38,6 +38,7 @@
   std::chrono::milliseconds mLastLongPoll{ 0 };
   int mRegistered = 0;
   int mWithdrawn = 0;
+  int mReadingsBegun = 0; // of upstreams
   std::uint64_t mEra = 0; // of the store
 
   template<class Function>
@@ -75,6 +76,7 @@
     std::chrono::milliseconds)
   {
     co_return sPlatform->With([&](scripted_platform& aPlatform) {
+      ++aPlatform.mReadingsBegun;
       if (aPlatform.mUnanswered.count(mInstance) > 0) {
         return upstream_reading();
       }
@@ -246,6 +248,92 @@
     });
   }
 
+  // Says that hardly any cold time is left.
+  static upstream_reading MakeRow(
+    const std::string& aId, std::uint64_t aSequence, std::uint32_t aSlots)
+  {
+    upstream_reading reading = MakeUpstreams(0, { aId });
+    reading.mRows[0].mEntry->mSequence = aSequence;
+    reading.mRows[0].mEntry->mSlots = aSlots;
+    reading.mRows[0].mEntry->mColdLeft = 1ms;
+    return reading;
+  }
+
+  // Writes a row of the upstream again, as one more version.
+  void RegisterAgain(
+    const std::string& aId, std::uint64_t aSequence, std::uint32_t aSlots)
+  {
+    mPlatform.With([&](scripted_platform& aPlatform) {
+      aPlatform.mChanges.push_back(MakeRow(aId, aSequence, aSlots));
+    });
+  }
+
+  // Evacuates the upstreams' failure domain, and takes it back just after an
+  // upstream has written its row. They are then cold for a minute.
+  void ReturnToServiceWith(
+    const std::string& aId, std::uint64_t aSequence, std::uint32_t aSlots)
+  {
+    control_reading control = MakeControl(5, 3);
+    control.mDocument->mServices[{ "s" }] = { 60s, 3.6 };
+    control.mEvacuated = { { "east-a" } };
+    Set(control);
+    CHECK(WaitWithPeer([&]() {
+      return IsEvacuated(*mKernel) && (!mPeer || IsEvacuated(*mPeer)) &&
+             LastSequence(*mKernel) == 1;
+    }));
+    control.mHead.mVersion = 6;
+    control.mEvacuated.clear();
+    mPlatform.With([&](scripted_platform& aPlatform) {
+      aPlatform.mChanges.push_back(MakeRow(aId, aSequence, aSlots));
+      aPlatform.mControl = control;
+      aPlatform.mReadingsBegun = 0;
+    });
+  }
+
+  int ReadingsBegun()
+  {
+    return mPlatform.With(
+      [](scripted_platform& aPlatform) { return aPlatform.mReadingsBegun; });
+  }
+
+  bool WaitWithPeer(const std::function<bool()>& aCondition)
+  {
+    return mPeer ? WaitWithHeartbeats(aCondition) : WaitUntil(aCondition, 10s);
+  }
+
+  static bool IsEvacuated(kernel & aKernel)
+  {
+    return steering_tables(aKernel).InForce().With(
+      [](routes_in_force& aInForce) { return !aInForce.mEvacuated.empty(); });
+  }
+
+  // The highest sequence known of an upstream; 0: none.
+  static std::uint64_t LastSequence(kernel & aKernel)
+  {
+    return steering_tables(aKernel).Steering().With(
+      [](steering_state& aSteering) {
+        std::uint64_t last = 0;
+        for (const upstream_entry& entry : aSteering.Directory().Entries()) {
+          last = std::max(last, entry.mSequence);
+        }
+        return last;
+      });
+  }
+
+  // Whether a request would go to the upstream without the limit on cold ones.
+  static bool IsUsedInFull(kernel & aKernel)
+  {
+    return steering_tables(aKernel).Steering().With(
+      [](steering_state& aSteering) {
+        instant now = std::chrono::steady_clock::now();
+        route_spec route;
+        route.mServices = { { { "s" }, 1 } };
+        steering_choice choice = aSteering.Choose(
+          { route, { "s" }, "", now, now + route.mTimeout, {} }, now);
+        return choice.mTarget && !choice.mTarget->mCold;
+      });
+  }
+
   static void ReceiveHeartbeat(kernel & aKernel, kernel & aSender)
   {
     fleet_heartbeat heartbeat = steering_tables(aSender).Fleet().With(
@@ -491,6 +579,42 @@
   CHECK(WaitWithHeartbeats([&]() { return UpstreamCount() == 3; }));
 }
 
+// Guards against a row that was written before the end of an evacuation and
+// read after it, which ends the limit on cold upstreams at the reader.
+TEST(PlatformWatch, ARowFromBeforeAReturnToServiceDoesNotEndTheColdTime)
+{
+  RegisterUpstream("a");
+  ReturnToServiceWith("a", 2, 1);
+  CHECK(WaitUntil([&]() { return LastSequence(*mKernel) == 2; }, 10s));
+  CHECK_FALSE(IsUsedInFull(*mKernel));
+  // Written after a reading that began after the return.
+  CHECK(WaitUntil([&]() { return ReadingsBegun() >= 2; }, 10s));
+  RegisterAgain("a", 3, 1);
+  CHECK(WaitUntil([&]() { return IsUsedInFull(*mKernel); }, 10s));
+}
+
+// The same at a follower. Updates leave out mere heartbeats, so the rows have
+// another number of slots.
+TEST(PlatformWatch, AFollowersUpdateFromBeforeAReturnDoesNotEndTheColdTime)
+{
+  RegisterUpstream("a");
+  StartPeer();
+  CHECK(WaitWithHeartbeats(
+    [&]() { return IsPeerFollowing() && UpstreamCountOf(*mPeer) == 1; }));
+  ReturnToServiceWith("a", 2, 2);
+  CHECK(WaitWithHeartbeats([&]() { return LastSequence(*mPeer) == 2; }));
+  CHECK_FALSE(IsUsedInFull(*mPeer));
+  CHECK_FALSE(IsUsedInFull(*mKernel));
+  bool isUsed = WaitWithHeartbeats([&]() {
+    std::uint64_t next = LastSequence(*mPeer) + 1;
+    if (LastSequence(*mKernel) < next) {
+      RegisterAgain("a", next, static_cast<std::uint32_t>(next));
+    }
+    return IsUsedInFull(*mPeer);
+  });
+  CHECK(isUsed);
+}
+
 // A follower that has lost the platform still receives updates. It must go on
 // reading the platform: it removes missing upstreams only after the recovery.
 TEST(PlatformWatch, AFollowerThatHadLostThePlatformRecovers)
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -19,6 +19,7 @@
   route_spec mRoute = ReplayRoute();
   upstream_steering mSteering{ ReplayOptions("one", "east-a") };
   std::vector<upstream_id> mTried;
+  const instant kReturn = kReplayStart + 10s;
 
   void setup() override
   {
@@ -31,11 +32,39 @@
                ReplayUpstream("w2", "west-b") });
   }
 
-  void Register(std::vector<upstream_entry> aEntries)
+  void Register(std::vector<upstream_entry> aEntries,
+                instant aNow = kReplayStart,
+                instant aWrittenAfter = instant::min())
   {
-    mSteering.Apply(
-      mSteering.Directory().Replace(std::move(aEntries), kReplayStart),
-      kReplayStart);
+    mSteering.Apply(mSteering.Directory().Replace(std::move(aEntries), aNow),
+                    aNow,
+                    aWrittenAfter);
+  }
+
+  // Takes the only upstream out of evacuation at kReturn. It has no request.
+  void ReturnToService()
+  {
+    Register({ ReplayUpstream("e3", "east-b") });
+    mSteering.SetEvacuated({ { "east-b" } }, kReplayStart);
+    mSteering.SetEvacuated({}, kReturn);
+  }
+
+  // Reads a row of the only upstream.
+  void ReadRow(std::uint64_t aSequence,
+               std::chrono::milliseconds aColdLeft,
+               instant aNow,
+               instant aWrittenAfter)
+  {
+    upstream_entry row = ReplayUpstream("e3", "east-b");
+    row.mSequence = aSequence;
+    row.mColdLeft = aColdLeft;
+    Register({ row }, aNow, aWrittenAfter);
+  }
+
+  bool IsCold(instant aNow)
+  {
+    steering_choice choice = Choose("1", aNow);
+    return !choice.mTarget || choice.mTarget->mCold;
   }
 
   steering_choice Choose(const std::string& aObject,
@@ -157,7 +186,7 @@
   STRCMP_EQUAL("", Chosen("1").c_str());
   upstream_entry again = ReplayUpstream("e1", "east-a");
   again.mSequence = 2;
-  Register({ again });
+  Register({ again }, kReplayStart, kReplayStart);
   STRCMP_EQUAL("e1", Chosen("1").c_str());
 }
 
@@ -218,20 +247,82 @@
 
 TEST(UpstreamSteering, ADomainThatReturnsToServiceCountsAsCold)
 {
-  Register({ ReplayUpstream("e3", "east-b") });
-  mSteering.SetEvacuated({ { "east-b" } }, kReplayStart);
-  mSteering.SetEvacuated({}, kReplayStart + 10s);
+  ReturnToService();
   steering_choice choice = Choose("1", kReplayStart + 10s);
   CHECK(choice.mTarget.has_value());
   mSteering.Begin(*choice.mTarget, kReplayStart + 10s);
   STRCMP_EQUAL("", Chosen("2", kReplayStart + 10100ms).c_str());
-  // Until it registers as warm.
-  upstream_entry again = ReplayUpstream("e3", "east-b");
-  again.mSequence = 2;
-  Register({ again });
+  // Until it registers as warm, having said that it was cold.
+  ReadRow(2, 2500ms, kReplayStart + 10150ms, kReturn);
+  STRCMP_EQUAL("", Chosen("2", kReplayStart + 10150ms).c_str());
+  ReadRow(3, 0ms, kReplayStart + 10200ms, kReturn + 150ms);
   STRCMP_EQUAL("e3", Chosen("2", kReplayStart + 10200ms).c_str());
 }
 
+// Guards against a row that was written before an upstream became cold, read
+// afterwards, which ends the limit on cold upstreams.
+TEST(UpstreamSteering, AnEarlierRowDoesNotEndTheColdTime)
+{
+  ReturnToService();
+  ReadRow(2, 0ms, kReturn + 100ms, kReturn - 1ms);
+  CHECK(IsCold(kReturn + 200ms));
+  ReadRow(3, 0ms, kReturn + 300ms, instant::min()); // a snapshot
+  CHECK(IsCold(kReturn + 400ms));
+  // Nor does an earlier row that gives a shorter time, but a longer one counts.
+  ReadRow(4, 500ms, kReturn + 500ms, kReturn - 1ms);
+  CHECK(IsCold(kReturn + 2900ms));
+  ReadRow(5, 2800ms, kReturn + 600ms, kReturn - 1ms);
+  CHECK(IsCold(kReturn + 3300ms));
+  CHECK_FALSE(IsCold(kReturn + 3400ms));
+}
+
+// Guards against upstreams that report only how long they stay cold after their
+// start: what they repeat says nothing about an event since.
+TEST(UpstreamSteering, ARowThatRepeatsNoColdTimeDoesNotEndIt)
+{
+  ReturnToService();
+  ReadRow(2, 0ms, kReturn + 100ms, kReturn + 50ms);
+  ReadRow(3, 0ms, kReturn + 1600ms, kReturn + 1500ms);
+  CHECK(IsCold(kReturn + 2900ms));
+  CHECK_FALSE(IsCold(kReturn + 3s));
+}
+
+// The other orders of the end of an evacuation, rows and their readings.
+TEST(UpstreamSteering, ALaterRowSaysHowLongTheColdTimeIs)
+{
+  ReturnToService();
+  ReadRow(2, 1000ms, kReturn + 100ms, kReturn);
+  CHECK(IsCold(kReturn + 1000ms));
+  CHECK_FALSE(IsCold(kReturn + 1100ms));
+  ReadRow(3, 0ms, kReturn + 200ms, kReturn + 100ms);
+  CHECK_FALSE(IsCold(kReturn + 200ms));
+  // Read before the end of the evacuation is: the limit holds.
+  mSteering.SetEvacuated({ { "east-b" } }, kReturn + 1s);
+  ReadRow(4, 1ms, kReturn + 2s, kReturn + 1s);
+  mSteering.SetEvacuated({}, kReturn + 2100ms);
+  CHECK(IsCold(kReturn + 2200ms));
+  // Without any row it ends by itself.
+  CHECK_FALSE(IsCold(kReturn + 5100ms));
+}
+
+// Guards against an upstream that gets requests again, at an address that has
+// become another one's, because of a row that it wrote before.
+TEST(UpstreamSteering, AnEarlierRowDoesNotEndAMisdirection)
+{
+  Register({ ReplayUpstream("e3", "east-b") });
+  steering_choice choice = Choose("1");
+  mSteering.Begin(*choice.mTarget, kReplayStart);
+  attempt_report report;
+  report.mWrongInstance = true;
+  mSteering.End(*choice.mTarget, report, kReturn);
+  ReadRow(2, 0ms, kReturn + 100ms, kReturn - 1ms);
+  CHECK_FALSE(Choose("1", kReturn + 200ms).mTarget.has_value());
+  ReadRow(3, 0ms, kReturn + 300ms, instant::min());
+  CHECK_FALSE(Choose("1", kReturn + 400ms).mTarget.has_value());
+  ReadRow(4, 0ms, kReturn + 500ms, kReturn);
+  CHECK(Choose("1", kReturn + 600ms).mTarget.has_value());
+}
+
 TEST_GROUP(LoadReplay){};
 
 // A quarter of the capacity for cached objects: objects stay on their first
