Tests of limits and cold times: one check for both directions, lint's names

Lint refused the name of a member of a test group (kReturn). The two cases of CallerLimits on header limits differ in their values alone and share a check.

--- a/laburnumdyke/testing/caller_limits_test.cc
+++ b/laburnumdyke/testing/caller_limits_test.cc
@@ -51,6 +51,19 @@
     }
   }
 
+  // Changes the limit while connections are idle, and checks the status of a
+  // request on each whose header is between both limits.
+  void CheckNoteAfterChange(
+    std::uint32_t aBefore, std::uint32_t aAfter, unsigned aStatus)
+  {
+    SetHeaderLimit(aBefore);
+    KeepConnections(3);
+    SetHeaderLimit(aAfter);
+    for (const std::unique_ptr<kept_connection>& kept : mKept) {
+      LONGS_EQUAL(aStatus, StatusOn(*kept, std::string(kNoteBytes, 'n')));
+    }
+  }
+
   static unsigned StatusOn(kept_connection & aConnection,
                            const std::string& aNote)
   {
@@ -64,23 +77,13 @@
 // which were idle while it changed.
 TEST(CallerLimits, AHigherHeaderLimitHoldsOnIdleConnections)
 {
-  SetHeaderLimit(kLowHeaderLimit);
-  KeepConnections(3);
-  SetHeaderLimit(kHighHeaderLimit);
-  for (const std::unique_ptr<kept_connection>& kept : mKept) {
-    LONGS_EQUAL(200, StatusOn(*kept, std::string(kNoteBytes, 'n')));
-  }
+  CheckNoteAfterChange(kLowHeaderLimit, kHighHeaderLimit, 200);
 }
 
 // The same the other way round.
 TEST(CallerLimits, ALowerHeaderLimitHoldsOnIdleConnections)
 {
-  SetHeaderLimit(kHighHeaderLimit);
-  KeepConnections(3);
-  SetHeaderLimit(kLowHeaderLimit);
-  for (const std::unique_ptr<kept_connection>& kept : mKept) {
-    LONGS_EQUAL(431, StatusOn(*kept, std::string(kNoteBytes, 'n')));
-  }
+  CheckNoteAfterChange(kHighHeaderLimit, kLowHeaderLimit, 431);
 }
 
 // Guards against connections that are closed by the idle timeout of the former
--- a/laburnumdyke/testing/upstream_steering_test.cc
+++ b/laburnumdyke/testing/upstream_steering_test.cc
@@ -19,7 +19,7 @@
   route_spec mRoute = ReplayRoute();
   upstream_steering mSteering{ ReplayOptions("one", "east-a") };
   std::vector<upstream_id> mTried;
-  const instant kReturn = kReplayStart + 10s;
+  const instant mReturn = kReplayStart + 10s;
 
   void setup() override
   {
@@ -41,12 +41,12 @@
                     aWrittenAfter);
   }
 
-  // Takes the only upstream out of evacuation at kReturn. It has no request.
+  // Takes the only upstream out of evacuation at mReturn. It has no request.
   void ReturnToService()
   {
     Register({ ReplayUpstream("e3", "east-b") });
     mSteering.SetEvacuated({ { "east-b" } }, kReplayStart);
-    mSteering.SetEvacuated({}, kReturn);
+    mSteering.SetEvacuated({}, mReturn);
   }
 
   // Reads a row of the only upstream.
@@ -253,9 +253,9 @@
   mSteering.Begin(*choice.mTarget, kReplayStart + 10s);
   STRCMP_EQUAL("", Chosen("2", kReplayStart + 10100ms).c_str());
   // Until it registers as warm, having said that it was cold.
-  ReadRow(2, 2500ms, kReplayStart + 10150ms, kReturn);
+  ReadRow(2, 2500ms, kReplayStart + 10150ms, mReturn);
   STRCMP_EQUAL("", Chosen("2", kReplayStart + 10150ms).c_str());
-  ReadRow(3, 0ms, kReplayStart + 10200ms, kReturn + 150ms);
+  ReadRow(3, 0ms, kReplayStart + 10200ms, mReturn + 150ms);
   STRCMP_EQUAL("e3", Chosen("2", kReplayStart + 10200ms).c_str());
 }
 
@@ -264,16 +264,16 @@
 TEST(UpstreamSteering, AnEarlierRowDoesNotEndTheColdTime)
 {
   ReturnToService();
-  ReadRow(2, 0ms, kReturn + 100ms, kReturn - 1ms);
-  CHECK(IsCold(kReturn + 200ms));
-  ReadRow(3, 0ms, kReturn + 300ms, instant::min()); // a snapshot
-  CHECK(IsCold(kReturn + 400ms));
+  ReadRow(2, 0ms, mReturn + 100ms, mReturn - 1ms);
+  CHECK(IsCold(mReturn + 200ms));
+  ReadRow(3, 0ms, mReturn + 300ms, instant::min()); // a snapshot
+  CHECK(IsCold(mReturn + 400ms));
   // Nor does an earlier row that gives a shorter time, but a longer one counts.
-  ReadRow(4, 500ms, kReturn + 500ms, kReturn - 1ms);
-  CHECK(IsCold(kReturn + 2900ms));
-  ReadRow(5, 2800ms, kReturn + 600ms, kReturn - 1ms);
-  CHECK(IsCold(kReturn + 3300ms));
-  CHECK_FALSE(IsCold(kReturn + 3400ms));
+  ReadRow(4, 500ms, mReturn + 500ms, mReturn - 1ms);
+  CHECK(IsCold(mReturn + 2900ms));
+  ReadRow(5, 2800ms, mReturn + 600ms, mReturn - 1ms);
+  CHECK(IsCold(mReturn + 3300ms));
+  CHECK_FALSE(IsCold(mReturn + 3400ms));
 }
 
 // Guards against upstreams that report only how long they stay cold after their
@@ -281,28 +281,28 @@
 TEST(UpstreamSteering, ARowThatRepeatsNoColdTimeDoesNotEndIt)
 {
   ReturnToService();
-  ReadRow(2, 0ms, kReturn + 100ms, kReturn + 50ms);
-  ReadRow(3, 0ms, kReturn + 1600ms, kReturn + 1500ms);
-  CHECK(IsCold(kReturn + 2900ms));
-  CHECK_FALSE(IsCold(kReturn + 3s));
+  ReadRow(2, 0ms, mReturn + 100ms, mReturn + 50ms);
+  ReadRow(3, 0ms, mReturn + 1600ms, mReturn + 1500ms);
+  CHECK(IsCold(mReturn + 2900ms));
+  CHECK_FALSE(IsCold(mReturn + 3s));
 }
 
 // The other orders of the end of an evacuation, rows and their readings.
 TEST(UpstreamSteering, ALaterRowSaysHowLongTheColdTimeIs)
 {
   ReturnToService();
-  ReadRow(2, 1000ms, kReturn + 100ms, kReturn);
-  CHECK(IsCold(kReturn + 1000ms));
-  CHECK_FALSE(IsCold(kReturn + 1100ms));
-  ReadRow(3, 0ms, kReturn + 200ms, kReturn + 100ms);
-  CHECK_FALSE(IsCold(kReturn + 200ms));
+  ReadRow(2, 1000ms, mReturn + 100ms, mReturn);
+  CHECK(IsCold(mReturn + 1000ms));
+  CHECK_FALSE(IsCold(mReturn + 1100ms));
+  ReadRow(3, 0ms, mReturn + 200ms, mReturn + 100ms);
+  CHECK_FALSE(IsCold(mReturn + 200ms));
   // Read before the end of the evacuation is: the limit holds.
-  mSteering.SetEvacuated({ { "east-b" } }, kReturn + 1s);
-  ReadRow(4, 1ms, kReturn + 2s, kReturn + 1s);
-  mSteering.SetEvacuated({}, kReturn + 2100ms);
-  CHECK(IsCold(kReturn + 2200ms));
+  mSteering.SetEvacuated({ { "east-b" } }, mReturn + 1s);
+  ReadRow(4, 1ms, mReturn + 2s, mReturn + 1s);
+  mSteering.SetEvacuated({}, mReturn + 2100ms);
+  CHECK(IsCold(mReturn + 2200ms));
   // Without any row it ends by itself.
-  CHECK_FALSE(IsCold(kReturn + 5100ms));
+  CHECK_FALSE(IsCold(mReturn + 5100ms));
 }
 
 // Guards against an upstream that gets requests again, at an address that has
@@ -314,13 +314,13 @@
   mSteering.Begin(*choice.mTarget, kReplayStart);
   attempt_report report;
   report.mWrongInstance = true;
-  mSteering.End(*choice.mTarget, report, kReturn);
-  ReadRow(2, 0ms, kReturn + 100ms, kReturn - 1ms);
-  CHECK_FALSE(Choose("1", kReturn + 200ms).mTarget.has_value());
-  ReadRow(3, 0ms, kReturn + 300ms, instant::min());
-  CHECK_FALSE(Choose("1", kReturn + 400ms).mTarget.has_value());
-  ReadRow(4, 0ms, kReturn + 500ms, kReturn);
-  CHECK(Choose("1", kReturn + 600ms).mTarget.has_value());
+  mSteering.End(*choice.mTarget, report, mReturn);
+  ReadRow(2, 0ms, mReturn + 100ms, mReturn - 1ms);
+  CHECK_FALSE(Choose("1", mReturn + 200ms).mTarget.has_value());
+  ReadRow(3, 0ms, mReturn + 300ms, instant::min());
+  CHECK_FALSE(Choose("1", mReturn + 400ms).mTarget.has_value());
+  ReadRow(4, 0ms, mReturn + 500ms, mReturn);
+  CHECK(Choose("1", mReturn + 600ms).mTarget.has_value());
 }
 
 TEST_GROUP(LoadReplay){};
