Followers learn of an upstream that joined and left between two readings

Change: an update also names the upstreams that the reading has removed and that the reader doesn't know. Ids that the reader still keeps, as missing in a grace period, are left out as before.

Evidence: UpdateLog.AFollowerLearnsOfADepartureThatIsNoChangeOfTheReader fails without the added ids and passes with them. The case in UpdateLog.HeartbeatsAreLeftOut passes ids too and expects one more.

--- a/laburnumdyke/decision/upstream_directory.h
+++ b/laburnumdyke/decision/upstream_directory.h
@@ -128,6 +128,9 @@
   // Removes upstreams still missing after the grace period.
   std::vector<upstream_change> Expire(instant aNow);
 
+  // Whether aId is listed, or missing and not removed yet.
+  bool Knows(const upstream_id& aId) const { return mKnown.count(aId) > 0; }
+
   // All entries that are not missing.
   std::vector<upstream_entry> Entries() const;
 
--- a/laburnumdyke/decision/upstream_update.cc
+++ b/laburnumdyke/decision/upstream_update.cc
@@ -83,10 +83,27 @@
   return merged;
 }
 
+std::vector<upstream_id>
+RemovedIds(const std::vector<upstream_row>& aRows)
+{
+  std::map<upstream_id, bool> isRemoved; // by the last row
+  for (const upstream_row& row : aRows) {
+    isRemoved[row.mId] = !row.mEntry;
+  }
+  std::vector<upstream_id> removed;
+  for (const std::pair<const upstream_id, bool>& one : isRemoved) {
+    if (one.second) {
+      removed.push_back(one.first);
+    }
+  }
+  return removed;
+}
+
 upstream_update
 ToUpdate(store_version aAfter,
          store_version aVersion,
-         const std::vector<upstream_change>& aChanges)
+         const std::vector<upstream_change>& aChanges,
+         const std::vector<upstream_id>& aGone)
 {
   upstream_update update;
   update.mAfter = aAfter;
@@ -98,6 +115,11 @@
       lastChanges[change.mEntry.mId] = &change;
     }
   }
+  for (const upstream_id& gone : aGone) {
+    if (lastChanges.count(gone) == 0) {
+      update.mRemovedIds.push_back(gone);
+    }
+  }
   for (const std::pair<const upstream_id, const upstream_change*>& one :
        lastChanges) {
     if (one.second->mKind == upstream_change_kind::Left) {
--- a/laburnumdyke/decision/upstream_update.h
+++ b/laburnumdyke/decision/upstream_update.h
@@ -66,11 +66,18 @@
   std::deque<upstream_update> mReadings;
 };
 
+// The upstreams whose last row is a removal.
+std::vector<upstream_id>
+RemovedIds(const std::vector<upstream_row>& aRows);
+
 // Builds the update of a reading from aChanges, the changes that the directory
-// reported for it. Heartbeats are left out.
+// reported for it. Heartbeats are left out. aGone: upstreams that the reading
+// has removed. One that joined and left within the reading is no change of the
+// reader's directory, but a follower may know it from a reading in between.
 upstream_update
 ToUpdate(store_version aAfter,
          store_version aVersion,
-         const std::vector<upstream_change>& aChanges);
+         const std::vector<upstream_change>& aChanges,
+         const std::vector<upstream_id>& aGone);
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -269,6 +269,7 @@
     LogOutageChange(mKernel, mState, "upstreams");
     UpdatePlatformState(now);
     std::vector<upstream_change> changes;
+    std::vector<upstream_id> gone = RemovedIds(reading.mRows);
     if (accepted) {
       mTiming.KnownAsOf(requestedAt);
       instant writtenAfter = head.mIsSnapshot ? instant::min() : mAskedAt;
@@ -276,7 +277,8 @@
       mAskedAt = requestedAt;
     }
     if (accepted && after && mSettled) {
-      mUpdates.Add(ToUpdate(*after, mState.Version(), changes));
+      KeepUnknown(gone);
+      mUpdates.Add(ToUpdate(*after, mState.Version(), changes, gone));
       mUpdateTimer.cancel();
     } else {
       ClearUpdates();
@@ -284,6 +286,16 @@
     co_return accepted;
   }
 
+  // Drops the upstreams that the directory still knows.
+  void KeepUnknown(std::vector<upstream_id>& aIds)
+  {
+    mTables.Steering().With([&](steering_state& aSteering) {
+      std::erase_if(aIds, [&](const upstream_id& aId) {
+        return aSteering.Directory().Knows(aId);
+      });
+    });
+  }
+
   // Records an era and passes it on to platform_watch and to peers.
   void NoteEra(std::uint64_t aEra)
   {
--- a/laburnumdyke/testing/steering_parts_test.cc
+++ b/laburnumdyke/testing/steering_parts_test.cc
@@ -255,7 +255,7 @@
     mDirectory.Put(Entry("a", 2), kStart + 7s);
   CHECK(Kinds(changes) ==
         std::vector<upstream_change_kind>{ upstream_change_kind::Returned });
-  LONGS_EQUAL(1, ToUpdate(1, 2, changes).mEntries.size());
+  LONGS_EQUAL(1, ToUpdate(1, 2, changes, {}).mEntries.size());
 }
 
 TEST(UpstreamDirectory, ANewIncarnationOfTheSameNameIsARestart)
--- a/laburnumdyke/testing/upstream_update_test.cc
+++ b/laburnumdyke/testing/upstream_update_test.cc
@@ -165,12 +165,39 @@
                { upstream_change_kind::Renewed, Entry("b", 2) },
                { upstream_change_kind::Updated, draining },
                { upstream_change_kind::Restarted, Entry("d", 1) },
-               { upstream_change_kind::Left, Entry("d", 1) } });
+               { upstream_change_kind::Left, Entry("d", 1) } },
+             { { "d" }, { "e" } });
   LONGS_EQUAL(3, update.mAfter.mVersion);
   LONGS_EQUAL(8, update.mVersion.mVersion);
   LONGS_EQUAL(2, update.mEntries.size());
   CHECK(update.mEntries[1].mDraining);
-  CHECK(update.mRemovedIds == std::vector<upstream_id>{ { "d" } });
+  CHECK(update.mRemovedIds == (std::vector<upstream_id>{ { "e" }, { "d" } }));
+}
+
+// Guards against an upstream that joins and leaves between two readings of the
+// reader: a follower that has read the platform in between would keep it.
+TEST(UpdateLog, AFollowerLearnsOfADepartureThatIsNoChangeOfTheReader)
+{
+  upstream_directory reader;
+  upstream_directory follower;
+  for (upstream_directory* one : { &reader, &follower }) {
+    one->ApplyRows({ { { "a" }, Entry("a", 1) } }, kStart);
+  }
+  follower.ApplyRows({ { { "b" }, Entry("b", 1) } }, kStart); // version 2
+  const std::vector<upstream_row> rows = {
+    { { "b" }, Entry("b", 1) },
+    { { "c" }, std::nullopt },
+    { { "b" }, std::nullopt },
+    { { "c" }, Entry("c", 1) },
+  };
+  std::vector<upstream_change> changes = reader.ApplyRows(rows, kStart);
+  CHECK(RemovedIds(rows) == std::vector<upstream_id>{ { "b" } });
+  CHECK_FALSE(reader.Knows({ "b" }));
+  update_log log;
+  log.Add(ToUpdate(1, 3, changes, RemovedIds(rows)));
+  follower.ApplyRows(ToRows(*log.Since(2)), kStart);
+  CHECK_FALSE(follower.Knows({ "b" }));
+  CHECK(follower.Knows({ "a" }) && follower.Knows({ "c" }));
 }
 
 // Checked against the state at each version, built by applying every reading in
