Attempts say why no connection could be set up

The log of an attempt that ended not_sent didn't tell a crashed upstream (no process listens) from a silent machine or link.

--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -119,6 +119,7 @@
   bool mQueueFull = false;          // refused, not executed: queue full
   bool mWrongInstance = false;      // its address belongs to another upstream
   std::optional<duration> mConnect; // connect time of a new connection
+  bool mRefusedConnection = false;  // no process listens at its address
 };
 
 // An upstream has become slow, or usual again; for the log.
--- a/laburnumdyke/plugin/steered_log.cc
+++ b/laburnumdyke/plugin/steered_log.cc
@@ -163,6 +163,7 @@
     { "instances", std::to_string(aTarget.mInstances) },
     { "load", LoadText(aOutcome.mLoad) },
     { "end", std::string(ToString(aOutcome.mEnd)) },
+    { "connect", std::string(ToString(aOutcome.mConnectFailure)) },
     { "status", std::to_string(aOutcome.mStatus) },
     { "expected_wait_ms", MillisecondsText(aTarget.mExpectedWait) },
     { "took_ms", MillisecondsText(aTook) }
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -35,6 +35,16 @@
                                            : attempt_ending::Lost;
 }
 
+connect_failure
+ConnectFailureOf(error_code aFailure)
+{
+  if (aFailure == asio::error::connection_refused) {
+    return connect_failure::Refused;
+  }
+  return aFailure == beast::error::timeout ? connect_failure::TimedOut
+                                           : connect_failure::Other;
+}
+
 // Decides from the header alone. Returns nullopt if the answer is to be
 // forwarded.
 std::optional<attempt_ending>
@@ -94,6 +104,22 @@
   return "unknown";
 }
 
+std::string_view
+ToString(connect_failure aFailure)
+{
+  switch (aFailure) {
+    case connect_failure::None:
+      return "none";
+    case connect_failure::Refused:
+      return "refused";
+    case connect_failure::TimedOut:
+      return "timed_out";
+    case connect_failure::Other:
+      return "other";
+  }
+  return "unknown";
+}
+
 asio::awaitable<attempt_outcome>
 AttemptUpstream(const exchange_tables& aTables,
                 http_exchange& aExchange,
@@ -104,6 +130,7 @@
   error_code failure =
     co_await ConnectUpstream(aTables.mPool, aAttempt, connection, outcome);
   if (failure) {
+    outcome.mConnectFailure = ConnectFailureOf(failure);
     co_return outcome;
   }
   // The caller may have left while the connection was being set up.
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -82,6 +82,18 @@
 std::string_view
 ToString(attempt_ending aEnd);
 
+// Why no connection could be set up.
+enum class connect_failure
+{
+  None,
+  Refused,  // no process listens there
+  TimedOut, // the machine or the network is silent
+  Other,
+};
+
+std::string_view
+ToString(connect_failure aFailure);
+
 struct attempt_outcome
 {
   attempt_ending mEnd = attempt_ending::NotSent;
@@ -90,6 +102,7 @@
   std::optional<reported_load> mLoad;
   bool mMalformedLoad = false;      // a load was reported but can't be read
   std::optional<duration> mConnect; // time to set up a new connection
+  connect_failure mConnectFailure = connect_failure::None;
 };
 
 struct exchange_tables
