An upstream that refused a connection counts as cold until it is known again

Callers saw upstreams break off their requests: an upstream that had crashed and started again under its old name was flooded while cold, and crashed again.

Cause: instances learn of a start from the upstream's row alone, which they read 0.4 s to 1 s after it. Meanwhile the old row says warm, and the limiter of cold upstreams isn't asked.

Change: a refused connection shows that the process has ended. From then on the upstream counts as cold, what was learned of it is dropped, and requests chosen before aren't sent (the mark is asked again right before the send). This ends with the row of the new start, with a row of the known start written a second later, with the cold time after its first answer, or after 15 s. The limiter also counts sends to an upstream that seems warm, which may turn out to be cold just after.

Instances without a refused connection still take the upstream for warm.

--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -58,16 +58,18 @@
 upstream_steering::Find(const steering_target& aTarget)
 {
   auto found = mUpstreams.find(aTarget.mId);
-  bool isSameIncarnation =
-    found != mUpstreams.end() && found->second.mEntry.mBorn == aTarget.mBorn;
-  return isSameIncarnation ? &found->second : nullptr;
+  bool isSameStart = found != mUpstreams.end() &&
+                     found->second.mEntry.mBorn == aTarget.mBorn &&
+                     found->second.mStart == aTarget.mStart;
+  return isSameStart ? &found->second : nullptr;
 }
 
 bool
-upstream_steering::MaySend(const steering_target& aTarget)
+upstream_steering::MaySend(const steering_target& aTarget, instant aNow)
 {
   const upstream* target = Find(aTarget);
-  return target != nullptr && TakesRequests(*target);
+  return target != nullptr && TakesRequests(*target) &&
+         (aTarget.mCold || !IsCold(*target, aNow));
 }
 
 void
@@ -79,9 +81,8 @@
   }
   target->mLoad.Begin();
   target->mSpeed.RecordSend(aNow);
-  if (IsCold(*target, aNow)) {
-    mColdStartLimiter.RecordSend(aTarget.mId, aNow);
-  }
+  // Also of a warm upstream, which may turn out to be cold just after.
+  mColdStartLimiter.RecordSend(aTarget.mId, aNow);
 }
 
 work_estimate&
@@ -154,6 +155,9 @@
     target->mMisdirected = aNow;
     return std::nullopt;
   }
+  if (aReport.mRefusedConnection) {
+    SuspectRestart(*target, aNow);
+  }
   bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
   target->mHealth.RecordAttempt(
     aReport.mResult, std::chrono::milliseconds(0), aNow);
@@ -161,6 +165,7 @@
     MarkCold(*target, aNow);
   }
   if (aReport.mResult == attempt_result::Answered) {
+    target->mRestart.RecordAnswer(RulesOf(*target).mColdTime, aNow);
     AddSample(*target, aTarget, aReport, aNow);
   }
   return TakeNotice(*target, aNow);
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -48,13 +48,21 @@
     }
     bool isNew = change.mKind == upstream_change_kind::Joined ||
                  change.mKind == upstream_change_kind::Restarted;
+    upstream& known = mUpstreams[entry.mId];
     if (isNew) {
-      mUpstreams[entry.mId] = upstream();
-      mUpstreams[entry.mId].mSpeed = upstream_speed(SpreadOf(entry.mId));
+      known.mEntry = entry;
+      known.mStart += change.mKind == upstream_change_kind::Restarted ? 1 : 0;
+      ForgetStart(known);
+      known.mHealth = {};
+      known.mColdUntil = aNow + entry.mColdLeft;
+      known.mFoundCold = instant::min();
+      known.mRestart = {};
+      known.mMisdirected.reset();
+    } else {
+      ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
+      known.mRestart.RecordRegistration(aWrittenAfter);
+      known.mEntry = entry;
     }
-    upstream& known = mUpstreams[entry.mId];
-    ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
-    known.mEntry = entry;
     known.mRegion = RegionOf(entry.mDomain);
     if (known.mMisdirected && aWrittenAfter >= *known.mMisdirected) {
       known.mMisdirected.reset();
@@ -80,12 +88,37 @@
                            : std::max(aUpstream.mColdUntil, coldUntil);
 }
 
+service_rules
+upstream_steering::RulesOf(const upstream& aUpstream) const
+{
+  return mRoutes ? mRoutes->Rules(aUpstream.mEntry.mService) : service_rules();
+}
+
+void
+upstream_steering::ForgetStart(upstream& aUpstream)
+{
+  aUpstream.mLoad = {};
+  aUpstream.mSlowness = 1;
+  aUpstream.mSlownessUpdated = {};
+  aUpstream.mRecent = {};
+  aUpstream.mSpeed = upstream_speed(SpreadOf(aUpstream.mEntry.mId));
+}
+
+void
+upstream_steering::SuspectRestart(upstream& aUpstream, instant aNow)
+{
+  if (!aUpstream.mRestart.Holds(aNow)) {
+    ++aUpstream.mStart;
+    ForgetStart(aUpstream);
+  }
+  aUpstream.mRestart.Suspect(aNow);
+}
+
 void
 upstream_steering::MarkCold(upstream& aUpstream, instant aNow)
 {
-  service_rules rules =
-    mRoutes ? mRoutes->Rules(aUpstream.mEntry.mService) : service_rules();
-  aUpstream.mColdUntil = std::max(aUpstream.mColdUntil, aNow + rules.mColdTime);
+  aUpstream.mColdUntil =
+    std::max(aUpstream.mColdUntil, aNow + RulesOf(aUpstream).mColdTime);
   aUpstream.mFoundCold = aNow;
 }
 
@@ -138,7 +171,7 @@
 bool
 upstream_steering::IsCold(const upstream& aUpstream, instant aNow) const
 {
-  return aNow < aUpstream.mColdUntil;
+  return aNow < aUpstream.mColdUntil || aUpstream.mRestart.Holds(aNow);
 }
 
 const std::vector<const upstream_steering::upstream*>&
@@ -290,6 +323,7 @@
                                     aRequest.mRoute.mName,
                                     std::string(aRequest.mObject),
                                     entry.mBorn,
+                                    chosen->mUpstream->mStart,
                                     chosen->mWait,
                                     IsCold(*chosen->mUpstream, aNow),
                                     mFleetSize };
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -18,7 +18,7 @@
 //   if (choice.mTarget) {
 //     steering.Begin(*choice.mTarget, now);
 //     ... connect ...
-//     if (steering.MaySend(*choice.mTarget)) ...
+//     if (steering.MaySend(*choice.mTarget, now)) ...
 //     steering.End(*choice.mTarget, report, now);
 //   }
 //   choice_explanation next = steering.Explain(request, limits, now);
@@ -34,6 +34,7 @@
 #include "laburnumdyke/decision/recent_objects.h"
 #include "laburnumdyke/decision/region_balance.h"
 #include "laburnumdyke/decision/region_spillover.h"
+#include "laburnumdyke/decision/restart_suspicion.h"
 #include "laburnumdyke/decision/route_table.h"
 #include "laburnumdyke/decision/service_load.h"
 #include "laburnumdyke/decision/upstream_directory.h"
@@ -95,6 +96,7 @@
   std::string mRoute;
   std::string mObject;
   std::chrono::milliseconds mBorn{ 0 };
+  std::uint64_t mStart = 0; // counts the starts seen; see upstream::mStart
   duration mExpectedWait{}; // in the upstream's queue
   bool mCold = false;
   std::size_t mInstances = 1; // size of the fleet at the time of choice
@@ -168,8 +170,9 @@
                              explanation_limits aLimits,
                              instant aNow) const;
   // Whether a request may still be sent to the chosen upstream. Ask right
-  // before the send: the upstream may have begun to leave since the choice.
-  bool MaySend(const steering_target& aTarget);
+  // before the send: since the choice the upstream may have begun to leave, or
+  // have started again or become cold.
+  bool MaySend(const steering_target& aTarget, instant aNow);
   void Begin(const steering_target& aTarget, instant aNow);
   // Returns a notice if the attempt has shown that the upstream's learned speed
   // has changed.
@@ -196,6 +199,10 @@
     instant mColdUntil{};
     // When an event, rather than a row, last showed that it was cold.
     instant mFoundCold = instant::min();
+    restart_suspicion mRestart;
+    // Increases when it starts again, or may have done so: attempts chosen
+    // before are not sent, and teach nothing.
+    std::uint64_t mStart = 0;
     // When another upstream answered at its address; until a later row.
     std::optional<instant> mMisdirected;
     double mSlowness = 1; // service time relative to the route's estimate
@@ -410,6 +417,11 @@
                  const attempt_report& aReport,
                  instant aNow);
   void MarkCold(upstream& aUpstream, instant aNow);
+  service_rules RulesOf(const upstream& aUpstream) const;
+  // Drops what was learned of a start of the upstream that has ended.
+  void ForgetStart(upstream& aUpstream);
+  // A connection was refused: its process has ended.
+  void SuspectRestart(upstream& aUpstream, instant aNow);
   static void ApplyColdLeft(upstream& aUpstream,
                             std::chrono::milliseconds aColdLeft,
                             instant aNow,
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -233,8 +233,9 @@
       return Dialect::ReadAnswer(aHead, aRequest.mCaller.mId);
     };
     attempt.mMaySend = [this, &aTarget]() {
-      return mTables.Steering().With(
-        [&](steering_state& aSteering) { return aSteering.MaySend(aTarget); });
+      return mTables.Steering().With([&](steering_state& aSteering) {
+        return aSteering.MaySend(aTarget, Now());
+      });
     };
     attempt.mDeadline = aRequest.mDeadline;
     attempt.mIdempotent = aRequest.mRoute->mIdempotent;
