Instances tell each other of upstreams that have refused a connection

An instance that sent nothing to an upstream while it was down still took its next start for the former one until the new row was read.

Change: the first instance that meets a refused connection tells those of its region directly, and two instances of each failure domain of the others, which pass it on. The report names the start that it knew, so that it can't be taken for the next one. A reader of the store passes on the heartbeats of such upstreams, which refute a suspicion, to its followers.

Ruled out: connections that time out or break are no sign of an end; a cut link would turn the upstreams behind it cold for the whole fleet.

--- a/laburnumdyke/decision/restart_suspicion.h
+++ b/laburnumdyke/decision/restart_suspicion.h
@@ -24,6 +24,16 @@
 
 namespace laburnumdyke {
 
+// Tells other instances of a refused connection. mBorn: the start of the
+// upstream that the instance knew, see upstream_entry.
+struct restart_report
+{
+  upstream_id mId;
+  std::chrono::milliseconds mBorn{ 0 };
+
+  bool operator==(const restart_report&) const = default;
+};
+
 class restart_suspicion
 {
 public:
@@ -36,6 +46,7 @@
   void Suspect(instant aNow)
   {
     mSince = aNow;
+    mLast = aNow;
     mUntil = aNow + kMaxTime;
   }
 
@@ -57,8 +68,15 @@
 
   bool Holds(instant aNow) const { return mSince && aNow < mUntil; }
 
+  // Whether it holds or has held within aTime.
+  bool HeldWithin(duration aTime, instant aNow) const
+  {
+    return mLast && aNow < *mLast + aTime;
+  }
+
 private:
-  std::optional<instant> mSince; // the last evidence
+  std::optional<instant> mSince; // the last evidence; nullopt: refuted
+  std::optional<instant> mLast;  // the last evidence, refuted or not
   instant mUntil{};
 };
 
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -155,8 +155,8 @@
     target->mMisdirected = aNow;
     return std::nullopt;
   }
-  if (aReport.mRefusedConnection) {
-    SuspectRestart(*target, aNow);
+  if (aReport.mRefusedConnection && SuspectRestart(*target, aNow)) {
+    mRestartReports.push_back({ target->mEntry.mId, target->mEntry.mBorn });
   }
   bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
   target->mHealth.RecordAttempt(
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace laburnumdyke {
 
@@ -104,14 +105,43 @@
   aUpstream.mSpeed = upstream_speed(SpreadOf(aUpstream.mEntry.mId));
 }
 
-void
+bool
 upstream_steering::SuspectRestart(upstream& aUpstream, instant aNow)
 {
-  if (!aUpstream.mRestart.Holds(aNow)) {
+  bool isNew = !aUpstream.mRestart.Holds(aNow);
+  if (isNew) {
     ++aUpstream.mStart;
     ForgetStart(aUpstream);
   }
   aUpstream.mRestart.Suspect(aNow);
+  return isNew;
+}
+
+std::vector<restart_report>
+upstream_steering::TakeRestartReports()
+{
+  return std::exchange(mRestartReports, {});
+}
+
+bool
+upstream_steering::LearnRestart(const restart_report& aReport, instant aNow)
+{
+  auto found = mUpstreams.find(aReport.mId);
+  return found != mUpstreams.end() &&
+         found->second.mEntry.mBorn == aReport.mBorn &&
+         SuspectRestart(found->second, aNow);
+}
+
+std::set<upstream_id>
+upstream_steering::RecentlySuspected(instant aNow) const
+{
+  std::set<upstream_id> suspected;
+  for (const std::pair<const upstream_id, upstream>& known : mUpstreams) {
+    if (known.second.mRestart.HeldWithin(restart_suspicion::kMaxTime, aNow)) {
+      suspected.insert(known.first);
+    }
+  }
+  return suspected;
 }
 
 void
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -174,6 +174,15 @@
   // have started again or become cold.
   bool MaySend(const steering_target& aTarget, instant aNow);
   void Begin(const steering_target& aTarget, instant aNow);
+  // Upstreams that may have started again, as seen by this instance and not
+  // known from other instances; each is returned once.
+  std::vector<restart_report> TakeRestartReports();
+  // Applies a report of another instance. Returns whether it was news.
+  bool LearnRestart(const restart_report& aReport, instant aNow);
+  // Upstreams whose current start may be in doubt somewhere: their
+  // registrations matter to other instances even if nothing has changed.
+  std::set<upstream_id> RecentlySuspected(instant aNow) const;
+
   // Returns a notice if the attempt has shown that the upstream's learned speed
   // has changed.
   std::optional<speed_notice> End(const steering_target& aTarget,
@@ -420,8 +429,9 @@
   service_rules RulesOf(const upstream& aUpstream) const;
   // Drops what was learned of a start of the upstream that has ended.
   void ForgetStart(upstream& aUpstream);
-  // A connection was refused: its process has ended.
-  void SuspectRestart(upstream& aUpstream, instant aNow);
+  // A connection was refused: its process has ended. Returns whether this was
+  // not suspected yet.
+  bool SuspectRestart(upstream& aUpstream, instant aNow);
   static void ApplyColdLeft(upstream& aUpstream,
                             std::chrono::milliseconds aColdLeft,
                             instant aNow,
@@ -448,6 +458,7 @@
   std::map<service_id, contention> mContentions;
   std::map<service_id, std::map<region_id, service_load>> mServiceLoads;
   std::map<domain_id, duration> mRoundTrips; // round trip times
+  std::vector<restart_report> mRestartReports;
   std::mt19937_64 mRandom;
 };
 
--- a/laburnumdyke/decision/upstream_update.cc
+++ b/laburnumdyke/decision/upstream_update.cc
@@ -103,7 +103,8 @@
 ToUpdate(store_version aAfter,
          store_version aVersion,
          const std::vector<upstream_change>& aChanges,
-         const std::vector<upstream_id>& aGone)
+         const std::vector<upstream_id>& aGone,
+         const std::set<upstream_id>& aSuspected)
 {
   upstream_update update;
   update.mAfter = aAfter;
@@ -111,7 +112,8 @@
   // The last change of each upstream wins.
   std::map<upstream_id, const upstream_change*> lastChanges;
   for (const upstream_change& change : aChanges) {
-    if (change.mKind != upstream_change_kind::Renewed) {
+    if (change.mKind != upstream_change_kind::Renewed ||
+        aSuspected.count(change.mEntry.mId) > 0) {
       lastChanges[change.mEntry.mId] = &change;
     }
   }
--- a/laburnumdyke/decision/upstream_update.h
+++ b/laburnumdyke/decision/upstream_update.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace laburnumdyke {
@@ -71,13 +72,16 @@
 RemovedIds(const std::vector<upstream_row>& aRows);
 
 // Builds the update of a reading from aChanges, the changes that the directory
-// reported for it. Heartbeats are left out. aGone: upstreams that the reading
-// has removed. One that joined and left within the reading is no change of the
-// reader's directory, but a follower may know it from a reading in between.
+// reported for it. Heartbeats are left out, except those of upstreams in
+// aSuspected, which end a suspicion elsewhere. aGone: upstreams that the
+// reading has removed. One that joined and left within the reading is no change
+// of the reader's directory, but a follower may know it from a reading in
+// between.
 upstream_update
 ToUpdate(store_version aAfter,
          store_version aVersion,
          const std::vector<upstream_change>& aChanges,
-         const std::vector<upstream_id>& aGone);
+         const std::vector<upstream_id>& aGone,
+         const std::set<upstream_id>& aSuspected = {});
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/fleet_codec.cc
+++ b/laburnumdyke/plugin/fleet_codec.cc
@@ -150,6 +150,29 @@
   return message;
 }
 
+// Returns monostate unless both lists have the same length.
+fleet_message
+DecodeRestarts(const proto::restart_notice& aNotice)
+{
+  int count = aNotice.upstreams_size();
+  bool isValid = count <= static_cast<int>(kMaxRestartReports) &&
+                 aNotice.born_ms_size() == count;
+  if (!isValid) {
+    return {};
+  }
+  restart_message message;
+  message.mRelayed = aNotice.relayed();
+  for (int i = 0; i < count; ++i) {
+    if (aNotice.born_ms(i) > kMaxPlatformTimeMs) {
+      return {};
+    }
+    message.mReports.push_back(
+      { { aNotice.upstreams(i) },
+        std::chrono::milliseconds(aNotice.born_ms(i)) });
+  }
+  return message;
+}
+
 } // namespace
 
 std::string
@@ -220,6 +243,21 @@
   return message.SerializeAsString();
 }
 
+std::string
+EncodeRestarts(const restart_message& aMessage)
+{
+  proto::fleet_heartbeat message;
+  proto::restart_notice& notice = *message.mutable_restarts();
+  notice.set_relayed(aMessage.mRelayed);
+  std::size_t count = std::min(aMessage.mReports.size(), kMaxRestartReports);
+  for (std::size_t i = 0; i < count; ++i) {
+    const restart_report& report = aMessage.mReports[i];
+    notice.add_upstreams(report.mId.mValue);
+    notice.add_born_ms(static_cast<std::uint64_t>(report.mBorn.count()));
+  }
+  return message.SerializeAsString();
+}
+
 fleet_message
 DecodeFleetMessage(std::string_view aBytes)
 {
@@ -236,6 +274,9 @@
   if (message.has_demand()) {
     return DecodeDemand(message.demand());
   }
+  if (message.has_restarts()) {
+    return DecodeRestarts(message.restarts());
+  }
   fleet_heartbeat heartbeat;
   if (message.has_sender()) {
     std::optional<fleet_member> sender = DecodeMember(message.sender());
--- a/laburnumdyke/plugin/fleet_codec.h
+++ b/laburnumdyke/plugin/fleet_codec.h
@@ -1,6 +1,6 @@
 // Encodes and decodes, as protobuf, the messages between instances that route
-// by host and path: heartbeats, the usage of customers and the demand for
-// services.
+// by host and path: heartbeats, the usage of customers, the demand for services
+// and upstreams that may have started again.
 //
 // A compact heartbeat identifies its sender by an 8-byte key. A receiver that
 // does not know that incarnation, from a full heartbeat or from its
@@ -9,12 +9,14 @@
 
 #include "laburnumdyke/decision/customer_usage.h"
 #include "laburnumdyke/decision/fleet_view.h"
+#include "laburnumdyke/decision/restart_suspicion.h"
 #include "laburnumdyke/decision/service_demand.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -68,11 +70,28 @@
 std::string
 EncodeDemand(const demand_message& aMessage);
 
+// Upstreams in one message about restarts, so that names of up to 200 bytes
+// fit.
+inline constexpr std::size_t kMaxRestartReports = 150;
+
+struct restart_message
+{
+  std::vector<restart_report> mReports;
+  bool mRelayed = false; // passed on by the instance that first received it
+};
+
+// Encodes the first kMaxRestartReports.
+std::string
+EncodeRestarts(const restart_message& aMessage);
+
 // monostate: aBytes is longer than kMaxFleetMessageBytes, malformed, or a
 // heartbeat that does not identify its sender. In a compact heartbeat mSender
 // is empty and mSenderKey is set.
-using fleet_message =
-  std::variant<std::monostate, fleet_heartbeat, usage_message, demand_message>;
+using fleet_message = std::variant<std::monostate,
+                                   fleet_heartbeat,
+                                   usage_message,
+                                   demand_message,
+                                   restart_message>;
 
 fleet_message
 DecodeFleetMessage(std::string_view aBytes);
--- a/laburnumdyke/plugin/fleet_link.cc
+++ b/laburnumdyke/plugin/fleet_link.cc
@@ -8,10 +8,12 @@
 // receivers that know the sender neither from its registration nor from an
 // earlier full heartbeat. An instance that stops announces this at once with
 // several heartbeats, so that losing one does no harm. A new era of the
-// platform's store, as reported by the store itself, is announced at once.
+// platform's store, as reported by the store itself, is announced at once, and
+// so are upstreams that may have started again.
 #include "laburnumdyke/plugin/demand_exchange.h"
 #include "laburnumdyke/plugin/fleet_codec.h"
 #include "laburnumdyke/plugin/message_link.h"
+#include "laburnumdyke/plugin/restart_exchange.h"
 #include "laburnumdyke/plugin/sleep.h"
 #include "laburnumdyke/plugin/steering_tables.h"
 #include "laburnumdyke/plugin/usage_exchange.h"
@@ -49,6 +51,7 @@
     , mLink(aKernel, [this](std::string_view aBytes) { Receive(aBytes); })
     , mUsage(aKernel)
     , mDemand(aKernel)
+    , mRestarts(aKernel, mLink.Strand())
   {
   }
 
@@ -60,6 +63,7 @@
       asio::co_spawn(mLink.Strand(), SendPeriodically(), asio::detached);
       asio::co_spawn(mLink.Strand(), ExchangeUsage(), asio::detached);
       asio::co_spawn(mLink.Strand(), ExchangeDemand(), asio::detached);
+      asio::co_spawn(mLink.Strand(), AnnounceRestarts(), asio::detached);
     }
     return failure;
   }
@@ -84,6 +88,9 @@
     } else if (demand_message* demand = std::get_if<demand_message>(&message)) {
       mKernel.Counters().Add("demand_messages_total", "received");
       mLink.Send(mDemand.Receive(std::move(*demand), now));
+    } else if (restart_message* restarts =
+                 std::get_if<restart_message>(&message)) {
+      mLink.Send(mRestarts.Receive(std::move(*restarts), now));
     } else if (fleet_heartbeat* beat = std::get_if<fleet_heartbeat>(&message)) {
       ReceiveHeartbeat(*beat, now);
     } else {
@@ -145,6 +152,7 @@
     std::set<endpoint> open(targets.begin(), targets.end());
     open.insert(mUsage.Targets().begin(), mUsage.Targets().end());
     open.insert(mDemand.Targets().begin(), mDemand.Targets().end());
+    open.insert(mRestarts.Targets().begin(), mRestarts.Targets().end());
     mLink.CloseOthers(open);
     mLink.Send(messages);
   }
@@ -186,6 +194,14 @@
     }
   }
 
+  asio::awaitable<void> AnnounceRestarts()
+  {
+    while (true) {
+      co_await mRestarts.AwaitReports();
+      mLink.Send(mRestarts.Compose());
+    }
+  }
+
   asio::awaitable<void> AnnounceLeaving()
   {
     for (int i = 0; i < kLeavingHeartbeatCount; ++i) {
@@ -199,6 +215,7 @@
   message_link mLink;
   usage_exchange mUsage;
   demand_exchange mDemand;
+  restart_exchange mRestarts;
   std::uint64_t mSentCount = 0; // heartbeats
 };
 
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -33,6 +33,7 @@
 #include <cstdint>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -197,13 +198,21 @@
     attempt_outcome outcome = co_await mTransport.Attempt(aExchange, attempt);
     instant now = Now();
     attempt_report report = ToAttemptReport(outcome, now - begun);
+    std::vector<restart_report> restarts;
     std::optional<speed_notice> notice =
       mTables.Steering().With([&](steering_state& aSteering) {
-        return aSteering.End(aTarget, report, now);
+        std::optional<speed_notice> changed =
+          aSteering.End(aTarget, report, now);
+        restarts = aSteering.TakeRestartReports();
+        return changed;
       });
     if (notice) {
       mLog.SpeedChanged(aTarget, *notice);
     }
+    if (!restarts.empty()) {
+      mTables.Restarts().With(
+        [&](restart_outbox& aOutbox) { aOutbox.Add(restarts); });
+    }
     aRequest.mTried.push_back(aTarget.mId);
     mLog.AttemptEnded(aRequest, aTarget, outcome, now - begun, now);
     co_return outcome;
--- a/laburnumdyke/plugin/steering_tables.cc
+++ b/laburnumdyke/plugin/steering_tables.cc
@@ -104,6 +104,13 @@
 {
 }
 
+void
+restart_outbox::Add(const std::vector<restart_report>& aReports)
+{
+  mReports.insert(mReports.end(), aReports.begin(), aReports.end());
+  mWaiters.CancelAll();
+}
+
 steering_tables::steering_tables(kernel& aKernel)
   : mSettings(aKernel.Settings())
   , mInForce(aKernel.Table<routes_in_force>())
@@ -114,6 +121,7 @@
   , mQuota(aKernel.Table<quota_state>())
   , mPool(aKernel.Table<connection_pool>())
   , mPlannedStop(aKernel.Table<stop_state>())
+  , mRestarts(aKernel.Table<restart_outbox>())
 {
 }
 
--- a/laburnumdyke/plugin/steering_tables.h
+++ b/laburnumdyke/plugin/steering_tables.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace laburnumdyke {
 
@@ -83,6 +84,18 @@
   explicit stop_state(const settings& aSettings);
 };
 
+// Reports of restarts that are still to be sent to other instances.
+struct restart_outbox
+{
+  static constexpr lock_rank kLockRank = lock_rank::Waiters;
+
+  // Also wakes the coroutine that sends them.
+  void Add(const std::vector<restart_report>& aReports);
+
+  std::vector<restart_report> mReports;
+  timer_set mWaiters;
+};
+
 class steering_tables
 {
 public:
@@ -98,6 +111,7 @@
   table<quota_state>& Quota() { return mQuota; }
   table<connection_pool>& Pool() { return mPool; }
   table<stop_state>& PlannedStop() { return mPlannedStop; }
+  table<restart_outbox>& Restarts() { return mRestarts; }
 
   dated_routes DatedRoutes(boot_instant aNow);
 
@@ -118,6 +132,7 @@
   table<quota_state>& mQuota;
   table<connection_pool>& mPool;
   table<stop_state>& mPlannedStop;
+  table<restart_outbox>& mRestarts;
 };
 
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -33,6 +33,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -278,7 +279,12 @@
     }
     if (accepted && after && mSettled) {
       KeepUnknown(gone);
-      mUpdates.Add(ToUpdate(*after, mState.Version(), changes, gone));
+      std::set<upstream_id> suspected =
+        mTables.Steering().With([&](steering_state& aSteering) {
+          return aSteering.RecentlySuspected(now);
+        });
+      mUpdates.Add(
+        ToUpdate(*after, mState.Version(), changes, gone, suspected));
       mUpdateTimer.cancel();
     } else {
       ClearUpdates();
--- a/laburnumdyke/testing/restarted_upstream_test.cc
+++ b/laburnumdyke/testing/restarted_upstream_test.cc
@@ -24,6 +24,8 @@
 const instant kRestart = kCrash + 1200ms;
 // From the start of an upstream until instances have read its registration.
 constexpr std::chrono::milliseconds kReadAfter{ 900 };
+// From a report of one instance until all others have it.
+constexpr std::chrono::milliseconds kReportDelay{ 100 };
 constexpr std::chrono::milliseconds kWarmWork{ 250 };
 constexpr std::chrono::milliseconds kColdWork{ 1500 };
 const upstream_id kCrashing{ "u0" };
@@ -82,6 +84,7 @@
       now += std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(pause(mRandom)));
       FinishUntil(now);
+      Report(now);
       if (!isRead && now >= kRestart + kReadAfter) {
         isRead = true;
         for (upstream_steering& instance : mInstances) {
@@ -128,6 +131,10 @@
         report.mResult = attempt_result::Failed;
         report.mRefusedConnection = true;
         mInstances[instance].End(*choice.mTarget, report, aNow);
+        for (const restart_report& one :
+             mInstances[instance].TakeRestartReports()) {
+          mReports.push_back({ aNow + kReportDelay, one });
+        }
       } else {
         Send(instance, *choice.mTarget, aNow);
       }
@@ -146,6 +153,16 @@
     mFinishes.push({ aNow + work, aInstance, aTarget, work });
   }
 
+  void Report(instant aNow)
+  {
+    while (!mReports.empty() && mReports.front().first <= aNow) {
+      for (upstream_steering& instance : mInstances) {
+        instance.LearnRestart(mReports.front().second, aNow);
+      }
+      mReports.pop_front();
+    }
+  }
+
   void FinishUntil(instant aNow)
   {
     while (!mFinishes.empty() && mFinishes.top().mAt <= aNow) {
@@ -163,23 +180,91 @@
   route_spec mRoute = ReplayRoute();
   std::deque<upstream_steering> mInstances;
   std::priority_queue<finish, std::vector<finish>, std::greater<>> mFinishes;
+  std::deque<std::pair<instant, restart_report>> mReports; // by arrival
   std::deque<instant> mArrivals;
 };
 
+double
+ColdBound()
+{
+  steering_options options;
+  return kColdRate * options.mColdOvershoot + options.mColdSlack;
+}
+
 } // namespace
 
-TEST_GROUP(RestartedUpstream){};
+TEST_GROUP(RestartedUpstream)
+{
+  upstream_steering mSteering{ ReplayOptions("one", "east-a") };
+  const instant mSeen = kReplayStart + 1s; // the crash
+
+  void setup() override
+  {
+    mSteering.SetRules(ReplayRules());
+    mSteering.SetFleet({ { { "one" }, { "east" } } });
+    ReadRow(1, instant::min(), kReplayStart);
+  }
+
+  // Reads a row of the only upstream that says that it is warm.
+  void ReadRow(std::uint64_t aSequence, instant aWrittenAfter, instant aNow)
+  {
+    upstream_entry entry = ReplayUpstream("e1", "east-a");
+    entry.mBorn = 1000ms;
+    entry.mSequence = aSequence;
+    mSteering.Apply(
+      mSteering.Directory().Put(entry, aNow), aNow, aWrittenAfter);
+  }
+
+  steering_choice Choose(instant aNow)
+  {
+    return mSteering.Choose(
+      { mRoute, { "sheets" }, "1", aNow, aNow + 3s, mTried }, aNow);
+  }
+
+  void Attempt(attempt_report aReport, instant aNow)
+  {
+    steering_choice choice = Choose(aNow);
+    mSteering.Begin(*choice.mTarget, aNow);
+    mSteering.End(*choice.mTarget, aReport, aNow);
+  }
+
+  void Refuse(instant aNow)
+  {
+    attempt_report report;
+    report.mResult = attempt_result::Failed;
+    report.mRefusedConnection = true;
+    Attempt(report, aNow);
+  }
+
+  bool IsCold(instant aNow)
+  {
+    steering_choice choice = Choose(aNow);
+    return !choice.mTarget || choice.mTarget->mCold;
+  }
+
+  route_spec mRoute = ReplayRoute();
+  std::vector<upstream_id> mTried;
+};
 
 // Guards against a flood of requests to a cold upstream, by instances that take
 // the upstream for the one that crashed. Seen as violations of FAILBACK.
 TEST(RestartedUpstream, ItIsNotFloodedBeforeItsRegistrationIsRead)
 {
-  steering_options options;
-  double bound = kColdRate * options.mColdOvershoot + options.mColdSlack;
   for (unsigned seed = 1; seed <= 20; ++seed) {
     crash_replay replay(16, seed);
     replay.Run(50);
-    CHECK(static_cast<double>(replay.MostInASecond()) <= bound);
+    CHECK(static_cast<double>(replay.MostInASecond()) <= ColdBound());
+  }
+}
+
+// Guards against the same by instances that sent nothing to the upstream while
+// it was down, of which there are more in a large fleet.
+TEST(RestartedUpstream, InstancesThatDidNotMeetItDontFloodIt)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    crash_replay replay(120, seed);
+    replay.Run(60);
+    CHECK(static_cast<double>(replay.MostInASecond()) <= ColdBound());
   }
 }
 
@@ -187,25 +272,60 @@
 // upstream for warm once it answers again.
 TEST(RestartedUpstream, ARefusedConnectionIsFollowedByAColdStart)
 {
-  upstream_steering steering{ ReplayOptions("one", "east-a") };
-  steering.SetRules(ReplayRules());
-  steering.SetFleet({ { { "one" }, { "east" } } });
-  steering.Apply(steering.Directory().Replace(
-                   { ReplayUpstream("e1", "east-a") }, kReplayStart),
-                 kReplayStart);
-  route_spec route = ReplayRoute();
-  std::vector<upstream_id> tried;
-  steering_request request{ route,        { "sheets" },      "1",
-                            kReplayStart, kReplayStart + 3s, tried };
-  steering_choice first = steering.Choose(request, kReplayStart);
-  CHECK_FALSE(first.mTarget->mCold);
-  steering.Begin(*first.mTarget, kReplayStart);
-  attempt_report report;
-  report.mResult = attempt_result::Failed;
-  report.mRefusedConnection = true;
-  steering.End(*first.mTarget, report, kReplayStart);
-  instant later = kReplayStart + 2s;
-  steering_choice second = steering.Choose(request, later);
-  CHECK(second.mTarget.has_value());
-  CHECK(second.mTarget->mCold);
+  CHECK_FALSE(IsCold(kReplayStart));
+  Refuse(mSeen);
+  steering_choice choice = Choose(mSeen + 2s);
+  CHECK(choice.mTarget.has_value());
+  CHECK(choice.mTarget->mCold);
+}
+
+// Guards against a request that waits for its connection while the upstream
+// starts again, and is sent as if it were warm.
+TEST(RestartedUpstream, ARequestChosenBeforeIsNotSent)
+{
+  steering_choice choice = Choose(mSeen);
+  CHECK(mSteering.MaySend(*choice.mTarget, mSeen));
+  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen + 10ms));
+  CHECK_FALSE(mSteering.MaySend(*choice.mTarget, mSeen + 20ms));
+}
+
+// Guards against the cold time of an upstream that never ended: it refused a
+// connection for lack of room.
+TEST(RestartedUpstream, ALaterRowOfTheSameStartRefutesIt)
+{
+  Refuse(mSeen);
+  // The process may have been writing this one as it ended.
+  ReadRow(2, mSeen + 500ms, mSeen + 1500ms);
+  CHECK(IsCold(mSeen + 2s));
+  ReadRow(3, instant::min(), mSeen + 2s); // a snapshot
+  CHECK(IsCold(mSeen + 2s));
+  ReadRow(4, mSeen + 1s, mSeen + 2500ms);
+  CHECK_FALSE(IsCold(mSeen + 2500ms));
+}
+
+// Guards against an upstream that stays cold while the store is away.
+TEST(RestartedUpstream, ItIsWarmOnceItHasAnsweredForTheColdTime)
+{
+  Refuse(mSeen);
+  attempt_report answered;
+  answered.mResult = attempt_result::Answered;
+  answered.mTook = 100ms;
+  Attempt(answered, mSeen + 2s);
+  CHECK(IsCold(mSeen + 4900ms));
+  CHECK_FALSE(IsCold(mSeen + 5s));
+}
+
+TEST(RestartedUpstream, OnlyWhatAnInstanceSawItselfIsReported)
+{
+  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen));
+  CHECK(mSteering.TakeRestartReports().empty());
+  // An unknown upstream, and a start that has been succeeded by the known one.
+  CHECK_FALSE(mSteering.LearnRestart({ { "e2" }, 1000ms }, mSeen));
+  CHECK_FALSE(mSteering.LearnRestart({ { "e1" }, 500ms }, mSeen));
+  ReadRow(2, mSeen + 1s, mSeen + 2s);
+  Refuse(mSeen + 3s);
+  std::vector<restart_report> reports = mSteering.TakeRestartReports();
+  CHECK(reports == std::vector<restart_report>({ { { "e1" }, 1000ms } }));
+  CHECK(mSteering.TakeRestartReports().empty());
+  CHECK(mSteering.RecentlySuspected(mSeen + 3s).count({ "e1" }) == 1);
 }
--- a/laburnumdyke/testing/upstream_update_test.cc
+++ b/laburnumdyke/testing/upstream_update_test.cc
@@ -174,6 +174,21 @@
   CHECK(update.mRemovedIds == (std::vector<upstream_id>{ { "e" }, { "d" } }));
 }
 
+// Guards against a follower that takes an upstream for restarted until its cold
+// time is over, although its reader has seen it write again.
+TEST(UpdateLog, HeartbeatsOfSuspectedUpstreamsAreKept)
+{
+  upstream_update update =
+    ToUpdate(3,
+             8,
+             { { upstream_change_kind::Renewed, Entry("a", 2) },
+               { upstream_change_kind::Renewed, Entry("b", 2) } },
+             {},
+             { { "b" } });
+  LONGS_EQUAL(1, update.mEntries.size());
+  STRCMP_EQUAL("b", update.mEntries[0].mId.mValue.c_str());
+}
+
 // Guards against an upstream that joins and leaves between two readings of the
 // reader: a follower that has read the platform in between would keep it.
 TEST(UpdateLog, AFollowerLearnsOfADepartureThatIsNoChangeOfTheReader)
