Silence of an upstream's machine is a sign of a restart as well

Callers saw the same flood after a crash that leaves the machine silent: nothing refuses a connection there.

Change: a connection that times out is a sign too. The instance can't tell a silent machine from a cut link, so that it tells others only of upstreams of its own failure domain. Kept connections to an upstream are closed once one of them has gone silent, once a connection to it fails, once a peer reports it, and once its row says that it has ended or started again; the next attempt then shows whether the upstream itself is silent.

New cases in restarted_upstream_test and connection_pool_test.

--- a/laburnumdyke/decision/restart_suspicion.h
+++ b/laburnumdyke/decision/restart_suspicion.h
@@ -4,10 +4,13 @@
 // Load pattern: an upstream crashes and comes back under its own name. Its new
 // registration is read about a second later, and meanwhile every instance would
 // send it as much as before. A refused connection shows that its process has
-// ended, so that the next answer is that of a new start.
+// ended, so that the next answer is that of a new start. One that times out may
+// show that its machine has, or that the network is cut: the instance itself
+// can't tell, but it doesn't reach the upstream in either case. Others may, so
+// they are told only if no link between failure domains is involved.
 //
 // Usage:
-//   suspicion.Suspect(now);              // a connection was refused
+//   suspicion.Suspect(now);              // a connection has failed
 //   suspicion.RecordAnswer(coldTime, now); // it answers, so it has started
 //   suspicion.RecordRegistration(writtenAfter); // of the start that is known
 //   if (suspicion.Holds(now)) ... treat it as cold
@@ -24,7 +27,16 @@
 
 namespace laburnumdyke {
 
-// Tells other instances of a refused connection. mBorn: the start of the
+// Why no connection could be set up.
+enum class connect_failure
+{
+  None,
+  Refused,  // no process listens there
+  TimedOut, // the machine or the network is silent
+  Other,
+};
+
+// Tells other instances of a failed connection. mBorn: the start of the
 // upstream that the instance knew, see upstream_entry.
 struct restart_report
 {
--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -121,6 +121,20 @@
   route.AddSample(work, aReport.mBytes, wasCached);
 }
 
+void
+upstream_steering::RecordConnectFailure(upstream& aUpstream,
+                                        connect_failure aFailure,
+                                        instant aNow)
+{
+  bool isRefused = aFailure == connect_failure::Refused;
+  bool mayHaveEnded = isRefused || aFailure == connect_failure::TimedOut;
+  bool isNear = aUpstream.mEntry.mDomain == mOptions.mDomain;
+  if (mayHaveEnded && SuspectRestart(aUpstream, aNow) &&
+      (isRefused || isNear)) {
+    mRestartReports.push_back({ aUpstream.mEntry.mId, aUpstream.mEntry.mBorn });
+  }
+}
+
 std::optional<speed_notice>
 upstream_steering::End(const steering_target& aTarget,
                        const attempt_report& aReport,
@@ -155,9 +169,7 @@
     target->mMisdirected = aNow;
     return std::nullopt;
   }
-  if (aReport.mRefusedConnection && SuspectRestart(*target, aNow)) {
-    mRestartReports.push_back({ target->mEntry.mId, target->mEntry.mBorn });
-  }
+  RecordConnectFailure(*target, aReport.mConnectFailure, aNow);
   bool wasUnhealthy = target->mHealth.State(aNow) != health_state::Usable;
   target->mHealth.RecordAttempt(
     aReport.mResult, std::chrono::milliseconds(0), aNow);
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -123,13 +123,14 @@
   return std::exchange(mRestartReports, {});
 }
 
-bool
+std::optional<endpoint>
 upstream_steering::LearnRestart(const restart_report& aReport, instant aNow)
 {
   auto found = mUpstreams.find(aReport.mId);
-  return found != mUpstreams.end() &&
-         found->second.mEntry.mBorn == aReport.mBorn &&
-         SuspectRestart(found->second, aNow);
+  bool isNews = found != mUpstreams.end() &&
+                found->second.mEntry.mBorn == aReport.mBorn &&
+                SuspectRestart(found->second, aNow);
+  return isNews ? std::optional(found->second.mEntry.mAddress) : std::nullopt;
 }
 
 std::set<upstream_id>
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -121,7 +121,7 @@
   bool mQueueFull = false;          // refused, not executed: queue full
   bool mWrongInstance = false;      // its address belongs to another upstream
   std::optional<duration> mConnect; // connect time of a new connection
-  bool mRefusedConnection = false;  // no process listens at its address
+  connect_failure mConnectFailure = connect_failure::None;
 };
 
 // An upstream has become slow, or usual again; for the log.
@@ -177,8 +177,10 @@
   // Upstreams that may have started again, as seen by this instance and not
   // known from other instances; each is returned once.
   std::vector<restart_report> TakeRestartReports();
-  // Applies a report of another instance. Returns whether it was news.
-  bool LearnRestart(const restart_report& aReport, instant aNow);
+  // Applies a report of another instance. Returns the upstream's address if it
+  // was news.
+  std::optional<endpoint> LearnRestart(const restart_report& aReport,
+                                       instant aNow);
   // Upstreams whose current start may be in doubt somewhere: their
   // registrations matter to other instances even if nothing has changed.
   std::set<upstream_id> RecentlySuspected(instant aNow) const;
@@ -429,9 +431,11 @@
   service_rules RulesOf(const upstream& aUpstream) const;
   // Drops what was learned of a start of the upstream that has ended.
   void ForgetStart(upstream& aUpstream);
-  // A connection was refused: its process has ended. Returns whether this was
-  // not suspected yet.
+  // Its process may have ended. Returns whether this was not suspected yet.
   bool SuspectRestart(upstream& aUpstream, instant aNow);
+  void RecordConnectFailure(upstream& aUpstream,
+                            connect_failure aFailure,
+                            instant aNow);
   static void ApplyColdLeft(upstream& aUpstream,
                             std::chrono::milliseconds aColdLeft,
                             instant aNow,
--- a/laburnumdyke/plugin/connection_pool.cc
+++ b/laburnumdyke/plugin/connection_pool.cc
@@ -105,4 +105,14 @@
   }
 }
 
+void
+connection_pool::Discard(const endpoint& aEndpoint)
+{
+  auto found = mIdle.find(aEndpoint);
+  if (found != mIdle.end()) {
+    mSize -= found->second.size();
+    mIdle.erase(found);
+  }
+}
+
 } // namespace laburnumdyke
--- a/laburnumdyke/plugin/connection_pool.h
+++ b/laburnumdyke/plugin/connection_pool.h
@@ -70,6 +70,10 @@
            std::chrono::steady_clock::time_point aNow,
            std::chrono::milliseconds aIdleTime = kMaxIdleTime);
 
+  // Closes the idle connections to aEndpoint: what listens there has ended, or
+  // one of them has gone silent.
+  void Discard(const endpoint& aEndpoint);
+
   // Idle connections, of which some may have expired.
   std::size_t Size() const { return mSize; }
 
--- a/laburnumdyke/plugin/restart_exchange.cc
+++ b/laburnumdyke/plugin/restart_exchange.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -99,10 +100,13 @@
 restart_exchange::Receive(restart_message aMessage, instant aNow)
 {
   for (const restart_report& report : aMessage.mReports) {
-    bool isNews = mTables.Steering().With([&](steering_state& aSteering) {
-      return aSteering.LearnRestart(report, aNow);
-    });
-    if (isNews) {
+    std::optional<endpoint> restarted =
+      mTables.Steering().With([&](steering_state& aSteering) {
+        return aSteering.LearnRestart(report, aNow);
+      });
+    if (restarted) {
+      mTables.Pool().With(
+        [&](connection_pool& aPool) { aPool.Discard(*restarted); });
       Log(report, "peer");
     }
   }
--- a/laburnumdyke/plugin/steered_pipeline.cc
+++ b/laburnumdyke/plugin/steered_pipeline.cc
@@ -52,8 +52,7 @@
   report.mQueueFull = aOutcome.mEnd == attempt_ending::NotRun;
   report.mWrongInstance = aOutcome.mEnd == attempt_ending::WrongInstance;
   report.mConnect = aOutcome.mConnect;
-  report.mRefusedConnection =
-    aOutcome.mConnectFailure == connect_failure::Refused;
+  report.mConnectFailure = aOutcome.mConnectFailure;
   return report;
 }
 
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -209,6 +209,10 @@
     if (notice) {
       mLog.SpeedChanged(aTarget, *notice);
     }
+    if (outcome.mConnectFailure != connect_failure::None) {
+      mTables.Pool().With(
+        [&](connection_pool& aPool) { aPool.Discard(aTarget.mAddress); });
+    }
     if (!restarts.empty()) {
       mTables.Restarts().With(
         [&](restart_outbox& aOutbox) { aOutbox.Add(restarts); });
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -167,6 +167,12 @@
   }
   if (failure) {
     outcome.mEnd = EndOf(sendFailure ? sendFailure : failure);
+    // The peer acknowledges nothing more. Other idle connections may have gone
+    // silent too; a new one shows whether the upstream has.
+    if (failure == asio::error::timed_out) {
+      aTables.mPool.With(
+        [&](connection_pool& aPool) { aPool.Discard(aAttempt.mTo); });
+    }
     co_return outcome;
   }
   outcome.mStatus = connection.mParser->get().result_int();
--- a/laburnumdyke/plugin/upstream_exchange.h
+++ b/laburnumdyke/plugin/upstream_exchange.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "laburnumdyke/decision/load_estimate.h"
+#include "laburnumdyke/decision/restart_suspicion.h"
 #include "laburnumdyke/plugin/connection_pool.h"
 #include "laburnumdyke/plugin/held_body.h"
 #include "laburnumdyke/plugin/http_forward.h"
@@ -82,15 +83,6 @@
 std::string_view
 ToString(attempt_ending aEnd);
 
-// Why no connection could be set up.
-enum class connect_failure
-{
-  None,
-  Refused,  // no process listens there
-  TimedOut, // the machine or the network is silent
-  Other,
-};
-
 std::string_view
 ToString(connect_failure aFailure);
 
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -337,10 +337,24 @@
       }
       aSteering.Apply(changes, aNow, aWrittenAfter);
     });
+    DiscardConnections(changes);
     Log(changes);
     return changes;
   }
 
+  // Of upstreams that have ended or started again.
+  void DiscardConnections(const std::vector<upstream_change>& aChanges)
+  {
+    mTables.Pool().With([&](connection_pool& aPool) {
+      for (const upstream_change& change : aChanges) {
+        if (change.mKind == upstream_change_kind::Restarted ||
+            change.mKind == upstream_change_kind::Left) {
+          aPool.Discard(change.mEntry.mAddress);
+        }
+      }
+    });
+  }
+
   static std::vector<upstream_entry> EntriesOf(upstream_reading aReading)
   {
     std::vector<upstream_entry> entries;
--- a/laburnumdyke/testing/connection_pool_test.cc
+++ b/laburnumdyke/testing/connection_pool_test.cc
@@ -80,3 +80,21 @@
   CHECK_FALSE(pool.Take(Upstream(0), mNow + 300ms).has_value());
   LONGS_EQUAL(0, pool.Size());
 }
+
+// Guards against requests on connections to an upstream that has ended without
+// closing them.
+TEST(ConnectionPool, DiscardedConnectionsAreClosed)
+{
+  connection_pool pool(20);
+  for (int i = 0; i < 3; ++i) {
+    pool.Put(Upstream(0), Connected(), mNow, 3000ms);
+  }
+  pool.Put(Upstream(1), Connected(), mNow, 3000ms);
+  pool.Discard(Upstream(0));
+  pool.Discard(Upstream(2));
+  LONGS_EQUAL(1, pool.Size());
+  CHECK_FALSE(pool.Take(Upstream(0), mNow).has_value());
+  char byte = 0;
+  LONGS_EQUAL(0, ::recv(mPeers.front(), &byte, 1, MSG_DONTWAIT));
+  CHECK(pool.Take(Upstream(1), mNow).has_value());
+}
--- a/laburnumdyke/testing/restarted_upstream_test.cc
+++ b/laburnumdyke/testing/restarted_upstream_test.cc
@@ -129,7 +129,7 @@
       if (isDown) {
         attempt_report report;
         report.mResult = attempt_result::Failed;
-        report.mRefusedConnection = true;
+        report.mConnectFailure = connect_failure::Refused;
         mInstances[instance].End(*choice.mTarget, report, aNow);
         for (const restart_report& one :
              mInstances[instance].TakeRestartReports()) {
@@ -228,14 +228,19 @@
     mSteering.End(*choice.mTarget, aReport, aNow);
   }
 
-  void Refuse(instant aNow)
+  void FailToConnect(connect_failure aFailure, instant aNow)
   {
     attempt_report report;
     report.mResult = attempt_result::Failed;
-    report.mRefusedConnection = true;
+    report.mConnectFailure = aFailure;
     Attempt(report, aNow);
   }
 
+  void Refuse(instant aNow)
+  {
+    FailToConnect(connect_failure::Refused, aNow);
+  }
+
   bool IsCold(instant aNow)
   {
     steering_choice choice = Choose(aNow);
@@ -285,7 +290,7 @@
 {
   steering_choice choice = Choose(mSeen);
   CHECK(mSteering.MaySend(*choice.mTarget, mSeen));
-  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen + 10ms));
+  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen + 10ms).has_value());
   CHECK_FALSE(mSteering.MaySend(*choice.mTarget, mSeen + 20ms));
 }
 
@@ -317,11 +322,11 @@
 
 TEST(RestartedUpstream, OnlyWhatAnInstanceSawItselfIsReported)
 {
-  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen));
+  CHECK(mSteering.LearnRestart({ { "e1" }, 1000ms }, mSeen).has_value());
   CHECK(mSteering.TakeRestartReports().empty());
   // An unknown upstream, and a start that has been succeeded by the known one.
-  CHECK_FALSE(mSteering.LearnRestart({ { "e2" }, 1000ms }, mSeen));
-  CHECK_FALSE(mSteering.LearnRestart({ { "e1" }, 500ms }, mSeen));
+  CHECK_FALSE(mSteering.LearnRestart({ { "e2" }, 1000ms }, mSeen).has_value());
+  CHECK_FALSE(mSteering.LearnRestart({ { "e1" }, 500ms }, mSeen).has_value());
   ReadRow(2, mSeen + 1s, mSeen + 2s);
   Refuse(mSeen + 3s);
   std::vector<restart_report> reports = mSteering.TakeRestartReports();
@@ -329,3 +334,21 @@
   CHECK(mSteering.TakeRestartReports().empty());
   CHECK(mSteering.RecentlySuspected(mSeen + 3s).count({ "e1" }) == 1);
 }
+
+// Guards against a flood by instances that can't tell a silent machine from a
+// cut link, and against the cold time of all upstreams behind a cut link at
+// instances that reach them.
+TEST(RestartedUpstream, ASilentOneIsReportedOnlyWithinItsFailureDomain)
+{
+  FailToConnect(connect_failure::Other, mSeen);
+  CHECK_FALSE(IsCold(mSeen + 2s));
+  FailToConnect(connect_failure::TimedOut, mSeen + 2s);
+  CHECK(IsCold(mSeen + 4s));
+  LONGS_EQUAL(1, mSteering.TakeRestartReports().size());
+  upstream_entry far = ReplayUpstream("e1", "east-b");
+  far.mBorn = 2000ms;
+  mSteering.Apply(mSteering.Directory().Put(far, mSeen + 5s), mSeen + 5s);
+  FailToConnect(connect_failure::TimedOut, mSeen + 6s);
+  CHECK(IsCold(mSeen + 8s));
+  CHECK(mSteering.TakeRestartReports().empty());
+}
