--- a/laburnumdyke/testing/upstream_leaves_test.cc
+++ b/laburnumdyke/testing/upstream_leaves_test.cc
@@ -87,8 +87,8 @@
 
   void teardown() override
   {
+    mFront.mKernel->Stop(); // no worker may run while the server closes
     mServer.Close();
-    mFront.mKernel->Stop();
   }
 
   void CheckSentToAnother(const std::string& aMethod, const std::string& aPath)
