--- a/laburnumdyke/decision/upstream_feedback.cc
+++ b/laburnumdyke/decision/upstream_feedback.cc
@@ -68,8 +68,13 @@
 upstream_steering::MaySend(const steering_target& aTarget, instant aNow)
 {
   const upstream* target = Find(aTarget);
-  return target != nullptr && TakesRequests(*target) &&
-         (aTarget.mCold || !IsCold(*target, aNow));
+  bool maySend = target != nullptr && TakesRequests(*target) &&
+                 (aTarget.mCold || !IsCold(*target, aNow));
+  if (maySend) {
+    // The interval of a sender counts from here; the choice was reserved.
+    mColdStartLimiter.RecordSend(aTarget.mId, aNow);
+  }
+  return maySend;
 }
 
 void
@@ -127,10 +132,16 @@
                                         instant aNow)
 {
   bool isRefused = aFailure == connect_failure::Refused;
-  bool mayHaveEnded = isRefused || aFailure == connect_failure::TimedOut;
-  bool isNear = aUpstream.mEntry.mDomain == mOptions.mDomain;
-  if (mayHaveEnded && SuspectRestart(aUpstream, aNow) &&
-      (isRefused || isNear)) {
+  if (!isRefused && aFailure != connect_failure::TimedOut) {
+    return;
+  }
+  bool isReported = isRefused || aUpstream.mEntry.mDomain == mOptions.mDomain;
+  bool isNews =
+    SuspectRestart(aUpstream,
+                   isReported ? restart_suspicion::kMaxTime
+                              : restart_suspicion::kMaxUnreportedTime,
+                   aNow);
+  if (isNews && isReported) {
     mRestartReports.push_back({ aUpstream.mEntry.mId, aUpstream.mEntry.mBorn });
   }
 }
--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -57,7 +57,7 @@
       known.mHealth = {};
       known.mColdUntil = aNow + entry.mColdLeft;
       known.mFoundCold = instant::min();
-      known.mRestart = {};
+      known.mRestart.RecordNewStart(aWrittenAfter);
       known.mMisdirected.reset();
     } else {
       ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
@@ -106,15 +106,22 @@
 }
 
 bool
-upstream_steering::SuspectRestart(upstream& aUpstream, instant aNow)
+upstream_steering::SuspectRestart(upstream& aUpstream,
+                                  std::chrono::milliseconds aMaxTime,
+                                  instant aNow)
 {
-  bool isNew = !aUpstream.mRestart.Holds(aNow);
-  if (isNew) {
+  service_rules rules = RulesOf(aUpstream);
+  bool hasColdStart = rules.mColdRate > 0 && rules.mColdTime.count() > 0;
+  if (!hasColdStart) {
+    return false;
+  }
+  bool isNews = aUpstream.mRestart.IsNews(aNow);
+  if (isNews) {
     ++aUpstream.mStart;
     ForgetStart(aUpstream);
   }
-  aUpstream.mRestart.Suspect(aNow);
-  return isNew;
+  aUpstream.mRestart.Suspect(aMaxTime, aNow);
+  return isNews;
 }
 
 std::vector<restart_report>
@@ -127,9 +134,9 @@
 upstream_steering::LearnRestart(const restart_report& aReport, instant aNow)
 {
   auto found = mUpstreams.find(aReport.mId);
-  bool isNews = found != mUpstreams.end() &&
-                found->second.mEntry.mBorn == aReport.mBorn &&
-                SuspectRestart(found->second, aNow);
+  bool isNews =
+    found != mUpstreams.end() && found->second.mEntry.mBorn == aReport.mBorn &&
+    SuspectRestart(found->second, restart_suspicion::kMaxTime, aNow);
   return isNews ? std::optional(found->second.mEntry.mAddress) : std::nullopt;
 }
 
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -431,8 +431,11 @@
   service_rules RulesOf(const upstream& aUpstream) const;
   // Drops what was learned of a start of the upstream that has ended.
   void ForgetStart(upstream& aUpstream);
-  // Its process may have ended. Returns whether this was not suspected yet.
-  bool SuspectRestart(upstream& aUpstream, instant aNow);
+  // Its process may have ended. Returns whether this is news, which it never is
+  // for a service without cold starts.
+  bool SuspectRestart(upstream& aUpstream,
+                      std::chrono::milliseconds aMaxTime,
+                      instant aNow);
   void RecordConnectFailure(upstream& aUpstream,
                             connect_failure aFailure,
                             instant aNow);
--- a/laburnumdyke/plugin/restart_exchange.cc
+++ b/laburnumdyke/plugin/restart_exchange.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kBatchTime{ 20 };
+constexpr std::size_t kMaxKeptTurns = 4;
 
 void
 AddMessages(std::vector<addressed_message>& aMessages,
@@ -92,7 +93,11 @@
   AddMessages(messages, contacts, message);
   message.mRelayed = true; // nobody needs to pass it on
   AddMessages(messages, region, message);
-  mTargets = std::move(contacts);
+  // Those of the last few messages, which may not have left yet.
+  if (mTargets.size() > kMaxKeptTurns * contacts.size()) {
+    mTargets.clear();
+  }
+  mTargets.insert(contacts.begin(), contacts.end());
   return messages;
 }
 
--- a/laburnumdyke/plugin/restart_exchange.h
+++ b/laburnumdyke/plugin/restart_exchange.h
@@ -1,5 +1,5 @@
-// Tells the other instances of upstreams that have refused a connection, so
-// that they don't send to a new start as if it were the former one
+// Tells the other instances of upstreams whose process may have ended, so that
+// they don't send to a new start as if it were the former one
 // (decision/restart_suspicion.h). Those of the region are told directly, those
 // of other regions through two instances of each failure domain there.
 //
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -209,7 +209,8 @@
     if (notice) {
       mLog.SpeedChanged(aTarget, *notice);
     }
-    if (outcome.mConnectFailure != connect_failure::None) {
+    if (outcome.mConnectFailure == connect_failure::Refused ||
+        outcome.mConnectFailure == connect_failure::TimedOut) {
       mTables.Pool().With(
         [&](connection_pool& aPool) { aPool.Discard(aTarget.mAddress); });
     }
--- a/laburnumdyke/plugin/upstream_connection.cc
+++ b/laburnumdyke/plugin/upstream_connection.cc
@@ -17,12 +17,29 @@
 // Connecting takes one round trip. A lost SYN is retransmitted only after a
 // second; trying another upstream is quicker than that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+// A timer that fires later than this shows that this process was held up, and
+// says nothing about the upstream.
+constexpr std::chrono::milliseconds kMaxTimerDelay{ 250 };
 // For upstreams that state no idle timeout; shorter than their actual one.
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 3000 };
 // Safety margin, so that no request is written while the upstream's close is in
 // transit.
 constexpr std::chrono::milliseconds kIdleMargin{ 1000 };
 
+// aTook: from the first packet to the failure. A shorter wait than
+// kConnectTimeout, for lack of time, doesn't show that an upstream is silent.
+connect_failure
+ConnectFailureOf(error_code aFailure, duration aTook)
+{
+  if (aFailure == asio::error::connection_refused) {
+    return connect_failure::Refused;
+  }
+  bool isSilent = aFailure == beast::error::timeout &&
+                  aTook >= kConnectTimeout &&
+                  aTook <= kConnectTimeout + kMaxTimerDelay;
+  return isSilent ? connect_failure::TimedOut : connect_failure::Other;
+}
+
 } // namespace
 
 asio::awaitable<error_code>
@@ -49,8 +66,11 @@
     std::min(aAttempt.mDeadline, begun + kConnectTimeout));
   co_await aConnection.mStream->async_connect(
     ToAsio(aAttempt.mTo), asio::redirect_error(asio::use_awaitable, failure));
-  if (!failure) {
-    aOutcome.mConnect = clock::now() - begun;
+  duration took = clock::now() - begun;
+  if (failure) {
+    aOutcome.mConnectFailure = ConnectFailureOf(failure, took);
+  } else {
+    aOutcome.mConnect = took;
     EnableDeadPeerDetection(aConnection.mStream->socket());
   }
   co_return failure;
--- a/laburnumdyke/plugin/upstream_connection.h
+++ b/laburnumdyke/plugin/upstream_connection.h
@@ -30,7 +30,7 @@
 };
 
 // Takes an idle connection only for an idempotent request. Sets
-// aOutcome.mConnect if a new one was made.
+// aOutcome.mConnect if a new one was made, aOutcome.mConnectFailure if not.
 asio::awaitable<error_code>
 ConnectUpstream(table<connection_pool>& aPool,
                 const upstream_attempt& aAttempt,
--- a/laburnumdyke/plugin/upstream_exchange.cc
+++ b/laburnumdyke/plugin/upstream_exchange.cc
@@ -35,16 +35,6 @@
                                            : attempt_ending::Lost;
 }
 
-connect_failure
-ConnectFailureOf(error_code aFailure)
-{
-  if (aFailure == asio::error::connection_refused) {
-    return connect_failure::Refused;
-  }
-  return aFailure == beast::error::timeout ? connect_failure::TimedOut
-                                           : connect_failure::Other;
-}
-
 // Decides from the header alone. Returns nullopt if the answer is to be
 // forwarded.
 std::optional<attempt_ending>
@@ -130,7 +120,6 @@
   error_code failure =
     co_await ConnectUpstream(aTables.mPool, aAttempt, connection, outcome);
   if (failure) {
-    outcome.mConnectFailure = ConnectFailureOf(failure);
     co_return outcome;
   }
   // The caller may have left while the connection was being set up.
--- a/laburnumdyke/plugin/upstream_watch.h
+++ b/laburnumdyke/plugin/upstream_watch.h
@@ -153,6 +153,7 @@
       aSteering.Apply(changes, aNow);
       return directory.IsSettled(aNow);
     });
+    DiscardConnections(changes);
     Log(changes);
     mSettled = settled && mState.After().has_value();
     mTables.Fleet().With(
--- a/laburnumdyke/testing/restart_exchange_test.cc
+++ b/laburnumdyke/testing/restart_exchange_test.cc
@@ -89,6 +89,7 @@
       }
     });
     aOne.mKernel->Table<steering_state>().With([&](steering_state& aSteering) {
+      aSteering.SetRules(ReplayRules());
       aSteering.Apply(aSteering.Directory().Replace(Upstreams(), mNow), mNow);
     });
   }
--- a/laburnumdyke/testing/restarted_upstream_test.cc
+++ b/laburnumdyke/testing/restarted_upstream_test.cc
@@ -1,6 +1,7 @@
 // An upstream that crashes and starts again under its own name: until its new
 // registration is read, the old one says that it is warm.
 #include "laburnumdyke/decision/upstream_steering.h"
+#include "laburnumdyke/decision/upstream_update.h"
 
 #include "laburnumdyke/testing/harness/load_replay.h"
 
@@ -55,26 +56,25 @@
 public:
   crash_replay(std::size_t aInstances, unsigned aSeed)
     : mRandom(aSeed)
+    , mCount(aInstances)
   {
-    std::vector<instance_location> fleet;
-    for (std::size_t i = 0; i < aInstances; ++i) {
-      std::string name = "i" + std::to_string(i);
-      fleet.push_back({ { name }, { "east" } });
-      mInstances.emplace_back(ReplayOptions(name, "east-a"));
-    }
-    for (upstream_steering& instance : mInstances) {
-      instance.SetRules(ReplayRules());
-      instance.SetFleet(fleet);
-      std::vector<upstream_entry> entries;
-      for (const char* name : { "u0", "u1", "u2", "u3" }) {
-        entries.push_back(ReplayUpstream(name, "east-a"));
-        entries.back().mBorn = 1000ms;
-      }
-      instance.Apply(instance.Directory().Replace(entries, kReplayStart),
-                     kReplayStart);
-    }
+    StartInstances();
   }
 
+  // The instances are in another failure domain than the upstreams, and
+  // connections to kCrashing time out while it is down.
+  crash_replay(std::size_t aInstances, unsigned aSeed, std::string aDomain)
+    : mRandom(aSeed)
+    , mCount(aInstances)
+    , mDomain(std::move(aDomain))
+    , mFailure(connect_failure::TimedOut)
+  {
+    StartInstances();
+  }
+
+  // All instances start again at aAt and read the same rows as before.
+  void SetInstanceRestart(instant aAt) { mInstanceRestart = aAt; }
+
   void Run(double aPerSecond)
   {
     std::exponential_distribution<double> pause(aPerSecond);
@@ -83,6 +83,10 @@
     for (instant now = kReplayStart; now < end;) {
       now += std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(pause(mRandom)));
+      if (now >= mInstanceRestart) {
+        mInstanceRestart = instant::max();
+        StartInstances();
+      }
       FinishUntil(now);
       Report(now);
       if (!isRead && now >= kRestart + kReadAfter) {
@@ -111,6 +115,30 @@
   }
 
 private:
+  void StartInstances()
+  {
+    mInstances.clear();
+    mFinishes = {};
+    mReports.clear();
+    std::vector<instance_location> fleet;
+    for (std::size_t i = 0; i < mCount; ++i) {
+      std::string name = "i" + std::to_string(i);
+      fleet.push_back({ { name }, { "east" } });
+      mInstances.emplace_back(ReplayOptions(name, mDomain));
+    }
+    for (upstream_steering& instance : mInstances) {
+      instance.SetRules(ReplayRules());
+      instance.SetFleet(fleet);
+      std::vector<upstream_entry> entries;
+      for (const char* name : { "u0", "u1", "u2", "u3" }) {
+        entries.push_back(ReplayUpstream(name, "east-a"));
+        entries.back().mBorn = 1000ms;
+      }
+      instance.Apply(instance.Directory().Replace(entries, kReplayStart),
+                     kReplayStart);
+    }
+  }
+
   void Arrive(instant aNow)
   {
     std::size_t instance = mRandom() % mInstances.size();
@@ -129,7 +157,7 @@
       if (isDown) {
         attempt_report report;
         report.mResult = attempt_result::Failed;
-        report.mConnectFailure = connect_failure::Refused;
+        report.mConnectFailure = mFailure;
         mInstances[instance].End(*choice.mTarget, report, aNow);
         for (const restart_report& one :
              mInstances[instance].TakeRestartReports()) {
@@ -177,6 +205,10 @@
   }
 
   std::mt19937 mRandom;
+  std::size_t mCount;
+  std::string mDomain = "east-a";
+  connect_failure mFailure = connect_failure::Refused;
+  instant mInstanceRestart = instant::max();
   route_spec mRoute = ReplayRoute();
   std::deque<upstream_steering> mInstances;
   std::priority_queue<finish, std::vector<finish>, std::greater<>> mFinishes;
@@ -352,3 +384,124 @@
   CHECK(IsCold(mSeen + 8s));
   CHECK(mSteering.TakeRestartReports().empty());
 }
+
+// Guards against a flood by instances of other failure domains after a silent
+// crash: no instance of the upstream's own one is there to report it.
+TEST(RestartedUpstream, ASilentOneIsNotFloodedFromOtherFailureDomains)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    crash_replay replay(120, seed, "east-b");
+    replay.Run(60);
+    CHECK(static_cast<double>(replay.MostInASecond()) <= ColdBound());
+  }
+}
+
+// Guards against a flood by instances that start while the upstream is down:
+// reports are not repeated, and the first snapshot has its old row.
+TEST(RestartedUpstream, InstancesThatStartMeanwhileDontFloodIt)
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    crash_replay replay(16, seed);
+    replay.SetInstanceRestart(kRestart - 50ms);
+    replay.Run(60);
+    CHECK(static_cast<double>(replay.MostInASecond()) <= ColdBound());
+  }
+}
+
+// Guards against a second restart that other instances aren't told of: an
+// answer came in between, so the refusal is that of another start.
+TEST(RestartedUpstream, ARefusalAfterAnAnswerIsReportedAgain)
+{
+  Refuse(mSeen);
+  LONGS_EQUAL(1, mSteering.TakeRestartReports().size());
+  attempt_report answered;
+  answered.mResult = attempt_result::Answered;
+  answered.mTook = 100ms;
+  Attempt(answered, mSeen + 2s);
+  Refuse(mSeen + 4s);
+  LONGS_EQUAL(1, mSteering.TakeRestartReports().size());
+}
+
+// Guards against a change for deployments without a cold time or a cold rate.
+TEST(RestartedUpstream, WithoutAColdTimeNothingCountsAsCold)
+{
+  mSteering.SetRules(nullptr);
+  Refuse(mSeen);
+  CHECK_FALSE(IsCold(mSeen + 2s));
+}
+
+// Guards against upstreams that stay cold after a cut link is back, at
+// followers of a reader that has not suspected them: the reader leaves their
+// heartbeats out.
+TEST(RestartedUpstream, AFollowerLearnsThatASilentOneHasNotRestarted)
+{
+  upstream_steering reader{ ReplayOptions("reader", "east-a") };
+  upstream_entry entry = ReplayUpstream("e1", "east-b");
+  entry.mBorn = 3000ms;
+  reader.Apply(reader.Directory().Put(entry, mSeen), mSeen);
+  mSteering.Apply(mSteering.Directory().Put(entry, mSeen), mSeen);
+  FailToConnect(connect_failure::TimedOut, mSeen);
+  CHECK(mSteering.TakeRestartReports().empty());
+  for (int i = 1; i <= 6; ++i) {
+    instant now = mSeen + i * 1s;
+    ++entry.mSequence;
+    std::vector<upstream_change> changes = reader.Directory().Put(entry, now);
+    reader.Apply(changes, now, now - 1s);
+    upstream_update update =
+      ToUpdate({}, {}, changes, {}, reader.RecentlySuspected(now));
+    mSteering.Apply(
+      mSteering.Directory().ApplyRows(ToRows(std::move(update)), now),
+      now,
+      now - 1s);
+  }
+  CHECK_FALSE(IsCold(mSeen + 6s));
+}
+
+// Guards against two requests of one sender within a second: the first one
+// waits for its connection, which may take half a second.
+TEST(RestartedUpstream, TheIntervalOfASenderCountsFromTheSend)
+{
+  Refuse(mSeen);
+  steering_choice first = Choose(mSeen + 2s);
+  mSteering.Begin(*first.mTarget, mSeen + 2s);
+  CHECK(mSteering.MaySend(*first.mTarget, mSeen + 2450ms));
+  steering_choice second = Choose(mSeen + 3250ms);
+  CHECK_FALSE(second.mTarget.has_value() &&
+              mSteering.MaySend(*second.mTarget, mSeen + 3250ms));
+}
+
+// Guards against a flood while the store is away and the upstream stays down:
+// the instances that send to it meet refused connections all the time, and the
+// others, which were told once, take it for warm.
+TEST(RestartedUpstream, ItStaysColdAtOthersWhileItRefusesConnections)
+{
+  upstream_steering other{ ReplayOptions("other", "east-a") };
+  other.SetRules(ReplayRules());
+  upstream_entry entry = ReplayUpstream("e1", "east-a");
+  entry.mBorn = 1000ms;
+  other.Apply(other.Directory().Put(entry, kReplayStart), kReplayStart);
+  instant now = mSeen;
+  for (; now < mSeen + 15s; now += 1500ms) {
+    Refuse(now);
+    for (const restart_report& report : mSteering.TakeRestartReports()) {
+      other.LearnRestart(report, now);
+    }
+  }
+  steering_choice choice =
+    other.Choose({ mRoute, { "sheets" }, "1", now, now + 3s, mTried }, now);
+  CHECK_FALSE(choice.mTarget.has_value() && !choice.mTarget->mCold);
+}
+
+// Guards against a row that is read late, of a start that has ended meanwhile:
+// it may have been written before the refused connection.
+TEST(RestartedUpstream, ARowFromBeforeTheRefusalDoesNotEndTheSuspicion)
+{
+  Refuse(mSeen);
+  Refuse(mSeen + 3s);
+  upstream_entry entry = ReplayUpstream("e1", "east-a");
+  entry.mBorn = 2000ms;
+  entry.mColdLeft = 300ms;
+  instant now = mSeen + 3200ms;
+  mSteering.Apply(mSteering.Directory().Put(entry, now), now, mSeen + 1s);
+  CHECK(IsCold(now + 1s));
+}
