Tests of two crowds of uploads and of large headers, failing: memory exceeds the budget

Blocks of bodies below 32 KB come from the heap, which keeps what one crowd frees while the budget grants it again to mapped blocks. Headers are in no budget, nor is the cost of their fields.

The clients of the test share one context, since a context each would take three more descriptors.

--- a/laburnumdyke/testing/process_hostile_clients_test.cc
+++ b/laburnumdyke/testing/process_hostile_clients_test.cc
@@ -38,6 +38,13 @@
 // that more of them are needed to exceed the bound.
 constexpr std::size_t kReaders = 96;
 constexpr std::size_t kUpstreams = 12; // of 8 slots each
+// Bodies of a first crowd, which fill the budget in blocks of less than 32 KB.
+constexpr std::size_t kMiddlingCrowd = 300;
+constexpr std::size_t kMiddlingBody = 46000;
+constexpr std::size_t kSmallCrowd = 400;
+constexpr std::size_t kSmallBody = 15000;
+// Below max-header-bytes of the deployment's configuration.
+constexpr std::size_t kLargeHead = 15000;
 // Two connections for each client, and those of the process itself.
 constexpr std::size_t kDescriptorAllowance = 64;
 // A client whose bytes the process does not take gives up.
@@ -85,7 +92,7 @@
 {
 public:
   explicit raw_client(const endpoint& aTo, int aReceiveBuffer = 0)
-    : mSocket(mContext)
+    : mSocket(Context())
   {
     error_code ignored;
     mSocket.open(tcp::v4(), ignored);
@@ -127,7 +134,13 @@
   }
 
 private:
-  asio::io_context mContext;
+  // Shared: a context for each client would take three descriptors more.
+  static asio::io_context& Context()
+  {
+    static asio::io_context sContext;
+    return sContext;
+  }
+
   tcp::socket mSocket;
   bool mOpen = true;
 };
@@ -200,6 +213,37 @@
     }
   }
 
+  // Begins a request on each of aClients connections and sends aBody of it.
+  void SendCrowd(
+    std::size_t aClients, const std::string& aFraming, const std::string& aBody)
+  {
+    for (std::size_t i = 0; i < aClients; ++i) {
+      std::string id = "hostile-" + std::to_string(mClients.size());
+      Connect().Write(Head(aFraming, id) + aBody);
+    }
+    Settle();
+  }
+
+  // One byte short of their end.
+  void SendMiddlingBodies()
+  {
+    SendCrowd(kMiddlingCrowd,
+              Sized(kMiddlingBody),
+              std::string(kMiddlingBody - 1, 'x'));
+  }
+
+  void SendLargeBodies()
+  {
+    SendCrowd(kCrowd, Sized(kMaxBody), std::string(kMaxBody - 1, 'x'));
+  }
+
+  // Closes the connections of the crowd.
+  void Disconnect()
+  {
+    mClients.clear();
+    Settle();
+  }
+
   bool Serves(const std::string& aId)
   {
     return WaitUntil(
@@ -380,3 +424,62 @@
   }
   CheckBounds("largest legal bodies");
 }
+
+// Guards against memory that one crowd has given back and that larger bodies
+// are granted a second time, while the heap still keeps it.
+TEST(ProcessHostileClients, LargeBodiesAfterMiddlingOnesThatHaveLeft)
+{
+  Start();
+  SendMiddlingBodies();
+  Disconnect();
+  SendLargeBodies();
+  CheckBounds("large bodies after middling ones");
+}
+
+// As above; the bodies of the first crowd are dropped for those of the second.
+TEST(ProcessHostileClients, LargeBodiesBesideMiddlingOnes)
+{
+  Start();
+  SendMiddlingBodies();
+  SendLargeBodies();
+  CheckBounds("large bodies beside middling ones");
+}
+
+// Guards against memory of headers that no budget counts.
+TEST(ProcessHostileClients, BodiesWithLargeHeads)
+{
+  Start();
+  SendCrowd(kSmallCrowd,
+            "X-Filler: " + std::string(kLargeHead, 'x') + "\r\n" +
+              Sized(kMiddlingBody),
+            std::string(kMiddlingBody - 1, 'x'));
+  CheckBounds("bodies with large heads");
+}
+
+// Guards against counting the bytes of a header without the cost of its fields.
+TEST(ProcessHostileClients, BodiesWithManySmallFields)
+{
+  Start();
+  std::string fields;
+  while (fields.size() < kLargeHead) {
+    fields += "a: b\r\n";
+  }
+  SendCrowd(kSmallCrowd,
+            fields + Sized(kMiddlingBody),
+            std::string(kMiddlingBody - 1, 'x'));
+  CheckBounds("bodies with many small fields");
+}
+
+TEST(ProcessHostileClients, LargeBodiesAfterSmallChunkedOnes)
+{
+  Start();
+  constexpr std::size_t kPiece = 100;
+  std::string chunks;
+  for (std::size_t sent = 0; sent < kSmallBody; sent += kPiece) {
+    chunks += Chunk(kPiece);
+  }
+  SendCrowd(kSmallCrowd, kChunked, chunks);
+  Disconnect();
+  SendLargeBodies();
+  CheckBounds("large bodies after small chunked ones");
+}
