Blocks of bodies are mapped pages and are counted as pages

Blocks below 32 KB came from the heap, which kept what a crowd of middling bodies freed; the budget granted it again to mapped blocks. Now each block is whole pages, so that releasing it returns its memory. 256 blocks of 4 KB are kept for reuse, so that small messages need no system call.

--- a/laburnumdyke/kernel/lock_rank.h
+++ b/laburnumdyke/kernel/lock_rank.h
@@ -26,7 +26,8 @@
   Regions = 45,      // region caps and shifts
   Admission = 50,    // upstream slots and queues
   Links = 60,        // byte budgets of region pairs
-  Bodies = 62,       // memory of request bodies and responses
+  Bodies = 62,       // memory of requests and responses
+  Blocks = 63,       // released blocks that are kept for reuse
   Quotas = 65,       // usage of customers
   Retries = 70,      // retry budget
   Waiters = 75,      // coroutines that wait for a slot
--- a/laburnumdyke/plugin/block_buffer.cc
+++ b/laburnumdyke/plugin/block_buffer.cc
@@ -1,7 +1,11 @@
-// Blocks from kMapped bytes on are mapped; smaller ones come from the heap.
+// A message of a few kilobytes needs one block. Keeping some of them avoids
+// system calls for such messages.
 #include "laburnumdyke/plugin/block_buffer.h"
 
+#include "laburnumdyke/kernel/guarded.h"
+
 #include <algorithm>
+#include <array>
 #include <new>
 
 #include <sys/mman.h>
@@ -10,13 +14,48 @@
 
 namespace {
 
-constexpr std::size_t kMapped = 32UL * 1024;
+// Released blocks of kFirstBlock bytes: at most 1 MB, which no budget counts.
+struct kept_blocks
+{
+  static constexpr lock_rank kLockRank = lock_rank::Blocks;
+
+  std::array<char*, 256> mFree{};
+  std::size_t mCount = 0;
+};
+
+table<kept_blocks>&
+KeptBlocks()
+{
+  static table<kept_blocks> sKept;
+  return sKept;
+}
+
+char*
+TakeKept()
+{
+  return KeptBlocks().With([](kept_blocks& aKept) -> char* {
+    return aKept.mCount > 0 ? aKept.mFree[--aKept.mCount] : nullptr;
+  });
+}
+
+bool
+Keep(char* aBlock)
+{
+  return KeptBlocks().With([&](kept_blocks& aKept) {
+    if (aKept.mCount == aKept.mFree.size()) {
+      return false;
+    }
+    aKept.mFree[aKept.mCount++] = aBlock;
+    return true;
+  });
+}
 
 char*
 Allocate(std::size_t aBytes)
 {
-  if (aBytes < kMapped) {
-    return new char[aBytes];
+  char* kept = aBytes == block_buffer::kFirstBlock ? TakeKept() : nullptr;
+  if (kept != nullptr) {
+    return kept;
   }
   void* mapped = ::mmap(nullptr,
                         aBytes,
@@ -35,9 +74,7 @@
 void
 block_buffer::release::operator()(char* aData) const
 {
-  if (mBytes < kMapped) {
-    delete[] aData;
-  } else {
+  if (mBytes != kFirstBlock || !Keep(aData)) {
     ::munmap(aData, mBytes);
   }
 }
@@ -51,9 +88,10 @@
 void
 block_buffer::Grow(std::size_t aBytes)
 {
+  std::size_t bytes = Occupied(aBytes);
   mBlocks.push_back(
-    { std::unique_ptr<char, release>(Allocate(aBytes), release{ aBytes }), 0 });
-  mCapacity += aBytes;
+    { std::unique_ptr<char, release>(Allocate(bytes), release{ bytes }), 0 });
+  mCapacity += bytes;
 }
 
 std::span<char>
--- a/laburnumdyke/plugin/block_buffer.h
+++ b/laburnumdyke/plugin/block_buffer.h
@@ -1,9 +1,10 @@
 // Bytes of a message's body, in a chain of blocks.
 //
 // Growing neither moves nor copies bytes, and costs at most one block beyond
-// them. Large blocks are mapped rather than allocated, so that their memory
-// returns to the system when they are released: the heap of a thread would keep
-// it for that thread alone.
+// them. Blocks are whole pages and are mapped rather than allocated, so that
+// their memory returns to the system when they are released. The heap would
+// keep it, while the budget grants it to another body. A few blocks of the
+// smallest size are kept for reuse by any thread.
 //
 // Usage:
 //   if (buffer.Space().empty()) buffer.Grow(buffer.NextBlock());
@@ -26,9 +27,16 @@
   static constexpr std::size_t kFirstBlock = 4096;
   static constexpr std::size_t kBlock = 64UL * 1024;
 
+  // What a block of aBytes occupies: whole pages, kFirstBlock bytes each.
+  static constexpr std::size_t Occupied(std::size_t aBytes)
+  {
+    return (aBytes + kFirstBlock - 1) / kFirstBlock * kFirstBlock;
+  }
+
   // The size of the next block, so that the capacity quadruples up to kBlock.
   std::size_t NextBlock() const;
 
+  // Adds a block of Occupied(aBytes).
   void Grow(std::size_t aBytes);
 
   // What can be filled before the buffer grows; empty if nothing.
--- a/laburnumdyke/plugin/held_body.cc
+++ b/laburnumdyke/plugin/held_body.cc
@@ -184,12 +184,13 @@
       return body_end::Whole;
     }
     std::size_t length = *mLength;
+    std::size_t occupied = block_buffer::Occupied(length);
     return mTable.With([&](body_table& aBodies) {
-      if (length > mLimit || !aBodies.mBudget.Fits(length)) {
+      if (length > mLimit || !aBodies.mBudget.Fits(occupied)) {
         return body_end::TooLarge;
       }
-      return aBodies.mBudget.HasRoomFor(length, Now()) ? body_end::Whole
-                                                       : body_end::NoRoom;
+      return aBodies.mBudget.HasRoomFor(occupied, Now()) ? body_end::Whole
+                                                         : body_end::NoRoom;
     });
   }
 
@@ -203,6 +204,7 @@
     if (mLength && *mLength > bytes.Size()) {
       wanted = std::min<std::size_t>(wanted, *mLength - bytes.Size());
     }
+    wanted = block_buffer::Occupied(wanted);
     instant until = Now() + kRoomWait;
     room_answer room = Take(wanted);
     while (room == room_answer::Later && Now() < until) {
--- a/laburnumdyke/testing/body_budget_test.cc
+++ b/laburnumdyke/testing/body_budget_test.cc
@@ -241,6 +241,17 @@
 
 TEST_GROUP(BlockBuffer){};
 
+// Guards against blocks that cost more than the budget counts.
+TEST(BlockBuffer, BlocksAreWholePages)
+{
+  block_buffer buffer;
+  buffer.Grow(1);
+  LONGS_EQUAL(block_buffer::kFirstBlock, buffer.Capacity());
+  buffer.Grow(block_buffer::kFirstBlock + 1);
+  LONGS_EQUAL(3 * block_buffer::kFirstBlock, buffer.Capacity());
+  LONGS_EQUAL(0, block_buffer::Occupied(0));
+}
+
 // Guards against small chunks that cost much more than their bytes.
 TEST(BlockBuffer, KeepsBytesInOrderAndWastesLessThanABlock)
 {
