Large headers are counted in the budget of bodies

No budget held headers: one of 15 KB with 2,500 fields costs the parser over 200 KB, and the buffer of a connection kept its largest size. A header that costs more than 8 KB is counted once it is read, refused with 503 if there is no room, and leaves the reserve; the buffer shrinks after it. The heap returns its free memory once headers have returned a part of the budget. The parser is released before the rest of a refused body is discarded.

--- a/laburnumdyke/decision/body_budget.cc
+++ b/laburnumdyke/decision/body_budget.cc
@@ -177,6 +177,28 @@
   mResponseBytes -= aBytes;
 }
 
+bool
+body_budget::TakeForHead(std::size_t aBytes)
+{
+  if (Used() + aBytes > Limit(kSmall + 1)) {
+    return false;
+  }
+  mHeadBytes += aBytes;
+  return true;
+}
+
+bool
+body_budget::ReturnOfHead(std::size_t aBytes)
+{
+  mHeadBytes -= aBytes;
+  mReturnedOfHeads += aBytes;
+  if (mReturnedOfHeads < mOptions.mTotal / kTrimParts) {
+    return false;
+  }
+  mReturnedOfHeads = 0;
+  return true;
+}
+
 std::chrono::milliseconds
 body_budget::ReaderLimit(std::size_t aBytes) const
 {
--- a/laburnumdyke/decision/body_budget.h
+++ b/laburnumdyke/decision/body_budget.h
@@ -1,10 +1,10 @@
-// Decides which request bodies and responses an instance may hold in memory.
+// Decides which requests and responses an instance may hold in memory.
 //
-// One budget of bytes is shared by all of them. A body takes bytes as they
-// arrive; its first kSmall bytes may come from a reserve that larger bodies
-// can't use, so that small requests are served beside large ones. If the budget
-// is exhausted, the body that lags most is dropped. A body on which an upstream
-// may have begun to work is never dropped.
+// One budget of bytes is shared by bodies, responses and large heads. A body
+// takes bytes as they arrive; its first kSmall bytes may come from a reserve
+// that larger bodies can't use, so that small requests are served beside large
+// ones. If the budget is exhausted, the body that lags most is dropped. A body
+// on which an upstream may have begun to work is never dropped.
 //
 // Progress is measured as a rate: each received byte pays for the time in which
 // it is due at the minimum rate. The lag of a body is the time not paid for, so
@@ -23,6 +23,7 @@
 //   budget.Close(body);
 //   std::size_t granted = budget.TakeForResponse(bytes);
 //   budget.ReturnOfResponse(granted);
+//   if (budget.TakeForHead(bytes)) ... budget.ReturnOfHead(bytes);
 #pragma once
 
 #include "laburnumdyke/decision/types.h"
@@ -62,6 +63,8 @@
   static constexpr std::size_t kReserveParts = 16;
   // Responses may take one part of kResponseParts.
   static constexpr std::size_t kResponseParts = 4;
+  // Heads may return one part of kTrimParts before the heap is to be trimmed.
+  static constexpr std::size_t kTrimParts = 32;
   static constexpr int kPressure = 16;
   // A body that lags less is not dropped for another one: it may only wait for
   // a round trip.
@@ -103,10 +106,17 @@
   std::size_t TakeForResponse(std::size_t aBytes);
   void ReturnOfResponse(std::size_t aBytes);
 
+  // Takes aBytes for the head of a request and returns true, or takes nothing.
+  // Heads leave the reserve to small bodies.
+  bool TakeForHead(std::size_t aBytes);
+  // Returns whether heads have returned so much since this last was true that
+  // the heap should return its free memory to the system.
+  bool ReturnOfHead(std::size_t aBytes);
+
   // Longest time in which a caller may take aBytes of a response.
   std::chrono::milliseconds ReaderLimit(std::size_t aBytes) const;
 
-  std::size_t Used() const { return mBodyBytes + mResponseBytes; }
+  std::size_t Used() const { return mBodyBytes + mResponseBytes + mHeadBytes; }
 
 private:
   struct body
@@ -129,7 +139,9 @@
   std::vector<holding_id> mNewlyDropped;
   std::size_t mBodyBytes = 0;
   std::size_t mResponseBytes = 0;
-  std::size_t mDroppedBytes = 0; // of dropped bodies that are not closed yet
+  std::size_t mHeadBytes = 0;
+  std::size_t mReturnedOfHeads = 0; // since the heap was last to be trimmed
+  std::size_t mDroppedBytes = 0;    // of dropped bodies that are not closed yet
   holding_id mNext = 1;
 };
 
--- a/laburnumdyke/plugin/held_body.cc
+++ b/laburnumdyke/plugin/held_body.cc
@@ -5,6 +5,7 @@
 // its own strand, and its coroutine then finds that it was dropped.
 #include "laburnumdyke/plugin/held_body.h"
 
+#include <malloc.h>
 #include <sys/sysinfo.h>
 
 #include <algorithm>
@@ -327,6 +328,37 @@
   co_return co_await reader.Read();
 }
 
+held_head::~held_head()
+{
+  if (mBytes == 0) {
+    return;
+  }
+  bool trim = mTable.With(
+    [&](body_table& aBodies) { return aBodies.mBudget.ReturnOfHead(mBytes); });
+  if (trim) {
+    ::malloc_trim(0);
+  }
+}
+
+bool
+held_head::Take(const http_exchange& aExchange)
+{
+  std::size_t bytes = aExchange.mBuffer.capacity();
+  for (const http::fields::value_type& field : aExchange.Head()) {
+    bytes += field.name_string().size() + field.value().size() + kFieldCost;
+  }
+  if (bytes <= kSmallHead) {
+    return true;
+  }
+  if (!mTable.With([&](body_table& aBodies) {
+        return aBodies.mBudget.TakeForHead(bytes);
+      })) {
+    return false;
+  }
+  mBytes = bytes;
+  return true;
+}
+
 held_response::~held_response()
 {
   mBytes = block_buffer();
--- a/laburnumdyke/plugin/held_body.h
+++ b/laburnumdyke/plugin/held_body.h
@@ -1,11 +1,11 @@
-// Request bodies and responses held in memory, within the budget of the
-// instance (decision/body_budget.h).
+// Requests and responses held in memory, within the budget of the instance
+// (decision/body_budget.h).
 //
 // Usage:
 //   body_read read = co_await ReadHeldBody(table, exchange, limit);
 //   if (read.mEnd == body_end::Whole) ... read.mBody.Bytes() ...
 //
-// The memory is given back when the held_body or held_response is destroyed.
+// The memory is given back when the object that holds it is destroyed.
 #pragma once
 
 #include "laburnumdyke/decision/body_budget.h"
@@ -74,6 +74,33 @@
              http_exchange& aExchange,
              std::size_t aLimit);
 
+// Counts the head of a request, which the parser holds, if it is large. Small
+// heads are part of the fixed cost of a connection, so that ordinary requests
+// need no room for theirs.
+class held_head
+{
+public:
+  explicit held_head(table<body_table>& aTable)
+    : mTable(aTable)
+  {
+  }
+  ~held_head();
+  held_head(const held_head&) = delete;
+  held_head& operator=(const held_head&) = delete;
+
+  // Returns false if the budget has no room.
+  bool Take(const http_exchange& aExchange);
+
+private:
+  // What a head that is not counted costs at most, in bytes.
+  static constexpr std::size_t kSmallHead = 8192;
+  // What the parser allocates for a field beside its name and value.
+  static constexpr std::size_t kFieldCost = 96;
+
+  table<body_table>& mTable;
+  std::size_t mBytes = 0;
+};
+
 // The part of a response that has been received and not yet forwarded.
 class held_response
 {
--- a/laburnumdyke/plugin/http_server.cc
+++ b/laburnumdyke/plugin/http_server.cc
@@ -80,6 +80,14 @@
   co_return !failure;
 }
 
+void
+ShrinkBuffer(beast::flat_buffer& aBuffer)
+{
+  if (aBuffer.capacity() > kFirstRead) {
+    aBuffer.shrink_to_fit();
+  }
+}
+
 asio::awaitable<bool>
 ReadHead(kernel& aKernel,
          tcp_stream& aStream,
--- a/laburnumdyke/plugin/http_server.h
+++ b/laburnumdyke/plugin/http_server.h
@@ -101,6 +101,11 @@
          request_parser& aParser,
          server_limits aLimits);
 
+// Releases the memory of bytes that have been parsed, where a large header or a
+// body made the buffer grow beyond its first size.
+void
+ShrinkBuffer(beast::flat_buffer& aBuffer);
+
 // Sends 100 Continue to a caller that waits for it before it sends the body.
 asio::awaitable<void>
 SendContinue(http_exchange& aExchange);
@@ -259,21 +264,25 @@
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
-      request_parser parser;
+      ShrinkBuffer(buffer);
+      std::optional<request_parser> parser(std::in_place);
       open = co_await AwaitRequest(aConnection, buffer) &&
-             co_await ReadHeadWithin(Limits(), *aConnection, buffer, parser);
+             co_await ReadHeadWithin(Limits(), *aConnection, buffer, *parser);
       if (open) {
+        ShrinkBuffer(buffer);
         ++mInFlight;
         http_exchange exchange{ aConnection->mStream,
                                 buffer,
-                                parser,
+                                *parser,
                                 std::chrono::steady_clock::now(),
-                                parser.get().keep_alive() && !mLeaving };
+                                parser->get().keep_alive() && !mLeaving };
         co_await mHandler.Handle(exchange);
         --mInFlight;
         aConnection->mIsIdle = true;
         open = exchange.mKeepAlive && aConnection->mServesOneMore;
-        if (!exchange.mKeepAlive && !parser.is_done()) {
+        bool unread = !exchange.mKeepAlive && !parser->is_done();
+        parser.reset(); // its header is no longer counted
+        if (unread) {
           co_await DiscardRest(aConnection->mStream);
         }
       }
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -60,11 +60,15 @@
 
   asio::awaitable<void> Serve(http_exchange& aExchange)
   {
+    held_head head(mBodies);
     steered_request request;
     request.mReceived = aExchange.mReceived;
     request.mCaller = Dialect::ReadCaller(aExchange.Head());
     std::optional<steered_refusal> refusal = mChecks.FindRoute(
       request, FromBeast(aExchange.Head().target()), boot_clock::Now());
+    if (!refusal && !head.Take(aExchange)) {
+      refusal = BodyRefusal(body_end::NoRoom);
+    }
     if (!refusal) {
       mLog.CustomerIdentified(request, Now());
       refusal = co_await ReadBody(aExchange, request);
--- a/laburnumdyke/testing/body_budget_test.cc
+++ b/laburnumdyke/testing/body_budget_test.cc
@@ -229,6 +229,37 @@
   LONGS_EQUAL(kUnit, mBudget.TakeForResponse(3 * kUnit));
 }
 
+// Guards against heads that take what is reserved for small requests, and
+// against heads that are not part of the sum.
+TEST(BodyBudget, HeadsShareTheBudgetAndLeaveTheReserve)
+{
+  Receive(10 * kUnit);
+  CHECK(mBudget.TakeForHead(5 * kUnit));
+  CHECK(!mBudget.TakeForHead(1));
+  holding_id small = Receive(kUnit); // from the reserve
+  LONGS_EQUAL(kTotal, mBudget.Used());
+  CHECK(!Grants(mBudget.Open(mNow), 1));
+  mBudget.Close(small);
+  mBudget.ReturnOfHead(5 * kUnit);
+  LONGS_EQUAL(10 * kUnit, mBudget.Used());
+  CHECK(mBudget.TakeForHead(5 * kUnit));
+}
+
+// Guards against a heap that keeps what heads have returned, and against one
+// that is trimmed after each of them.
+TEST(BodyBudget, ReturnedHeadsAreSummedUpBeforeTheHeapIsTrimmed)
+{
+  constexpr std::size_t kHead = kTotal / body_budget::kTrimParts / 4;
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 3; ++i) {
+      CHECK(mBudget.TakeForHead(kHead));
+      CHECK(!mBudget.ReturnOfHead(kHead));
+    }
+    CHECK(mBudget.TakeForHead(kHead));
+    CHECK(mBudget.ReturnOfHead(kHead));
+  }
+}
+
 TEST(BodyBudget, TheLimitOfAReaderIsARate)
 {
   body_budget_options options = Options();
