--- a/laburnumdyke/kernel/settings.cc
+++ b/laburnumdyke/kernel/settings.cc
@@ -345,6 +345,13 @@
       false,
       "auto, always or never",
       [](settings& aS, text aT) { return SetUnevenLoad(aS.mUnevenLoad, aT); } },
+    { "limits",
+      "process_memory",
+      false,
+      kBytes,
+      [](settings& aS, text aT) {
+        return SetSize(aS.mLimits.mProcessMemory, aT);
+      } },
     { "limits",
       "body_memory",
       false,
--- a/laburnumdyke/kernel/settings.h
+++ b/laburnumdyke/kernel/settings.h
@@ -40,6 +40,7 @@
 //   learned_speed = reported
 //   uneven_load = auto
 //   [limits]
+//   process_memory = 112000000
 //   body_memory = 67108864
 //   body_rate = 4096
 //   body_grace = 15s
@@ -105,8 +106,10 @@
 // hold in memory.
 struct client_bounds
 {
-  // Bytes of request bodies and buffered responses in all; 0: a fraction of
-  // the machine's memory.
+  // Bytes that the process may use; 0: the machine's memory.
+  std::size_t mProcessMemory = 0;
+  // Bytes of requests and buffered responses in all; 0: a fraction of the
+  // memory that the process may use.
   std::size_t mBodyMemory = 0;
   // Bytes per second that a client must send of a body, and how far it may lag
   // behind.
--- a/laburnumdyke/plugin/held_body.cc
+++ b/laburnumdyke/plugin/held_body.cc
@@ -36,20 +36,24 @@
 constexpr std::size_t kReceive = 4096; // bytes
 
 std::size_t
-DefaultBudget()
+DefaultBudget(std::size_t aProcessMemory)
 {
+  std::uint64_t memory = aProcessMemory;
   struct sysinfo machine;
-  if (::sysinfo(&machine) != 0) {
+  if (memory == 0 && ::sysinfo(&machine) != 0) {
     return kUnknownMemory;
   }
-  return static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit *
-         kBudgetParts / kMemoryParts;
+  if (memory == 0) {
+    memory = static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit;
+  }
+  return memory * kBudgetParts / kMemoryParts;
 }
 
 body_budget_options
 BudgetOptions(const client_bounds& aLimits)
 {
-  return { aLimits.mBodyMemory > 0 ? aLimits.mBodyMemory : DefaultBudget(),
+  return { aLimits.mBodyMemory > 0 ? aLimits.mBodyMemory
+                                   : DefaultBudget(aLimits.mProcessMemory),
            aLimits.mBodyRate,
            aLimits.mBodyGrace,
            aLimits.mReaderRate,
--- a/laburnumdyke/testing/kernel_test.cc
+++ b/laburnumdyke/testing/kernel_test.cc
@@ -45,6 +45,7 @@
                                    "drain_timeout = 2500ms\n"
                                    "grace = 7s\n"
                                    "[limits]\n"
+                                   "process_memory = 3000000\n"
                                    "body_memory = 1000000\n"
                                    "body_rate = 100\n"
                                    "body_grace = 20s\n"
@@ -75,6 +76,7 @@
   DOUBLES_EQUAL(0.25, read.mBounds.mMostShift, 1e-9);
   CHECK(read.mBounds.mDrainTimeout == std::chrono::milliseconds(2500));
   CHECK(read.mBounds.mGrace == std::chrono::seconds(7));
+  LONGS_EQUAL(3000000, read.mLimits.mProcessMemory);
   LONGS_EQUAL(1000000, read.mLimits.mBodyMemory);
   LONGS_EQUAL(100, read.mLimits.mBodyRate);
   CHECK(read.mLimits.mBodyGrace == std::chrono::seconds(20));
@@ -91,6 +93,7 @@
     { "leinster-a = leinster\nm", "m", "domains" },
     { "munster-a = munster", "munster-a = Munster", "domains.munster-a" },
     { "munster-a = munster", "leinster-a = munster", "domains.leinster-a" },
+    { "= 3000000", "= 3M", "limits.process_memory" },
     { "= 1000000", "= 0", "limits.body_memory" },
     { "= 1000000", "= 64MB", "limits.body_memory" },
     { "= 100\n", "= -1\n", "limits.body_rate" },
