--- a/laburnumdyke/plugin/held_body.cc
+++ b/laburnumdyke/plugin/held_body.cc
@@ -5,6 +5,7 @@
 // its own strand, and its coroutine then finds that it was dropped.
 #include "laburnumdyke/plugin/held_body.h"
 
+#include <malloc.h>
 #include <sys/sysinfo.h>
 
 #include <algorithm>
@@ -35,20 +36,24 @@
 constexpr std::size_t kReceive = 4096; // bytes
 
 std::size_t
-DefaultBudget()
+DefaultBudget(std::size_t aProcessMemory)
 {
+  std::uint64_t memory = aProcessMemory;
   struct sysinfo machine;
-  if (::sysinfo(&machine) != 0) {
+  if (memory == 0 && ::sysinfo(&machine) != 0) {
     return kUnknownMemory;
   }
-  return static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit *
-         kBudgetParts / kMemoryParts;
+  if (memory == 0) {
+    memory = static_cast<std::uint64_t>(machine.totalram) * machine.mem_unit;
+  }
+  return memory * kBudgetParts / kMemoryParts;
 }
 
 body_budget_options
 BudgetOptions(const client_bounds& aLimits)
 {
-  return { aLimits.mBodyMemory > 0 ? aLimits.mBodyMemory : DefaultBudget(),
+  return { aLimits.mBodyMemory > 0 ? aLimits.mBodyMemory
+                                   : DefaultBudget(aLimits.mProcessMemory),
            aLimits.mBodyRate,
            aLimits.mBodyGrace,
            aLimits.mReaderRate,
@@ -184,12 +189,13 @@
       return body_end::Whole;
     }
     std::size_t length = *mLength;
+    std::size_t occupied = block_buffer::Occupied(length);
     return mTable.With([&](body_table& aBodies) {
-      if (length > mLimit || !aBodies.mBudget.Fits(length)) {
+      if (length > mLimit || !aBodies.mBudget.Fits(occupied)) {
         return body_end::TooLarge;
       }
-      return aBodies.mBudget.HasRoomFor(length, Now()) ? body_end::Whole
-                                                       : body_end::NoRoom;
+      return aBodies.mBudget.HasRoomFor(occupied, Now()) ? body_end::Whole
+                                                         : body_end::NoRoom;
     });
   }
 
@@ -203,6 +209,7 @@
     if (mLength && *mLength > bytes.Size()) {
       wanted = std::min<std::size_t>(wanted, *mLength - bytes.Size());
     }
+    wanted = block_buffer::Occupied(wanted);
     instant until = Now() + kRoomWait;
     room_answer room = Take(wanted);
     while (room == room_answer::Later && Now() < until) {
@@ -325,6 +332,37 @@
   co_return co_await reader.Read();
 }
 
+held_head::~held_head()
+{
+  if (mBytes == 0) {
+    return;
+  }
+  bool trim = mTable.With(
+    [&](body_table& aBodies) { return aBodies.mBudget.ReturnOfHead(mBytes); });
+  if (trim) {
+    ::malloc_trim(0);
+  }
+}
+
+bool
+held_head::Take(const http_exchange& aExchange)
+{
+  std::size_t bytes = aExchange.mBuffer.capacity();
+  for (const http::fields::value_type& field : aExchange.Head()) {
+    bytes += field.name_string().size() + field.value().size() + kFieldCost;
+  }
+  if (bytes <= kSmallHead) {
+    return true;
+  }
+  if (!mTable.With([&](body_table& aBodies) {
+        return aBodies.mBudget.TakeForHead(bytes);
+      })) {
+    return false;
+  }
+  mBytes = bytes;
+  return true;
+}
+
 held_response::~held_response()
 {
   mBytes = block_buffer();
