A new start of an upstream resets by construction; connecting discards its own pool

- Apply() listed the fields that a new start resets one by one, so that a field added later would keep the value of the former start.
It begins with a new record again, and carries over the two that outlast a start.
- ConnectUpstream() tells why a connection failed and has the pool; the pipeline closed the kept connections in its stead.
- Two comments still said that reports aren't repeated.

--- a/laburnumdyke/decision/upstream_steering.cc
+++ b/laburnumdyke/decision/upstream_steering.cc
@@ -51,19 +51,19 @@
                  change.mKind == upstream_change_kind::Restarted;
     upstream& known = mUpstreams[entry.mId];
     if (isNew) {
-      known.mEntry = entry;
-      known.mStart += change.mKind == upstream_change_kind::Restarted ? 1 : 0;
+      bool isRestart = change.mKind == upstream_change_kind::Restarted;
+      upstream started;
+      started.mEntry.mId = entry.mId;
+      started.mStart = known.mStart + (isRestart ? 1 : 0);
+      started.mRestart = known.mRestart;
+      started.mRestart.RecordNewStart(aWrittenAfter);
+      known = std::move(started);
       ForgetStart(known);
-      known.mHealth = {};
-      known.mColdUntil = aNow + entry.mColdLeft;
-      known.mFoundCold = instant::min();
-      known.mRestart.RecordNewStart(aWrittenAfter);
-      known.mMisdirected.reset();
     } else {
-      ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
       known.mRestart.RecordRegistration(aWrittenAfter);
-      known.mEntry = entry;
     }
+    ApplyColdLeft(known, entry.mColdLeft, aNow, aWrittenAfter);
+    known.mEntry = entry;
     known.mRegion = RegionOf(entry.mDomain);
     if (known.mMisdirected && aWrittenAfter >= *known.mMisdirected) {
       known.mMisdirected.reset();
--- a/laburnumdyke/decision/upstream_steering.h
+++ b/laburnumdyke/decision/upstream_steering.h
@@ -174,8 +174,8 @@
   // have started again or become cold.
   bool MaySend(const steering_target& aTarget, instant aNow);
   void Begin(const steering_target& aTarget, instant aNow);
-  // Upstreams that may have started again, as seen by this instance and not
-  // known from other instances; each is returned once.
+  // Upstreams that may have started again, as seen by this instance where that
+  // was news (restart_suspicion::IsNews); each report is returned once.
   std::vector<restart_report> TakeRestartReports();
   // Applies a report of another instance. Returns the upstream's address if it
   // was news.
--- a/laburnumdyke/plugin/restart_exchange.h
+++ b/laburnumdyke/plugin/restart_exchange.h
@@ -10,8 +10,8 @@
 //   // Connections to keep:
 //   const std::set<endpoint>& open = exchange.Targets();
 //
-// A message that is lost is not repeated: the instance then learns of the start
-// by itself, or from the registration.
+// A message that is lost is not sent again. An instance that goes on to meet
+// failed connections reports them again after restart_suspicion::kNewsInterval.
 #pragma once
 
 #include "laburnumdyke/plugin/fleet_codec.h"
--- a/laburnumdyke/plugin/steered_pipeline.h
+++ b/laburnumdyke/plugin/steered_pipeline.h
@@ -213,11 +213,6 @@
     if (notice) {
       mLog.SpeedChanged(aTarget, *notice);
     }
-    if (outcome.mConnectFailure == connect_failure::Refused ||
-        outcome.mConnectFailure == connect_failure::TimedOut) {
-      mTables.Pool().With(
-        [&](connection_pool& aPool) { aPool.Discard(aTarget.mAddress); });
-    }
     if (!restarts.empty()) {
       mTables.Restarts().With(
         [&](restart_outbox& aOutbox) { aOutbox.Add(restarts); });
--- a/laburnumdyke/plugin/upstream_connection.cc
+++ b/laburnumdyke/plugin/upstream_connection.cc
@@ -69,6 +69,9 @@
   duration took = clock::now() - begun;
   if (failure) {
     aOutcome.mConnectFailure = ConnectFailureOf(failure, took);
+    if (aOutcome.mConnectFailure != connect_failure::Other) {
+      aPool.With([&](connection_pool& aIdle) { aIdle.Discard(aAttempt.mTo); });
+    }
   } else {
     aOutcome.mConnect = took;
     EnableDeadPeerDetection(aConnection.mStream->socket());
